--- /dev/null
+++ b/crates/daemon/src/audit.rs
@@ -0,0 +1,123 @@
+//! The audit trail: what changed, by whom, and whether it was accepted.
+
+use std::{collections::VecDeque, sync::Mutex};
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::clock::Clock;
+
+/// Entries kept for operators; about 200 KB.
+const MAX_ENTRIES: usize = 1_000;
+
+/// What was decided about a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// It is in force.
+    Accepted,
+    /// It was not applied.
+    Refused,
+}
+
+/// The kind of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// A fleet declaration.
+    Declaration,
+    /// The membership list.
+    Members,
+    /// The version that an engine serves.
+    Version,
+    /// A request that crashed an upstream.
+    Crash,
+    /// An upstream that was left out or taken back.
+    Ejection,
+    /// Start or stop of the process.
+    Process,
+}
+
+/// One line of the trail.
+#[derive(Clone, Debug, Serialize)]
+pub struct Entry {
+    /// Milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Who caused it: an author, a peer, or the process itself.
+    pub who: SmolStr,
+    /// What kind of change.
+    pub action: Action,
+    /// What stood before.
+    pub from: SmolStr,
+    /// What stands now, or would.
+    pub to: SmolStr,
+    /// Whether it is in force.
+    pub verdict: Verdict,
+    /// Why, in words.
+    pub why: SmolStr,
+}
+
+/// The last entries of the trail, which also go to standard output.
+#[derive(Debug)]
+pub struct Audit {
+    clock: Clock,
+    entries: Mutex<VecDeque<Entry>>,
+}
+
+/// A change to be recorded.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Who caused it.
+    pub who: SmolStr,
+    /// What kind of change.
+    pub action: Action,
+    /// What stood before.
+    pub from: SmolStr,
+    /// What stands now, or would.
+    pub to: SmolStr,
+    /// Whether it is in force.
+    pub verdict: Verdict,
+    /// Why, in words.
+    pub why: SmolStr,
+}
+
+impl Audit {
+    /// An empty trail.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Records a change and prints it as one line of JSON.
+    pub fn record(&self, record: Record) {
+        let entry = Entry {
+            at_ms: self.clock.unix_ms(),
+            who: record.who,
+            action: record.action,
+            from: record.from,
+            to: record.to,
+            verdict: record.verdict,
+            why: record.why,
+        };
+        if let Ok(line) = serde_json::to_string(&entry) {
+            println!("{line}");
+        }
+        let Ok(mut entries) = self.entries.lock() else {
+            return;
+        };
+        entries.push_back(entry);
+        if entries.len() > MAX_ENTRIES {
+            entries.pop_front();
+        }
+    }
+
+    /// The kept entries, oldest first.
+    pub fn entries(&self) -> Vec<Entry> {
+        let entries = self.entries.lock();
+        entries
+            .map(|e| e.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,108 @@
+//! The entry: takes callers' requests, chooses upstreams, gives every request its outcome.
+
+mod answer;
+mod body;
+mod call;
+mod context;
+mod forward;
+
+use std::{
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
+
+use actix::Actor;
+use actix_web::{
+    web::{self, Data},
+    App, HttpServer,
+};
+use balsamjunction_settings::EntrySettings;
+use log::info;
+
+use self::context::EntryContext;
+use crate::{
+    audit::{Action, Audit, Record, Verdict},
+    client,
+    clock::Clock,
+    error::DaemonError,
+    fleet::{FleetState, Spread},
+    inner::{self, Inner},
+    metrics::Metrics,
+    process::{self, BACKLOG},
+};
+
+/// Runs an entry until it is told to stop.
+pub async fn serve(settings: EntrySettings) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let callers = process::listen(settings.listen)?;
+    let peers = process::listen(settings.peer.inner_listen)?;
+    let audit = Arc::new(Audit::new(clock));
+    let metrics = Arc::new(Metrics::default());
+    let state = Arc::new(FleetState::new(
+        settings.peer.clone(),
+        audit.clone(),
+        metrics.clone(),
+    ));
+    let spread = Spread::new(state.clone(), clock).start();
+    let context = Arc::new(EntryContext::new(state.clone(), spread.clone(), clock));
+    actix_rt::spawn(context::follow_fleet(context.clone()));
+
+    let inner = Data::new(Inner {
+        state,
+        spread,
+        audit: audit.clone(),
+        metrics,
+        report: context.clone(),
+    });
+    let inner_server =
+        HttpServer::new(move || App::new().app_data(inner.clone()).configure(inner::routes))
+            .workers(1)
+            .disable_signals()
+            .keep_alive(client::SERVER_IDLE_LIMIT)
+            .listen(peers)?
+            .run();
+
+    let outbound_ip = settings.peer.outbound_ip;
+    let served = context.clone();
+    let caller_server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::from(served.clone()))
+            .app_data(Data::new(client::new(outbound_ip)))
+            .default_service(web::to(forward::handle))
+    })
+    .workers(settings.workers)
+    .backlog(BACKLOG as u32)
+    .disable_signals()
+    .keep_alive(client::SERVER_IDLE_LIMIT)
+    .client_request_timeout(Duration::from_millis(settings.header_timeout_ms))
+    .h1_allow_half_closed(false)
+    .listen(callers)?
+    .run();
+
+    let handles = [caller_server.handle(), inner_server.handle()];
+    actix_rt::spawn(caller_server);
+    actix_rt::spawn(inner_server);
+    info!(
+        "entry {} listens on {}",
+        settings.peer.host, settings.listen
+    );
+    audit.record(process_record(&settings.peer.host, "started"));
+
+    process::stop_signal().await?;
+    info!("entry {} drains", settings.peer.host);
+    context.lifecycle.stop();
+    process::drain(|| context.in_progress.load(Ordering::Acquire), &handles).await;
+    audit.record(process_record(&settings.peer.host, "stopped"));
+    Ok(())
+}
+
+fn process_record(host: &str, to: &str) -> Record {
+    Record {
+        who: host.into(),
+        action: Action::Process,
+        from: "".into(),
+        to: to.into(),
+        verdict: Verdict::Accepted,
+        why: "entry".into(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,37 @@
+//! The processes that carry requests and weights: entries and sidecars.
+//!
+//! This package holds I/O only. Decisions are made by `balsamjunction-policy`; the modules here feed
+//! it events and carry out its actions. See docs/DESIGN.md, "Processes".
+
+pub mod audit;
+pub mod cli;
+pub mod client;
+pub mod clock;
+pub mod entry;
+pub mod error;
+pub mod fleet;
+pub mod http;
+pub mod inner;
+pub mod metrics;
+pub mod options;
+pub mod platform;
+pub mod problem;
+pub mod process;
+pub mod sidecar;
+
+use std::ffi::OsString;
+
+use crate::{
+    error::DaemonError,
+    options::{Options, Role},
+};
+
+/// Runs the daemon until it is told to stop.
+pub fn run(args: impl Iterator<Item = OsString>) -> Result<(), DaemonError> {
+    let options = Options::from_args(cli::parse(args)?)?;
+    process::start_log(options.log_level)?;
+    match options.role {
+        Role::Entry(settings) => actix_rt::System::new().block_on(entry::serve(*settings)),
+        Role::Sidecar(settings) => actix_rt::System::new().block_on(sidecar::serve(*settings)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/store_http.rs
@@ -0,0 +1,65 @@
+//! The origin of weights over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::Client;
+use bytes::Bytes;
+use futures_util::FutureExt;
+
+use balsamjunction_protocol::platform::Manifest;
+
+use super::{PlatformError, PlatformResult, WeightStore};
+
+/// The longest manifest: 100,000 chunks.
+const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
+/// The longest chunk.
+pub const MAX_CHUNK_BYTES: usize = 64 * 1024 * 1024;
+/// A manifest that does not come in this time is asked for again.
+const MANIFEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// A chunk that does not come in this time is asked for again.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The origin at one address.
+pub struct StoreHttp {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl StoreHttp {
+    /// The origin at `address`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+}
+
+/// Reads a whole answer of at most `limit` bytes.
+pub async fn get(
+    client: &Client,
+    url: String,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, PlatformError> {
+    let response = client.get(url).timeout(timeout).send().await?;
+    let mut response = response.timeout(timeout);
+    if !response.status().is_success() {
+        let status = response.status().as_u16();
+        return Err(PlatformError::Status { status });
+    }
+    Ok(response.body().limit(limit).await?)
+}
+
+impl WeightStore for StoreHttp {
+    fn manifest(&self, version: &str) -> PlatformResult<'_, Manifest> {
+        let url = format!("http://{}/v1/manifests/{version}", self.address);
+        async move {
+            let body = get(&self.client, url, MAX_MANIFEST_BYTES, MANIFEST_TIMEOUT).await?;
+            Ok(serde_json::from_slice(&body)?)
+        }
+        .boxed_local()
+    }
+
+    fn chunk(&self, version: &str, chunk: usize) -> PlatformResult<'_, Bytes> {
+        let url = format!("http://{}/v1/chunks/{version}/{chunk}", self.address);
+        get(&self.client, url, MAX_CHUNK_BYTES, CHUNK_TIMEOUT).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/pacing.rs
@@ -0,0 +1,111 @@
+//! Paces bulk transfers of this host, so that live traffic goes first.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use balsamjunction_policy::pace::Pacer;
+use balsamjunction_protocol::MemberState;
+use balsamjunction_settings::{Fleet, ValueKey};
+
+use super::context::SidecarContext;
+
+struct Pacers {
+    sending: Pacer,
+    receiving: Pacer,
+    between_regions: Pacer,
+}
+
+/// The pacers of one host.
+pub struct Pacing {
+    context: Arc<SidecarContext>,
+    pacers: Mutex<Pacers>,
+}
+
+impl Pacing {
+    /// Pacers that allow all of the links until the declaration says otherwise.
+    pub fn new(context: Arc<SidecarContext>) -> Self {
+        let links = context.settings.links;
+        let now = context.clock.now();
+        let pacers = Pacers {
+            sending: Pacer::new(now, links.host),
+            receiving: Pacer::new(now, links.host),
+            between_regions: Pacer::new(now, links.inter_region),
+        };
+        Self {
+            context,
+            pacers: Mutex::new(pacers),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pacers> {
+        self.pacers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over the declared share and the number of hosts that share the link between regions.
+    pub fn follow(&self) {
+        let Some(post) = self.context.post() else {
+            return;
+        };
+        let peer = &self.context.settings.peer;
+        let Some((pool, upstream)) = post.fleet.upstream_on(&peer.host) else {
+            return;
+        };
+        let place = post.fleet.place_of(pool, upstream);
+        let percent = post.fleet.value(ValueKey::BulkPercent, &place);
+        let links = self.context.settings.links;
+        let share = |rate: u64| rate * percent / 100;
+        let senders = self.senders_in_region(&post.fleet).max(1);
+        let now = self.context.clock.now();
+        let mut pacers = self.lock();
+        pacers.sending.set_allowance(now, share(links.host));
+        pacers.receiving.set_allowance(now, share(links.host));
+        let between = share(links.inter_region) / senders;
+        pacers.between_regions.set_allowance(now, between.max(1));
+    }
+
+    fn senders_in_region(&self, fleet: &Fleet) -> u64 {
+        let peer = &self.context.settings.peer;
+        let region = fleet.region_of(&peer.data_centre);
+        let snapshot = self.context.state.snapshot();
+        let members = snapshot.members.members.iter();
+        let same = members.filter(|m| {
+            m.state == MemberState::Live
+                && fleet.region_of(&m.data_centre) == region
+                && fleet.upstream_on(&m.host).is_some()
+        });
+        same.count() as u64
+    }
+
+    /// How long to wait before sending bulk bytes to a data centre.
+    pub fn send(&self, bytes: usize, data_centre: &str) -> Duration {
+        let own = &self.context.settings.peer.data_centre;
+        let post = self.context.post();
+        let other_region =
+            post.is_some_and(|post| post.fleet.region_of(own) != post.fleet.region_of(data_centre));
+        let now = self.context.clock.now();
+        let mut pacers = self.lock();
+        let wait = pacers.sending.take(now, bytes);
+        if !other_region {
+            return wait;
+        }
+        wait.max(pacers.between_regions.take(now, bytes))
+    }
+
+    /// How long to wait before asking for bulk bytes.
+    pub fn receive(&self, bytes: usize) -> Duration {
+        let now = self.context.clock.now();
+        self.lock().receiving.take(now, bytes)
+    }
+
+    /// Notes how late live answers of this host are, 100 for not at all.
+    pub fn live_delay(&self, percent: u32) {
+        let now = self.context.clock.now();
+        let ratio = f64::from(percent) / 100.0;
+        let mut pacers = self.lock();
+        pacers.sending.live_delay(now, ratio);
+        pacers.receiving.live_delay(now, ratio);
+        pacers.between_regions.live_delay(now, ratio);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -0,0 +1,632 @@
+//! Brings wanted versions to this host and its engine.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix::{Actor, AsyncContext, Context, Handler, Message, WrapFuture};
+use awc::Client;
+use balsamjunction_policy::{
+    fence::Fence,
+    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
+    turnover::{predecessor, Turnover, TurnoverAction, TurnoverEvent},
+};
+use balsamjunction_protocol::{
+    paths,
+    platform::{EngineOrder, EngineState, Manifest},
+    HaveAnswer, HaveRequest, MemberDocument, MemberState, PROTOCOL_VERSION,
+};
+use balsamjunction_settings::{PoolKind, ValueKey};
+use bytes::Bytes;
+use log::{debug, info, warn};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::{format_smolstr, SmolStr};
+
+use super::{
+    context::{Post, SidecarContext},
+    gatekeeper::VersionGate,
+    pacing::Pacing,
+    weights_http::DATA_CENTRE_HEADER,
+};
+use crate::{
+    audit::{Action, Record, Verdict},
+    client,
+    platform::{
+        engine_http::EngineHttp,
+        store_http::{StoreHttp, MAX_CHUNK_BYTES},
+        Engine, PlatformError, WeightStore,
+    },
+};
+
+/// How often the fetch plan is asked for what to do.
+const FETCH_TURN: Duration = Duration::from_millis(10);
+/// How often the engine is asked for its state.
+const ENGINE_TURN: Duration = Duration::from_millis(100);
+/// A peer that does not say in this time what it holds is passed over.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A peer that does not send a chunk in this time is stalled.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(4);
+/// An engine must not carry an order out later than this.
+const ORDER_LIFETIME: Duration = Duration::from_secs(5);
+/// Pause before a manifest is asked for again.
+const MANIFEST_RETRY: Duration = Duration::from_millis(500);
+
+/// The actor that brings wanted versions to this host and its engine.
+pub struct Weights {
+    shared: Rc<Shared>,
+    turnover: Turnover,
+    plan: Option<FetchPlan>,
+    boot: SmolStr,
+    asking_turn: bool,
+    polling: bool,
+}
+
+struct Shared {
+    context: Arc<SidecarContext>,
+    pacing: Arc<Pacing>,
+    client: Client,
+    origin: Option<Box<dyn WeightStore>>,
+    engine: Box<dyn Engine>,
+}
+
+/// Declaration or membership changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct FleetChanged;
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Event(TurnoverEvent);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct EngineSeen(Option<EngineState>);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct ManifestKnown(Manifest);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Probed {
+    host: SmolStr,
+    answer: Option<HaveAnswer>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Fetched {
+    version: SmolStr,
+    chunk: usize,
+    source: Source,
+    buf: Option<Bytes>,
+}
+
+impl Weights {
+    /// An actor that has not started.
+    pub fn new(context: Arc<SidecarContext>, pacing: Arc<Pacing>) -> Self {
+        let settings = &context.settings;
+        let client = client::new(settings.peer.outbound_ip);
+        let origin = settings.origin.map(|address| {
+            Box::new(StoreHttp::new(client.clone(), address)) as Box<dyn WeightStore>
+        });
+        let engine = Box::new(EngineHttp::new(client.clone(), settings.upstream));
+        let shared = Shared {
+            origin,
+            engine,
+            client,
+            pacing,
+            context,
+        };
+        Self {
+            shared: Rc::new(shared),
+            turnover: Turnover::default(),
+            plan: None,
+            boot: SmolStr::default(),
+            asking_turn: false,
+            polling: false,
+        }
+    }
+
+    fn engine_post(&self) -> Option<Post> {
+        let post = self.shared.context.post();
+        post.filter(|post| post.kind == PoolKind::Engine)
+    }
+
+    fn handle_event(&mut self, event: TurnoverEvent, ctx: &mut Context<Self>) {
+        let now = self.shared.context.clock.now();
+        for action in self.turnover.handle(now, event) {
+            self.act(action, ctx);
+        }
+        self.publish();
+    }
+
+    fn act(&mut self, action: TurnoverAction, ctx: &mut Context<Self>) {
+        let gate = &self.shared.context.gate;
+        match action {
+            TurnoverAction::Fetch(version) => self.start_fetch(version, ctx),
+            TurnoverAction::OrderLoad(version) => self.order(version, Order::Load, ctx),
+            TurnoverAction::OrderSwitch(version) => self.order(version, Order::Switch, ctx),
+            TurnoverAction::Hold => gate.set_version(VersionGate::Switching),
+            TurnoverAction::Refuse => gate.set_version(VersionGate::None),
+            TurnoverAction::Serve(version) => {
+                let old = self.shared.context.versions().serving.clone();
+                // Requests are pinned to what is published here, so it comes before they flow.
+                self.publish();
+                gate.set_version(VersionGate::Open);
+                self.audit_version(old, version);
+            }
+        }
+    }
+
+    fn audit_version(&self, old: Option<SmolStr>, new: SmolStr) {
+        let old = old.unwrap_or_else(|| "nothing".into());
+        if old == new {
+            return;
+        }
+        let host = &self.shared.context.settings.peer.host;
+        info!("engine on {host} serves {new}");
+        self.shared.context.state.audit.record(Record {
+            who: host.clone(),
+            action: Action::Version,
+            from: old,
+            to: new,
+            verdict: Verdict::Accepted,
+            why: "the engine switched".into(),
+        });
+    }
+
+    /// Shows operators and the request path where the turnover stands.
+    fn publish(&self) {
+        let mut versions = self.shared.context.versions();
+        versions.serving = self.turnover.serving().cloned();
+        versions.wanted = self.turnover.wanted().cloned();
+        versions.stage = SmolStr::new_static(self.turnover.stage().into());
+        if let Some(plan) = &self.plan {
+            let total = versions.chunks_total;
+            versions.chunks_held = total.saturating_sub(plan.missing() as u32);
+        }
+    }
+
+    fn start_fetch(&mut self, version: SmolStr, ctx: &mut Context<Self>) {
+        self.plan = None;
+        let serving = self.turnover.serving().cloned();
+        let keep: Vec<&SmolStr> = serving.iter().chain([&version]).collect();
+        self.shared.context.chunks.retain(&keep);
+        {
+            let mut versions = self.shared.context.versions();
+            versions.chunks_total = 0;
+            versions.chunks_held = 0;
+        }
+        info!("version {version} is wanted");
+        self.ask_manifest(version, ctx);
+    }
+
+    fn ask_manifest(&mut self, version: SmolStr, ctx: &mut Context<Self>) {
+        let shared = self.shared.clone();
+        let addr = ctx.address();
+        let ask = async move {
+            while shared.wanted(&version) {
+                match shared.find_manifest(&version).await {
+                    Some(manifest) => {
+                        addr.do_send(ManifestKnown(manifest));
+                        return;
+                    }
+                    None => actix_rt::time::sleep(MANIFEST_RETRY).await,
+                }
+            }
+        };
+        ctx.spawn(ask.into_actor(self));
+    }
+
+    fn participants(&self, post: &Post) -> Participants {
+        let peer = &self.shared.context.settings.peer;
+        Participants {
+            host: peer.host.clone(),
+            data_centre: peer.data_centre.clone(),
+            members: self.shared.context.pool_members(post),
+        }
+    }
+
+    fn fetch_turn(&mut self, ctx: &mut Context<Self>) {
+        let now = self.shared.context.clock.now();
+        if let Some(plan) = &mut self.plan {
+            for action in plan.next(now) {
+                let shared = self.shared.clone();
+                let addr = ctx.address();
+                let version = plan.version().clone();
+                match action {
+                    FetchAction::Fetch { chunk, source } => {
+                        let fetch = async move {
+                            let fetched = shared.fetch(&version, chunk, &source).await;
+                            let missed =
+                                |e: &PlatformError| debug!("chunk {chunk} did not come: {e}");
+                            let buf = fetched.inspect_err(missed).ok();
+                            addr.do_send(Fetched {
+                                version,
+                                chunk,
+                                source,
+                                buf,
+                            });
+                        };
+                        actix_rt::spawn(fetch);
+                    }
+                    FetchAction::Probe { host, address } => {
+                        let probe = async move {
+                            let answer = shared.have(address, &version).await;
+                            addr.do_send(Probed { host, answer });
+                        };
+                        actix_rt::spawn(probe);
+                    }
+                }
+            }
+        }
+        let running = self.shared.context.gate.load().running;
+        self.handle_event(TurnoverEvent::Running(running), ctx);
+    }
+
+    fn engine_turn(&mut self, ctx: &mut Context<Self>) {
+        if self.engine_post().is_none() || self.shared.context.beliefs_stale() {
+            return;
+        }
+        self.ask_for_turn(ctx);
+        if self.polling {
+            return;
+        }
+        self.polling = true;
+        let shared = self.shared.clone();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let state = shared.engine.state().await;
+            let silent = |e: &PlatformError| debug!("engine does not answer: {e}");
+            addr.do_send(EngineSeen(state.inspect_err(silent).ok()));
+        });
+    }
+
+    /// Asks the host that switches before this one whether it has.
+    fn ask_for_turn(&mut self, ctx: &mut Context<Self>) {
+        use balsamjunction_policy::turnover::Stage;
+        if self.turnover.stage() != Stage::Waiting || self.asking_turn {
+            return;
+        }
+        let (Some(post), Some(wanted)) = (self.engine_post(), self.turnover.wanted().cloned())
+        else {
+            return;
+        };
+        let members = self.shared.context.pool_members(&post);
+        let hosts: Vec<SmolStr> = members.iter().map(|m| m.host.clone()).collect();
+        let percent = post.pool_value(ValueKey::TurnoverPercent);
+        let host = &self.shared.context.settings.peer.host;
+        let Some(before) = predecessor(&wanted, host, &hosts, percent) else {
+            self.handle_event(TurnoverEvent::MayTurn(true), ctx);
+            return;
+        };
+        let address = members.iter().find(|m| m.host == before);
+        let Some(address) = address.and_then(|m| m.address.parse().ok()) else {
+            return;
+        };
+        self.asking_turn = true;
+        let shared = self.shared.clone();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let answer = shared.have(address, &wanted).await;
+            // A host that is gone cannot serve the old version either; waiting for it helps nobody.
+            let may = answer.is_none_or(|answer| answer.serving);
+            addr.do_send(Event(TurnoverEvent::MayTurn(may)));
+        });
+    }
+
+    fn order(&mut self, version: SmolStr, order: Order, ctx: &mut Context<Self>) {
+        let context = &self.shared.context;
+        if context.beliefs_stale() {
+            return;
+        }
+        let fence = Fence::new(context.state.revision(), context.clock.started_s());
+        let not_after = context.clock.unix_ms() + ORDER_LIFETIME.as_millis() as u64;
+        let listen = context.settings.peer.inner_listen;
+        let message = EngineOrder {
+            version,
+            fence: fence.number(),
+            not_after_ms: not_after,
+            weights: Some(format_smolstr!("http://{listen}/weights")),
+        };
+        let shared = self.shared.clone();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let taken = match order {
+                Order::Load => shared.engine.load(message).await,
+                Order::Switch => shared.engine.switch(message).await,
+            };
+            if let Err(e) = &taken {
+                warn!("engine did not take the order to {order:?}: {e}");
+            }
+            addr.do_send(Event(TurnoverEvent::OrderDone(taken.is_ok())));
+        });
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    Load,
+    Switch,
+}
+
+impl Shared {
+    fn wanted(&self, version: &str) -> bool {
+        self.context.versions().wanted.as_deref() == Some(version)
+    }
+
+    /// The manifest as the origin or, if it is gone, any peer has it.
+    async fn find_manifest(&self, version: &str) -> Option<Manifest> {
+        if let Some(manifest) = self.context.chunks.manifest(version) {
+            return Some(manifest);
+        }
+        let origin = self.origin.as_ref()?;
+        match origin.manifest(version).await {
+            Ok(manifest) => return Some(manifest),
+            Err(e) => debug!("origin has no manifest of {version}: {e}"),
+        }
+        let post = self.context.post()?;
+        for member in self.context.pool_members(&post) {
+            let url = format!("http://{}{}/{version}", member.address, paths::MANIFEST);
+            let limit = MAX_CHUNK_BYTES;
+            let body =
+                crate::platform::store_http::get(&self.client, url, limit, PROBE_TIMEOUT).await;
+            if let Some(manifest) = body.ok().and_then(|b| serde_json::from_slice(&b).ok()) {
+                return Some(manifest);
+            }
+        }
+        None
+    }
+
+    async fn have(&self, address: std::net::SocketAddr, version: &SmolStr) -> Option<HaveAnswer> {
+        let request = HaveRequest {
+            v: PROTOCOL_VERSION,
+            version: version.clone(),
+        };
+        let answer = client::call(&self.client, address, paths::HAVE, &request, PROBE_TIMEOUT);
+        answer.await.ok()
+    }
+
+    async fn fetch(
+        &self,
+        version: &str,
+        chunk: usize,
+        source: &Source,
+    ) -> Result<Bytes, PlatformError> {
+        let manifest = self.context.chunks.manifest(version);
+        let expected = manifest.map_or(0, |manifest| manifest.length_of(chunk));
+        let wait = self.pacing.receive(expected);
+        if wait > Duration::ZERO {
+            actix_rt::time::sleep(wait).await;
+        }
+        let buf = match (source, &self.origin) {
+            (Source::Origin, Some(origin)) => origin.chunk(version, chunk).await?,
+            (Source::Origin, None) => return Err(PlatformError::Status { status: 404 }),
+            (Source::Peer { address, .. }, _) => {
+                self.fetch_from_peer(*address, version, chunk).await?
+            }
+        };
+        if buf.len() != expected {
+            let found = buf.len();
+            return Err(PlatformError::Length { found, expected });
+        }
+        Ok(buf)
+    }
+
+    async fn fetch_from_peer(
+        &self,
+        address: std::net::SocketAddr,
+        version: &str,
+        chunk: usize,
+    ) -> Result<Bytes, PlatformError> {
+        let url = format!("http://{address}{}/{version}/{chunk}", paths::CHUNK);
+        let data_centre = self.context.settings.peer.data_centre.as_str();
+        let request = self.client.get(url).timeout(CHUNK_TIMEOUT);
+        let request = request.insert_header((DATA_CENTRE_HEADER, data_centre));
+        let mut response = request.send().await?.timeout(CHUNK_TIMEOUT);
+        if !response.status().is_success() {
+            let status = response.status().as_u16();
+            return Err(PlatformError::Status { status });
+        }
+        Ok(response.body().limit(MAX_CHUNK_BYTES).await?)
+    }
+}
+
+impl SidecarContext {
+    /// The live hosts of this sidecar's pool, this one included.
+    pub fn pool_members(&self, post: &Post) -> Vec<MemberDocument> {
+        let snapshot = self.state.snapshot();
+        let Some(pool) = post.fleet.pools.get(&post.pool) else {
+            return Vec::new();
+        };
+        let own = &self.settings.peer.host;
+        let live = |host: &SmolStr| {
+            let members = &snapshot.members.members;
+            let mut known = members.iter().filter(|m| m.host == *host);
+            host == own || known.any(|m| m.state == MemberState::Live)
+        };
+        let upstreams = pool.upstreams.iter().filter(|u| live(&u.host));
+        upstreams
+            .map(|upstream| MemberDocument {
+                host: upstream.host.clone(),
+                data_centre: upstream.data_centre.clone(),
+                address: format_smolstr!("{}", upstream.sidecar),
+                state: MemberState::Live,
+            })
+            .collect()
+    }
+}
+
+impl Actor for Weights {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(FETCH_TURN, |actor, ctx| actor.fetch_turn(ctx));
+        ctx.run_interval(ENGINE_TURN, |actor, ctx| actor.engine_turn(ctx));
+        ctx.notify(FleetChanged);
+    }
+}
+
+impl Handler<FleetChanged> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, _: FleetChanged, ctx: &mut Self::Context) {
+        self.shared.pacing.follow();
+        let Some(post) = self.engine_post() else {
+            return;
+        };
+        let participants = self.participants(&post);
+        if let Some(plan) = &mut self.plan {
+            plan.set_participants(participants);
+        }
+        let pool = post.fleet.pools.get(&post.pool);
+        let wanted = pool.and_then(|pool| pool.version.clone());
+        // Published first: the search for a manifest ends when its version is not wanted.
+        self.shared.context.versions().wanted = wanted.clone();
+        self.handle_event(TurnoverEvent::Wanted(wanted), ctx);
+    }
+}
+
+impl Handler<Event> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, event: Event, ctx: &mut Self::Context) {
+        if matches!(event.0, TurnoverEvent::MayTurn(_)) {
+            self.asking_turn = false;
+        }
+        self.handle_event(event.0, ctx);
+    }
+}
+
+impl Handler<EngineSeen> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, seen: EngineSeen, ctx: &mut Self::Context) {
+        self.polling = false;
+        match seen.0 {
+            Some(state) => {
+                if state.boot != self.boot {
+                    // A restarted engine is cold, whatever it was before.
+                    self.boot = state.boot;
+                    self.shared.context.gate.make_cold();
+                }
+                let event = TurnoverEvent::Engine {
+                    serving: state.serving,
+                    loaded: state.loaded,
+                };
+                self.handle_event(event, ctx);
+            }
+            None => self.handle_event(TurnoverEvent::EngineDown, ctx),
+        }
+    }
+}
+
+impl Handler<ManifestKnown> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, known: ManifestKnown, ctx: &mut Self::Context) {
+        let manifest = known.0;
+        let version = manifest.version.clone();
+        let Some(post) = self.engine_post() else {
+            return;
+        };
+        if !self.shared.wanted(&version) {
+            return;
+        }
+        let chunks = manifest.chunks.len();
+        self.shared.context.chunks.open(manifest);
+        self.shared.context.versions().chunks_total = chunks as u32;
+        let held = self.shared.context.chunks.map(&version);
+        let distribution = match self.shared.context.settings.from_peers {
+            true => Distribution::Owners,
+            false => Distribution::Direct,
+        };
+        let now = self.shared.context.clock.now();
+        let rng = Pcg64Mcg::from_rng(&mut rand::rng());
+        let participants = self.participants(&post);
+        let mut plan = FetchPlan::new(
+            now,
+            version.clone(),
+            chunks,
+            distribution,
+            participants,
+            rng,
+        );
+        for chunk in (0..chunks).filter(|chunk| held.has(*chunk)) {
+            plan.arrived(now, chunk, &Source::Origin);
+        }
+        let complete = plan.missing() == 0;
+        self.plan = Some(plan);
+        if complete {
+            self.handle_event(TurnoverEvent::Complete(version), ctx);
+        }
+    }
+}
+
+impl Handler<Probed> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, probed: Probed, _: &mut Self::Context) {
+        let now = self.shared.context.clock.now();
+        if let Some(plan) = &mut self.plan {
+            let held = probed.answer.map(|answer| answer.map);
+            plan.probed(now, &probed.host, held);
+        }
+    }
+}
+
+impl Handler<Fetched> for Weights {
+    type Result = ();
+
+    fn handle(&mut self, fetched: Fetched, ctx: &mut Self::Context) {
+        let Some(plan) = &mut self.plan else {
+            return;
+        };
+        if *plan.version() != fetched.version {
+            return;
+        }
+        let context = &self.shared.context;
+        let now = context.clock.now();
+        let chunk = fetched.chunk;
+        match fetched.buf {
+            Some(buf) => {
+                let bytes = buf.len() as u64;
+                context.count_bytes(&fetched.source, bytes);
+                if context.chunks.put(&fetched.version, chunk, buf) {
+                    plan.arrived(now, chunk, &fetched.source);
+                } else {
+                    warn!(
+                        "chunk {chunk} of {:?} does not have its hash",
+                        fetched.source
+                    );
+                    context.state.metrics.corrupt_chunks.inc();
+                    plan.failed(now, chunk, &fetched.source, FetchFailure::Corrupt);
+                }
+            }
+            None => plan.failed(now, chunk, &fetched.source, FetchFailure::Unavailable),
+        }
+        if plan.missing() == 0 {
+            let version = fetched.version;
+            info!("version {version} is complete");
+            self.handle_event(TurnoverEvent::Complete(version), ctx);
+        }
+        self.fetch_turn(ctx);
+    }
+}
+
+impl SidecarContext {
+    fn count_bytes(&self, source: &Source, bytes: u64) {
+        let metrics = &self.state.metrics;
+        let mut versions = self.versions();
+        match source {
+            Source::Origin => {
+                versions.origin_bytes += bytes;
+                metrics.origin_bytes.inc_by(bytes);
+            }
+            Source::Peer { .. } => {
+                versions.peer_bytes += bytes;
+                metrics.peer_bytes.inc_by(bytes);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sidecar/weights_http.rs
@@ -0,0 +1,87 @@
+//! Serves weights to peers, paced, and to the engine beside this sidecar.
+
+use std::{sync::Arc, time::Duration};
+
+use actix_web::{
+    body::SizedStream,
+    error::PayloadError,
+    web::{self, Bytes, Data, Path},
+    HttpRequest, HttpResponse,
+};
+use balsamjunction_protocol::{header, HaveAnswer, HaveRequest};
+use futures_util::stream;
+use smol_str::SmolStr;
+
+use super::{context::SidecarContext, pacing::Pacing};
+use crate::inner::{check_version, message, InnerError};
+
+/// Tells a sender in which data centre a chunk is needed, so that it paces the link to there.
+pub const DATA_CENTRE_HEADER: &str = "balsam-data-centre";
+/// A chunk goes out in pieces of this length, so that live answers fit in between.
+const PIECE_BYTES: usize = 8 * 1024;
+
+/// Adds the routes.
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    use balsamjunction_protocol::paths::{CHUNK, HAVE, MANIFEST};
+    cfg.route(HAVE, web::post().to(have))
+        .route(&format!("{MANIFEST}/{{version}}"), web::get().to(manifest))
+        .route(
+            &format!("{CHUNK}/{{version}}/{{chunk}}"),
+            web::get().to(chunk),
+        );
+}
+
+async fn have(context: Data<SidecarContext>, body: Bytes) -> Result<HttpResponse, InnerError> {
+    let request: HaveRequest = header::from_bytes(&body)?;
+    check_version(request.v)?;
+    let serving = context.versions().serving.as_ref() == Some(&request.version);
+    let map = context.chunks.map(&request.version);
+    message(&HaveAnswer { map, serving })
+}
+
+async fn manifest(context: Data<SidecarContext>, version: Path<SmolStr>) -> HttpResponse {
+    match context.chunks.manifest(&version) {
+        Some(manifest) => HttpResponse::Ok().json(manifest),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn chunk(
+    req: HttpRequest,
+    context: Data<SidecarContext>,
+    pacing: Data<Pacing>,
+    path: Path<(SmolStr, usize)>,
+) -> HttpResponse {
+    let (version, chunk) = path.into_inner();
+    let Some(buf) = context.chunks.get(&version, chunk) else {
+        return HttpResponse::NotFound().finish();
+    };
+    let data_centre = req.headers().get(DATA_CENTRE_HEADER);
+    let data_centre = data_centre.and_then(|value| value.to_str().ok());
+    let Some(data_centre) = data_centre else {
+        // Only the engine on this host names no data centre, and it uses no link.
+        return HttpResponse::Ok().body(buf);
+    };
+    let length = buf.len() as u64;
+    let pieces = paced(pacing.into_inner(), buf, SmolStr::new(data_centre));
+    HttpResponse::Ok().body(SizedStream::new(length, pieces))
+}
+
+fn paced(
+    pacing: Arc<Pacing>,
+    buf: Bytes,
+    data_centre: SmolStr,
+) -> impl futures_util::Stream<Item = Result<Bytes, PayloadError>> {
+    let pieces = stream::unfold((pacing, buf, data_centre), |(pacing, mut buf, dc)| async {
+        if buf.is_empty() {
+            return None;
+        }
+        let piece = buf.split_to(buf.len().min(PIECE_BYTES));
+        let wait = pacing.send(piece.len(), &dc);
+        if wait > Duration::ZERO {
+            actix_rt::time::sleep(wait).await;
+        }
+        Some((Ok(piece), (pacing, buf, dc)))
+    });
+    Box::pin(pieces)
+}
--- /dev/null
+++ b/crates/lab/src/bench/mod.rs
@@ -0,0 +1,499 @@
+//! A running system: platform stand-ins, upstreams, sidecars and entries, all on loopback.
+
+pub mod address;
+pub mod control;
+pub mod process;
+pub mod spec;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use balsamjunction_protocol::{
+    paths, FleetDocument, MemberDocument, MemberState, MembersDocument, PeerStatus,
+};
+use serde_json::json;
+use smol_str::{format_smolstr, SmolStr};
+
+use self::{
+    address::Addresses,
+    control::{get_json, post_json},
+    process::{Launch, Processes},
+    spec::{BenchSpec, DataCentre, PoolSpec, UpstreamSpec, DATA_CENTRES},
+};
+use crate::{
+    error::LabError,
+    standin::{
+        document::Misbehaviour,
+        fabric::{Fault, Network, Place, Traffic},
+    },
+};
+
+/// Port on which a process listens for its peers.
+const PRIVATE_PORT: u16 = 7000;
+/// Port at which the network offers it to others.
+const PUBLIC_PORT: u16 = 7100;
+/// Port of the upstream on a host.
+const UPSTREAM_PORT: u16 = 8000;
+/// Port of an entry for callers.
+const CALLER_PORT: u16 = 8080;
+/// How long a process may take to come up.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// How often a process is asked whether it is ready.
+const READY_POLL: Duration = Duration::from_millis(25);
+
+/// A host of the bench.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// The host's name.
+    pub name: SmolStr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where its process listens for peers.
+    pub private: SocketAddr,
+    /// Where others reach it.
+    pub public: SocketAddr,
+    /// Its upstream, or where an entry takes callers.
+    pub service: SocketAddr,
+    /// The pool that it serves; absent for entries.
+    pub pool: Option<SmolStr>,
+}
+
+/// A running system that ends when dropped.
+pub struct Bench {
+    spec: BenchSpec,
+    dir: PathBuf,
+    processes: Processes,
+    /// Hosts with an upstream and a sidecar.
+    pub upstreams: Vec<Host>,
+    /// Hosts with an entry.
+    pub entries: Vec<Host>,
+    config: Host,
+    membership: Host,
+    origin: Host,
+    control: SocketAddr,
+    revision: u64,
+    generation: u64,
+    addresses: Addresses,
+}
+
+impl Bench {
+    /// Starts everything and waits until it is ready.
+    pub async fn start(spec: BenchSpec) -> Result<Self, LabError> {
+        let mut bench = Self::lay_out(spec)?;
+        bench.start_platform().await?;
+        bench.publish().await?;
+        bench.publish_members(&[], &[]).await?;
+        bench.start_hosts()?;
+        bench.wait_ready().await?;
+        Ok(bench)
+    }
+
+    fn lay_out(spec: BenchSpec) -> Result<Self, LabError> {
+        let mut addresses = Addresses::claim()?;
+        let dir = std::env::temp_dir().join(addresses.name());
+        fs::create_dir_all(&dir)?;
+        let shaped = spec.network.is_some();
+        let mut host = |name: SmolStr, data_centre: DataCentre, port: u16, pool| {
+            let ip = addresses.next();
+            let private = SocketAddr::new(ip, PRIVATE_PORT);
+            Host {
+                name,
+                data_centre,
+                private,
+                public: SocketAddr::new(ip, if shaped { PUBLIC_PORT } else { PRIVATE_PORT }),
+                service: SocketAddr::new(ip, port),
+                pool,
+            }
+        };
+        let store_at = DATA_CENTRES[0];
+        let config = host("config".into(), store_at, UPSTREAM_PORT, None);
+        let membership = host("membership".into(), store_at, UPSTREAM_PORT, None);
+        let origin = host("origin".into(), store_at, UPSTREAM_PORT, None);
+        let control = host("network".into(), store_at, UPSTREAM_PORT, None).service;
+        let mut upstreams = Vec::new();
+        for pool in &spec.pools {
+            for n in 0..pool.hosts {
+                let name = format_smolstr!("{}-{n}", pool.name);
+                let data_centre = DATA_CENTRES[n % DATA_CENTRES.len()];
+                upstreams.push(host(
+                    name,
+                    data_centre,
+                    UPSTREAM_PORT,
+                    Some(pool.name.clone()),
+                ));
+            }
+        }
+        let mut entries = Vec::new();
+        for n in 0..spec.entries {
+            let data_centre = DATA_CENTRES[n % DATA_CENTRES.len()];
+            entries.push(host(
+                format_smolstr!("entry-{n}"),
+                data_centre,
+                CALLER_PORT,
+                None,
+            ));
+        }
+        Ok(Self {
+            spec,
+            processes: Processes::new(dir.clone()),
+            dir,
+            upstreams,
+            entries,
+            config,
+            membership,
+            origin,
+            control,
+            revision: 0,
+            generation: 0,
+            addresses,
+        })
+    }
+
+    /// Where experiments keep files that belong to this run.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// The file in which a pool's upstreams note their runs.
+    pub fn ledger(&self, pool: &str) -> PathBuf {
+        self.dir.join(format!("{pool}.ledger"))
+    }
+
+    /// Where callers connect.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.service).collect()
+    }
+
+    /// The hosts of one pool.
+    pub fn pool(&self, name: &str) -> Vec<Host> {
+        let hosts = self.upstreams.iter();
+        hosts
+            .filter(|h| h.pool.as_deref() == Some(name))
+            .cloned()
+            .collect()
+    }
+
+    /// The declaration that the bench publishes, to be changed before [`Bench::publish`].
+    pub fn spec_mut(&mut self) -> &mut BenchSpec {
+        &mut self.spec
+    }
+
+    async fn start_platform(&mut self) -> Result<(), LabError> {
+        let documents = [
+            (self.config.clone(), "revision", 0),
+            (
+                self.membership.clone(),
+                "generation",
+                self.spec.member_lag_ms,
+            ),
+        ];
+        for (host, ordered_by, lag_ms) in documents {
+            let launch = Launch::lab(&host.name)?
+                .arg("standin")
+                .arg("document")
+                .option("--listen", host.private)
+                .option("--ordered-by", ordered_by)
+                .option("--lag-ms", lag_ms);
+            self.processes.start(launch)?;
+        }
+        let weights = self.spec.weights;
+        let launch = Launch::lab("origin")?
+            .arg("standin")
+            .arg("origin")
+            .option("--listen", self.origin.private)
+            .option("--bytes", weights.bytes)
+            .option("--chunk-bytes", weights.chunk_bytes);
+        self.processes.start(launch)?;
+        self.start_network()?;
+        for address in [self.config.private, self.membership.private] {
+            self.wait_for("a document server", || async move {
+                get_json::<serde_json::Value>(address, "/lab/calls")
+                    .await
+                    .is_ok()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    fn start_network(&mut self) -> Result<(), LabError> {
+        let Some(shape) = self.spec.network else {
+            return Ok(());
+        };
+        let mut places = Vec::new();
+        let platform = [&self.config, &self.membership, &self.origin];
+        let hosts = self.upstreams.iter().chain(&self.entries);
+        for host in platform.into_iter().chain(hosts) {
+            let rate = if host.name == "origin" {
+                Some(shape.origin)
+            } else {
+                host.pool.as_ref().map(|_| shape.host)
+            };
+            places.push(Place {
+                host: host.name.clone(),
+                data_centre: host.data_centre.name.into(),
+                region: host.data_centre.region.into(),
+                public: host.public,
+                private: host.private,
+                rate,
+            });
+        }
+        let network = Network {
+            places,
+            inter_region: Some(shape.inter_region),
+        };
+        let file = self.dir.join("network.json");
+        fs::write(&file, serde_json::to_vec(&network)?)?;
+        let launch = Launch::lab("network")?
+            .arg("standin")
+            .arg("fabric")
+            .option("--listen", self.control)
+            .option("--network", file.display());
+        self.processes.start(launch)
+    }
+
+    fn start_hosts(&mut self) -> Result<(), LabError> {
+        for host in self.upstreams.clone() {
+            let pool = self.pool_spec(&host).clone();
+            self.start_upstream(&host, &pool)?;
+            self.start_sidecar(&host)?;
+        }
+        for host in self.entries.clone() {
+            self.start_entry(&host)?;
+        }
+        Ok(())
+    }
+
+    fn pool_spec(&self, host: &Host) -> &PoolSpec {
+        let mut pools = self.spec.pools.iter();
+        let pool = pools.find(|pool| Some(&pool.name) == host.pool.as_ref());
+        pool.expect("every upstream host was laid out from a pool")
+    }
+
+    /// Starts the upstream of a host; it comes back by itself after a crash.
+    pub fn start_upstream(&mut self, host: &Host, pool: &PoolSpec) -> Result<(), LabError> {
+        let ledger = self.ledger(&pool.name);
+        let mut launch = Launch::lab(&format!("{}.upstream", host.name))?
+            .arg("standin")
+            .restart_after(Duration::from_millis(500));
+        launch = match &pool.upstream {
+            UpstreamSpec::Service(service) => launch
+                .arg("service")
+                .option("--service-ms", service.service_ms),
+            UpstreamSpec::Engine(engine) => {
+                let launch = launch
+                    .arg("engine")
+                    .option("--cold-bears", engine.cold_bears)
+                    .option("--warm-after", engine.warm_after)
+                    .option("--first-ms", engine.first_ms)
+                    .option("--token-ms", engine.token_ms)
+                    .option("--load-ms", engine.load_ms)
+                    .option("--fenced", engine.fenced);
+                match &engine.boots_with {
+                    Some(version) => launch.option("--version", version),
+                    None => launch,
+                }
+            }
+        };
+        let launch = launch
+            .option("--listen", host.service)
+            .option("--ledger", ledger.display());
+        self.processes.start(launch)
+    }
+
+    fn peer_settings(&self, host: &Host) -> serde_json::Value {
+        let seeds: Vec<String> = self
+            .upstreams
+            .iter()
+            .chain(&self.entries)
+            .filter(|other| other.name != host.name)
+            .take(8)
+            .map(|other| other.public.to_string())
+            .collect();
+        json!({
+            "host": host.name,
+            "data_centre": host.data_centre.name,
+            "inner_listen": host.private,
+            "advertise": host.public,
+            "outbound_ip": host.private.ip(),
+            "config_service": self.config.public,
+            "membership": self.membership.public,
+            "seeds": seeds,
+        })
+    }
+
+    /// Starts the sidecar of a host.
+    pub fn start_sidecar(&mut self, host: &Host) -> Result<(), LabError> {
+        let mut settings = self.peer_settings(host);
+        settings["upstream"] = json!(host.service);
+        settings["origin"] = json!(self.origin.public);
+        settings["gate"] = json!(self.spec.policy.gate);
+        settings["fair"] = json!(self.spec.policy.fair);
+        settings["from_peers"] = json!(self.spec.policy.from_peers);
+        if let Some(shape) = self.spec.network {
+            settings["links"] = json!({
+                "host": shape.host,
+                "inter_region": shape.inter_region,
+                "origin": shape.origin,
+            });
+        }
+        self.start_daemon(host, "sidecar", &settings)
+    }
+
+    /// Starts the entry of a host.
+    pub fn start_entry(&mut self, host: &Host) -> Result<(), LabError> {
+        let mut settings = self.peer_settings(host);
+        settings["listen"] = json!(host.service);
+        self.start_daemon(host, "entry", &settings)
+    }
+
+    fn start_daemon(
+        &mut self,
+        host: &Host,
+        role: &str,
+        settings: &serde_json::Value,
+    ) -> Result<(), LabError> {
+        let file = self.dir.join(format!("{}.json", host.name));
+        fs::write(&file, serde_json::to_vec_pretty(settings)?)?;
+        let launch = Launch::daemon(&host.name)?
+            .arg(role)
+            .option("--settings", file.display())
+            .option("--log", self.spec.log);
+        self.processes.start(launch)
+    }
+
+    async fn wait_ready(&mut self) -> Result<(), LabError> {
+        let hosts: Vec<Host> = self
+            .upstreams
+            .iter()
+            .chain(&self.entries)
+            .cloned()
+            .collect();
+        for host in hosts {
+            self.wait_host_ready(&host).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the daemon of a host takes work.
+    pub async fn wait_host_ready(&self, host: &Host) -> Result<(), LabError> {
+        let address = host.private;
+        let serves = host.pool.is_none() || self.pool_spec(host).version.is_none();
+        let ready = || async move {
+            let status = get_json::<PeerStatus>(address, paths::STATUS).await;
+            status.is_ok_and(|s| s.ready && (serves || s.versions.serving.is_some()))
+        };
+        let waited = self.wait_for("readiness", ready).await;
+        waited.map_err(|_| LabError::NotReady {
+            name: host.name.clone(),
+            seconds: READY_LIMIT.as_secs(),
+            log: self.dir.join(format!("{}.log", host.name)),
+        })
+    }
+
+    /// Waits until `done` gives true.
+    pub async fn wait_for<F, T>(&self, what: &'static str, done: F) -> Result<(), LabError>
+    where
+        F: Fn() -> T,
+        T: std::future::Future<Output = bool>,
+    {
+        let started = std::time::Instant::now();
+        while started.elapsed() < READY_LIMIT {
+            if done().await {
+                return Ok(());
+            }
+            actix_rt::time::sleep(READY_POLL).await;
+        }
+        let seconds = READY_LIMIT.as_secs();
+        Err(LabError::Waited { what, seconds })
+    }
+
+    /// Publishes the declaration as the spec has it now; gives its revision.
+    pub async fn publish(&mut self) -> Result<u64, LabError> {
+        let text = self.spec.declaration(&self.upstreams);
+        self.publish_text(text).await
+    }
+
+    /// Publishes a declaration as a text, valid or not.
+    pub async fn publish_text(&mut self, text: String) -> Result<u64, LabError> {
+        self.revision += 1;
+        let document = FleetDocument {
+            revision: self.revision,
+            author: "operator".into(),
+            text,
+        };
+        post_json(self.config.private, "/lab/publish", &document).await?;
+        Ok(self.revision)
+    }
+
+    /// Publishes the membership list, with some hosts dead and some leaving.
+    pub async fn publish_members(
+        &mut self,
+        dead: &[SmolStr],
+        leaving: &[SmolStr],
+    ) -> Result<(), LabError> {
+        self.generation += 1;
+        let hosts = self.upstreams.iter().chain(&self.entries);
+        let members = hosts
+            .filter(|host| !dead.contains(&host.name))
+            .map(|host| MemberDocument {
+                host: host.name.clone(),
+                data_centre: host.data_centre.name.into(),
+                address: format_smolstr!("{}", host.public),
+                state: match leaving.contains(&host.name) {
+                    true => MemberState::Leaving,
+                    false => MemberState::Live,
+                },
+            });
+        let document = MembersDocument {
+            generation: self.generation,
+            members: members.collect(),
+        };
+        post_json(self.membership.private, "/lab/publish", &document).await
+    }
+
+    /// Makes the configuration service misbehave.
+    pub async fn config_misbehaves(&self, misbehaviour: Misbehaviour) -> Result<(), LabError> {
+        post_json(self.config.private, "/lab/misbehave", &misbehaviour).await
+    }
+
+    /// Where the configuration service listens.
+    pub fn config_address(&self) -> SocketAddr {
+        self.config.private
+    }
+
+    /// Replaces the faults of the network.
+    pub async fn set_faults(&self, faults: &[Fault]) -> Result<(), LabError> {
+        post_json(self.control, "/lab/faults", &faults).await
+    }
+
+    /// Bytes of weights that crossed the network's links.
+    pub async fn traffic(&self) -> Result<Traffic, LabError> {
+        get_json(self.control, "/lab/traffic").await
+    }
+
+    /// What a daemon says of itself.
+    pub async fn status(&self, host: &Host) -> Result<PeerStatus, LabError> {
+        get_json(host.private, paths::STATUS).await
+    }
+
+    /// The processes, to be killed, stopped and continued.
+    pub fn processes(&mut self) -> &mut Processes {
+        &mut self.processes
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        self.processes.end_all();
+        self.addresses.release();
+        if !std::thread::panicking() && std::env::var_os("BALSAM_KEEP").is_none() {
+            // Files of a run that went well are of no use; a leftover does no harm.
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fetch.rs
@@ -0,0 +1,446 @@
+//! Which chunk of a version is fetched next, and from whom.
+//!
+//! Each chunk has one owner per data centre, and among those one owner for the whole fleet, which
+//! alone draws it from the origin. See docs/DESIGN.md, "Weights".
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use balsamjunction_protocol::{ChunkMap, MemberDocument, MemberState};
+use rand::{seq::SliceRandom, Rng};
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+
+use crate::{rendezvous, Moment};
+
+/// Chunks that one host fetches at once.
+pub const PARALLEL: usize = 6;
+/// Chunks that one host fetches at once from one peer.
+const PARALLEL_PER_SOURCE: usize = 2;
+/// How long an answer about held chunks is used before the peer is asked again.
+const PROBE_INTERVAL: Moment = Moment::from_millis(100);
+/// Probes that run at once.
+const MAX_PROBES: usize = 4;
+/// Time for which a source that failed is passed over.
+const AVOID_FAILED: Moment = Moment::from_secs(2);
+/// Time for which a source that sent a corrupt chunk is passed over.
+const AVOID_CORRUPT: Moment = Moment::from_secs(60);
+/// Time after which the next rank takes over an owner's chunk that does not come.
+const OWNER_PATIENCE: Moment = Moment::from_secs(2);
+
+/// Where a chunk comes from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The origin of weights.
+    Origin,
+    /// A sidecar that holds the chunk.
+    Peer {
+        /// Its host.
+        host: SmolStr,
+        /// Its inner address.
+        address: SocketAddr,
+    },
+}
+
+/// How chunks reach a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distribution {
+    /// By owners, as described above.
+    Owners,
+    /// Every host draws every chunk from the origin; the baseline of measurements.
+    Direct,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FetchAction {
+    /// Fetch a chunk.
+    Fetch {
+        /// The chunk's number.
+        chunk: usize,
+        /// From whom.
+        source: Source,
+    },
+    /// Ask a peer which chunks it holds.
+    Probe {
+        /// The peer's host.
+        host: SmolStr,
+        /// Its inner address.
+        address: SocketAddr,
+    },
+}
+
+/// How a fetch failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchFailure {
+    /// The source did not send the chunk.
+    Unavailable,
+    /// The chunk does not have its hash.
+    Corrupt,
+}
+
+/// Who takes part in a burst.
+#[derive(Clone, Debug)]
+pub struct Participants {
+    /// This host.
+    pub host: SmolStr,
+    /// Its data centre.
+    pub data_centre: SmolStr,
+    /// All live hosts of the pool, this one included.
+    pub members: Vec<MemberDocument>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PeerView {
+    held: ChunkMap,
+    asked: Option<Moment>,
+    asking: bool,
+    fetching: usize,
+    avoid_until: Moment,
+}
+
+/// Owners of every chunk: the fleet's, and the own data centre's.
+#[derive(Clone, Debug, Default)]
+struct Owners {
+    fleet: Vec<SmolStr>,
+    local: Vec<SmolStr>,
+}
+
+/// The fetch plan of one version on one host.
+#[derive(Debug)]
+pub struct FetchPlan {
+    version: SmolStr,
+    distribution: Distribution,
+    host: SmolStr,
+    data_centre: SmolStr,
+    peers: HashMap<SmolStr, (SocketAddr, SmolStr)>,
+    views: HashMap<SmolStr, PeerView>,
+    owners: Owners,
+    order: Vec<usize>,
+    held: Vec<bool>,
+    missing: usize,
+    fetching: HashSet<usize>,
+    probes: usize,
+    origin_avoid_until: Moment,
+    started: Moment,
+    last_progress: Moment,
+    rng: Pcg64Mcg,
+}
+
+impl FetchPlan {
+    /// A plan for a version of `chunks` chunks, of which none is held.
+    pub fn new(
+        now: Moment,
+        version: SmolStr,
+        chunks: usize,
+        distribution: Distribution,
+        participants: Participants,
+        mut rng: Pcg64Mcg,
+    ) -> Self {
+        let mut order: Vec<usize> = (0..chunks).collect();
+        order.shuffle(&mut rng);
+        let mut plan = Self {
+            version,
+            distribution,
+            host: participants.host.clone(),
+            data_centre: participants.data_centre.clone(),
+            peers: HashMap::new(),
+            views: HashMap::new(),
+            owners: Owners::default(),
+            order,
+            held: vec![false; chunks],
+            missing: chunks,
+            fetching: HashSet::new(),
+            probes: 0,
+            origin_avoid_until: Moment::ZERO,
+            started: now,
+            last_progress: now,
+            rng,
+        };
+        plan.set_participants(participants);
+        plan
+    }
+
+    /// The version that is fetched.
+    pub fn version(&self) -> &SmolStr {
+        &self.version
+    }
+
+    /// Chunks not held yet.
+    pub fn missing(&self) -> usize {
+        self.missing
+    }
+
+    /// The chunks that are held.
+    pub fn map(&self) -> ChunkMap {
+        let mut map = ChunkMap::empty(self.held.len());
+        for (chunk, _) in self.held.iter().enumerate().filter(|(_, held)| **held) {
+            map.set(chunk);
+        }
+        map
+    }
+
+    /// Takes over a newer membership list.
+    pub fn set_participants(&mut self, participants: Participants) {
+        let mut live: Vec<&MemberDocument> = participants
+            .members
+            .iter()
+            .filter(|m| m.state == MemberState::Live || m.host == self.host)
+            .collect();
+        live.sort_by(|a, b| a.host.cmp(&b.host));
+        self.peers = live
+            .iter()
+            .filter(|m| m.host != self.host)
+            .filter_map(|m| {
+                let address = m.address.parse().ok()?;
+                Some((m.host.clone(), (address, m.data_centre.clone())))
+            })
+            .collect();
+        self.owners = self.assign(&live);
+        self.put_owned_first();
+    }
+
+    /// The fleet's owner also owns the chunk in its own data centre, so it is sent there once.
+    fn assign(&self, live: &[&MemberDocument]) -> Owners {
+        let chunks = self.held.len();
+        let names: Vec<&str> = live.iter().map(|m| m.host.as_str()).collect();
+        let fleet = rendezvous::balanced_owners(&self.version, chunks, &names);
+        let local_names: Vec<&str> = live
+            .iter()
+            .filter(|m| m.data_centre == self.data_centre)
+            .map(|m| m.host.as_str())
+            .collect();
+        let scope = format!("{}@{}", self.version, self.data_centre);
+        let rest: Vec<usize> = (0..fleet.len())
+            .filter(|chunk| live[fleet[*chunk]].data_centre != self.data_centre)
+            .collect();
+        let spread = rendezvous::balanced_owners(&scope, rest.len(), &local_names);
+        let fleet: Vec<SmolStr> = fleet.iter().map(|n| live[*n].host.clone()).collect();
+        let mut local = fleet.clone();
+        for (chunk, owner) in rest.into_iter().zip(spread) {
+            local[chunk] = SmolStr::new(local_names[owner]);
+        }
+        Owners { fleet, local }
+    }
+
+    /// Others wait for the chunks that this host owns, the fleet's before the data centre's.
+    fn put_owned_first(&mut self) {
+        let owners = &self.owners;
+        let host = &self.host;
+        self.order.sort_by_key(|chunk| {
+            if owners.fleet.get(*chunk) == Some(host) {
+                return 0;
+            }
+            if owners.local.get(*chunk) == Some(host) {
+                return 1;
+            }
+            2
+        });
+    }
+
+    /// What to do now; call again after every event and about every 20 ms.
+    pub fn next(&mut self, now: Moment) -> Vec<FetchAction> {
+        let mut actions = Vec::new();
+        let mut blocked = Vec::new();
+        for n in 0..self.order.len() {
+            if self.fetching.len() >= PARALLEL {
+                break;
+            }
+            let chunk = self.order[n];
+            if self.held[chunk] || self.fetching.contains(&chunk) {
+                continue;
+            }
+            match self.source_of(now, chunk) {
+                Some(source) => {
+                    self.start(chunk, &source);
+                    actions.push(FetchAction::Fetch { chunk, source });
+                }
+                None => blocked.push(chunk),
+            }
+        }
+        if self.fetching.len() < PARALLEL {
+            self.probe(now, &blocked, &mut actions);
+        }
+        self.order.retain(|chunk| !self.held[*chunk]);
+        actions
+    }
+
+    fn start(&mut self, chunk: usize, source: &Source) {
+        self.fetching.insert(chunk);
+        if let Source::Peer { host, .. } = source {
+            self.views.entry(host.clone()).or_default().fetching += 1;
+        }
+    }
+
+    /// From whom this host may fetch a chunk now.
+    fn source_of(&self, now: Moment, chunk: usize) -> Option<Source> {
+        if self.distribution == Distribution::Direct {
+            return self.origin(now);
+        }
+        if self.owners.fleet[chunk] == self.host {
+            return self.origin(now).or_else(|| self.any_holder(now, chunk));
+        }
+        let expected = self.expected_holder(chunk);
+        if self.can_send(now, expected, chunk) {
+            return self.peer(expected);
+        }
+        if self.may_bypass(now, expected) {
+            let holder = self.any_holder(now, chunk);
+            return holder.or_else(|| self.stand_in(now, chunk));
+        }
+        None
+    }
+
+    /// Whom the plan names for a chunk that this host does not own fleet-wide.
+    fn expected_holder(&self, chunk: usize) -> &SmolStr {
+        if self.owners.local[chunk] == self.host {
+            return &self.owners.fleet[chunk];
+        }
+        &self.owners.local[chunk]
+    }
+
+    fn origin(&self, now: Moment) -> Option<Source> {
+        (now >= self.origin_avoid_until).then_some(Source::Origin)
+    }
+
+    fn peer(&self, host: &SmolStr) -> Option<Source> {
+        let (address, _) = self.peers.get(host)?;
+        Some(Source::Peer {
+            host: host.clone(),
+            address: *address,
+        })
+    }
+
+    fn can_send(&self, now: Moment, host: &SmolStr, chunk: usize) -> bool {
+        let Some(view) = self.views.get(host) else {
+            return false;
+        };
+        self.peers.contains_key(host)
+            && view.held.has(chunk)
+            && view.fetching < PARALLEL_PER_SOURCE
+            && now >= view.avoid_until
+    }
+
+    /// Whether the plan's holder had its chance: it failed, or nothing came for a while.
+    fn may_bypass(&self, now: Moment, expected: &SmolStr) -> bool {
+        let avoided = self
+            .views
+            .get(expected)
+            .is_some_and(|view| now < view.avoid_until);
+        let gone = !self.peers.contains_key(expected);
+        let stalled = now.saturating_sub(self.last_progress.max(self.started)) > OWNER_PATIENCE;
+        avoided || gone || stalled
+    }
+
+    /// Any peer known to hold the chunk, one in the own data centre first.
+    fn any_holder(&self, now: Moment, chunk: usize) -> Option<Source> {
+        let holders = self.peers.iter();
+        let holders = holders.filter(|(host, _)| self.can_send(now, host, chunk));
+        let best = holders.min_by_key(|(host, (_, data_centre))| {
+            let fetching = self.views.get(*host).map_or(0, |view| view.fetching);
+            (*data_centre != self.data_centre, fetching, (*host).clone())
+        });
+        self.peer(best?.0)
+    }
+
+    /// The origin, if this host is the first rank that is left to draw the chunk.
+    fn stand_in(&self, now: Moment, chunk: usize) -> Option<Source> {
+        let key = format!("{}/{chunk}/next", self.version);
+        let usable = |host: &&SmolStr| {
+            let view = self.views.get(*host);
+            view.is_none_or(|view| now >= view.avoid_until)
+        };
+        let hosts = self.peers.keys().filter(usable).map(SmolStr::as_str);
+        let everyone = hosts.chain([self.host.as_str()]);
+        let first = rendezvous::owner(key.as_bytes(), everyone)?;
+        if first == self.host.as_str() {
+            return self.origin(now);
+        }
+        None
+    }
+
+    fn probe(&mut self, now: Moment, blocked: &[usize], actions: &mut Vec<FetchAction>) {
+        let mut wanted: Vec<SmolStr> = Vec::new();
+        for chunk in blocked {
+            let expected = self.expected_holder(*chunk).clone();
+            if !wanted.contains(&expected) {
+                wanted.push(expected);
+            }
+        }
+        let stalled = now.saturating_sub(self.last_progress.max(self.started)) > OWNER_PATIENCE;
+        if stalled {
+            wanted.extend(self.peers.keys().cloned());
+        }
+        wanted.shuffle(&mut self.rng);
+        for host in wanted {
+            if self.probes >= MAX_PROBES {
+                return;
+            }
+            let Some((address, _)) = self.peers.get(&host) else {
+                continue;
+            };
+            let view = self.views.entry(host.clone()).or_default();
+            let due = view
+                .asked
+                .is_none_or(|asked| now.saturating_sub(asked) >= PROBE_INTERVAL);
+            if view.asking || !due || now < view.avoid_until {
+                continue;
+            }
+            view.asking = true;
+            view.asked = Some(now);
+            self.probes += 1;
+            let address = *address;
+            actions.push(FetchAction::Probe { host, address });
+        }
+    }
+
+    /// Notes what a peer holds; nothing if it did not answer.
+    pub fn probed(&mut self, now: Moment, host: &SmolStr, held: Option<ChunkMap>) {
+        self.probes = self.probes.saturating_sub(1);
+        let view = self.views.entry(host.clone()).or_default();
+        view.asking = false;
+        match held {
+            Some(held) => view.held = held,
+            None => view.avoid_until = now + AVOID_FAILED,
+        }
+    }
+
+    /// Notes a chunk that arrived and has its hash.
+    pub fn arrived(&mut self, now: Moment, chunk: usize, source: &Source) {
+        self.release(chunk, source);
+        if !std::mem::replace(&mut self.held[chunk], true) {
+            self.missing -= 1;
+        }
+        self.last_progress = now;
+    }
+
+    /// Notes a fetch that failed, and passes its source over for a while.
+    pub fn failed(&mut self, now: Moment, chunk: usize, source: &Source, failure: FetchFailure) {
+        self.release(chunk, source);
+        let avoid = match failure {
+            FetchFailure::Unavailable => AVOID_FAILED,
+            FetchFailure::Corrupt => AVOID_CORRUPT,
+        };
+        match source {
+            Source::Origin => {
+                // The origin has no substitute, so it is only given time to breathe.
+                let pause = Moment::from_millis(self.rng.random_range(50..250));
+                self.origin_avoid_until = now + pause;
+            }
+            Source::Peer { host, .. } => {
+                let view = self.views.entry(host.clone()).or_default();
+                view.avoid_until = now + avoid;
+            }
+        }
+    }
+
+    fn release(&mut self, chunk: usize, source: &Source) {
+        self.fetching.remove(&chunk);
+        if let Source::Peer { host, .. } = source {
+            let view = self.views.entry(host.clone()).or_default();
+            view.fetching = view.fetching.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,26 @@
+//! Every decision of the system, free of I/O.
+//!
+//! Each module is a state machine that takes typed events together with the time, and gives typed
+//! actions or verdicts. Sockets, clocks and global random sources stay outside, so that tests drive
+//! the same code that the daemon runs. See docs/DESIGN.md, "Decisions".
+
+pub mod acceptance;
+pub mod crash;
+pub mod election;
+pub mod fence;
+pub mod fetch;
+pub mod gate;
+pub mod limit;
+pub mod once;
+pub mod owner;
+pub mod pace;
+pub mod pause;
+pub mod queue;
+pub mod rendezvous;
+pub mod retry;
+pub mod router;
+pub mod spread;
+pub mod turnover;
+
+/// Time since the process started, on a clock that never goes back.
+pub type Moment = std::time::Duration;
--- /dev/null
+++ b/crates/policy/src/limit.rs
@@ -0,0 +1,98 @@
+//! How many requests an upstream bears now.
+
+use crate::Moment;
+
+/// A first byte this many times later than the best counts as slow.
+const SLOW_FACTOR: f64 = 3.0;
+/// Differences below this are scheduling noise, not a cold upstream.
+const SLOW_FLOOR: Moment = Moment::from_millis(20);
+/// Slow answers in a row after which the upstream counts as cold.
+const SLOW_STREAK: u32 = 2;
+/// The best time drifts up by this factor per answer, so that a lasting change becomes normal.
+const BEST_DRIFT: f64 = 1.02;
+
+/// The bounds between which a limit moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitBounds {
+    /// Requests that a cold upstream bears.
+    pub cold: u32,
+    /// Requests that a warm upstream bears.
+    pub warm: u32,
+    /// Whether slower answers mean a cold upstream, as they do for engines.
+    pub watch_speed: bool,
+}
+
+/// A concurrency limit that starts cold, rises with measured service and falls on trouble.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    bounds: LimitBounds,
+    limit: f64,
+    best: Option<f64>,
+    slow_streak: u32,
+}
+
+impl Limit {
+    /// A cold limit.
+    pub fn new(bounds: LimitBounds) -> Self {
+        Self {
+            bounds,
+            limit: f64::from(bounds.cold),
+            best: None,
+            slow_streak: 0,
+        }
+    }
+
+    /// Requests that may run at once.
+    pub fn current(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Replaces the bounds; a limit above them falls at once, one below rises by service.
+    pub fn configure(&mut self, bounds: LimitBounds) {
+        self.bounds = bounds;
+        self.limit = self
+            .limit
+            .clamp(f64::from(bounds.cold), f64::from(bounds.warm));
+    }
+
+    /// Notes an answer whose first byte took `first_byte`. Tells whether the upstream turned cold.
+    pub fn served(&mut self, first_byte: Moment, running: u32) -> bool {
+        let sample = first_byte.as_secs_f64();
+        let best = self.best.unwrap_or(sample);
+        let slow = sample > best * SLOW_FACTOR && sample > best + SLOW_FLOOR.as_secs_f64();
+        self.best = Some(if sample < best {
+            sample
+        } else {
+            (best * BEST_DRIFT).min(sample)
+        });
+        if self.bounds.watch_speed && slow {
+            self.slow_streak += 1;
+            if self.slow_streak >= SLOW_STREAK && self.current() > self.bounds.cold {
+                self.make_cold();
+                return true;
+            }
+            return false;
+        }
+        self.slow_streak = 0;
+        if running + 1 >= self.current() {
+            self.raise();
+        }
+        false
+    }
+
+    /// Halves the limit after an answer that shows trouble.
+    pub fn troubled(&mut self) {
+        self.limit = (self.limit / 2.0).max(f64::from(self.bounds.cold));
+    }
+
+    /// Returns to the cold limit.
+    pub fn make_cold(&mut self) {
+        self.limit = f64::from(self.bounds.cold);
+        self.slow_streak = 0;
+    }
+
+    /// About one more per round of answers.
+    fn raise(&mut self) {
+        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.bounds.warm));
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/error.rs
@@ -0,0 +1,33 @@
+//! Errors of the inner protocol.
+
+use derive_more::{Display, Error, From};
+
+/// A message that could not be read or written.
+#[derive(Debug, Display, Error, From)]
+pub enum ProtocolError {
+    /// The header value is not base64.
+    #[display("header is not base64: {_0}")]
+    Base64(base64::DecodeError),
+    /// The bytes are not the expected MessagePack map.
+    #[display("message cannot be decoded: {_0}")]
+    Decode(rmp_serde::decode::Error),
+    /// The value cannot be written as MessagePack.
+    #[display("message cannot be encoded: {_0}")]
+    Encode(rmp_serde::encode::Error),
+    /// The peer speaks another protocol version.
+    #[display("peer speaks protocol version {theirs}, this process speaks {ours}; upgrade the older of the two")]
+    #[from(ignore)]
+    Version {
+        /// The version in the message.
+        theirs: u16,
+        /// The version of this build.
+        ours: u16,
+    },
+    /// A header that every inner request carries is absent.
+    #[display("header \"{name}\" is missing; only entries may call a sidecar")]
+    #[from(ignore)]
+    Missing {
+        /// The header's name.
+        name: &'static str,
+    },
+}
--- /dev/null
+++ b/crates/protocol/src/header.rs
@@ -0,0 +1,31 @@
+//! Encoding of messages, into HTTP headers and bodies.
+
+use base64::{engine::general_purpose::URL_SAFE_NO_PAD, Engine};
+use serde::{de::DeserializeOwned, Serialize};
+
+use crate::error::ProtocolError;
+
+/// Carries an [`crate::Envelope`] from an entry to a sidecar.
+pub const ENVELOPE: &str = "balsam-envelope";
+/// Carries a [`crate::Reply`] from a sidecar to an entry.
+pub const REPLY: &str = "balsam-reply";
+
+/// Encodes a message as a MessagePack map with field names.
+pub fn to_bytes<T: Serialize>(message: &T) -> Result<Vec<u8>, ProtocolError> {
+    Ok(rmp_serde::to_vec_named(message)?)
+}
+
+/// Decodes a message, skipping fields that this build does not know.
+pub fn from_bytes<T: DeserializeOwned>(buf: &[u8]) -> Result<T, ProtocolError> {
+    Ok(rmp_serde::from_slice(buf)?)
+}
+
+/// Encodes a message as a header value.
+pub fn to_header<T: Serialize>(message: &T) -> Result<String, ProtocolError> {
+    Ok(URL_SAFE_NO_PAD.encode(to_bytes(message)?))
+}
+
+/// Decodes a message from a header value.
+pub fn from_header<T: DeserializeOwned>(value: &str) -> Result<T, ProtocolError> {
+    from_bytes(&URL_SAFE_NO_PAD.decode(value)?)
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,25 @@
+//! Messages between the system's own processes.
+//!
+//! Requests travel as plain HTTP; what the processes say to each other about a request rides in one
+//! header whose value is a base64 MessagePack map ([`header`]). Maps carry field names, so that an
+//! older process skips fields it does not know. See docs/DESIGN.md, "Inner protocol".
+
+pub mod error;
+pub mod header;
+pub mod paths;
+pub mod peer;
+pub mod platform;
+pub mod request;
+
+pub use crate::{
+    error::ProtocolError,
+    peer::{
+        ChunkMap, CloseKeyAnswer, CloseKeyRequest, Crash, FleetDocument, HaveAnswer, HaveRequest,
+        MemberDocument, MemberState, MembersDocument, PeerStatus, PullAnswer, PullRequest,
+        PushRequest, VersionStatus,
+    },
+    request::{Envelope, LoadReport, OnceKey, Outcome, Priority, Refusal, Reply, RequestId},
+};
+
+/// The protocol version that this build speaks.
+pub const PROTOCOL_VERSION: u16 = 1;
--- /dev/null
+++ b/crates/protocol/src/paths.rs
@@ -0,0 +1,28 @@
+//! Paths of the inner HTTP interface, which callers never reach.
+
+/// Prefix below which a sidecar carries requests to its upstream.
+pub const CARRY: &str = "/carry";
+/// Pull of the fleet declaration and the membership list from a peer.
+pub const PULL: &str = "/peer/pull";
+/// Push of a newer fleet declaration to a peer.
+pub const PUSH: &str = "/peer/push";
+/// Report of a request that crashed an upstream.
+pub const CRASH: &str = "/peer/crash";
+/// Closing of an idempotency key at an earlier owner.
+pub const CLOSE_KEY: &str = "/once/close";
+/// Which chunks of a version a sidecar holds.
+pub const HAVE: &str = "/weights/have";
+/// Prefix of one chunk: `/weights/chunk/{version}/{index}`.
+pub const CHUNK: &str = "/weights/chunk";
+/// Prefix of a manifest: `/weights/manifest/{version}`.
+pub const MANIFEST: &str = "/weights/manifest";
+/// What a process does now, for operators.
+pub const STATUS: &str = "/status";
+/// The audit trail, for operators.
+pub const AUDIT: &str = "/audit";
+/// Metrics in the OpenMetrics text format.
+pub const METRICS: &str = "/metrics";
+/// Answers 200 while the process runs.
+pub const LIVE: &str = "/health/live";
+/// Answers 200 while the process takes new work.
+pub const READY: &str = "/health/ready";
--- /dev/null
+++ b/crates/settings/src/fleet_reader.rs
@@ -0,0 +1,389 @@
+//! Reads and checks a fleet declaration.
+
+use std::collections::BTreeMap;
+
+use jsonc_parser::common::Ranged;
+use smol_str::SmolStr;
+use strum::IntoEnumIterator;
+
+use crate::{
+    fleet::{DataCentre, Exception, Fleet, Pool, PoolKind, Route, Scope, ScopeKind, Upstream},
+    reader::{decode, number_in, object_in, parse, suggestion, Faults, Fields},
+    report::{FaultKind, Report},
+    value::{ValueKey, Values},
+};
+
+/// More exceptions than this are no longer a list that a person reads.
+const MAX_EXCEPTIONS: usize = 64;
+
+/// Reads a declaration, or reports all of its faults.
+pub fn read_fleet(buf: &[u8]) -> Result<Fleet, Report> {
+    let text = decode(buf)?;
+    let root = parse(text)?;
+    let faults = Faults::new(text);
+    let fields = Fields::new(&root, &faults);
+    let mut fleet = Fleet {
+        defaults: read_defaults(&fields, &faults),
+        data_centres: read_data_centres(&fields, &faults),
+        ..Fleet::default()
+    };
+    fleet.pools = read_pools(&fields, &fleet, &faults);
+    fleet.workspaces = read_workspaces(&fields, &faults);
+    fleet.exceptions = read_exceptions(&fields, &fleet, &faults);
+    fields.finish();
+    faults.finish(fleet)
+}
+
+fn read_values(fields: &Fields<'_, '_>, faults: &Faults<'_>) -> Values {
+    let mut values = Values::default();
+    for prop in fields.named() {
+        let name = prop.name.as_str();
+        let Some(key) = ValueKey::named(name) else {
+            let names = ValueKey::iter().map(<&'static str>::from);
+            let kind = FaultKind::UnknownField {
+                field: name.to_owned(),
+                suggestion: suggestion(name, names),
+            };
+            faults.add(prop.start(), kind);
+            continue;
+        };
+        if let Some(value) = number_in(prop, key.range(), key.unit().into(), faults) {
+            values.set(key, value);
+        }
+    }
+    values
+}
+
+fn read_defaults(root: &Fields<'_, '_>, faults: &Faults<'_>) -> Values {
+    let Some(fields) = root.object("defaults") else {
+        return Values::default();
+    };
+    let values = read_values(&fields, faults);
+    let value = |key: ValueKey| values.get(key).unwrap_or(key.built_in());
+    let cold = value(ValueKey::ColdConcurrency);
+    let warm = value(ValueKey::MaxConcurrency);
+    if cold > warm {
+        let kind = FaultKind::Order {
+            small: ValueKey::ColdConcurrency.into(),
+            small_value: cold,
+            large: ValueKey::MaxConcurrency.into(),
+            large_value: warm,
+        };
+        faults.add(fields.offset(), kind);
+    }
+    values
+}
+
+fn read_data_centres(root: &Fields<'_, '_>, faults: &Faults<'_>) -> BTreeMap<SmolStr, DataCentre> {
+    let mut data_centres = BTreeMap::new();
+    let Some(named) = root.required_object("data_centres") else {
+        return data_centres;
+    };
+    for prop in named.named() {
+        let Some(fields) = object_in(prop, faults) else {
+            continue;
+        };
+        let data_centre = DataCentre {
+            region: fields.required_text("region"),
+            in_service: fields.boolean("in_service").unwrap_or(true),
+        };
+        fields.finish();
+        data_centres.insert(SmolStr::new(prop.name.as_str()), data_centre);
+    }
+    data_centres
+}
+
+fn read_pools(
+    root: &Fields<'_, '_>,
+    fleet: &Fleet,
+    faults: &Faults<'_>,
+) -> BTreeMap<SmolStr, Pool> {
+    let mut pools = BTreeMap::new();
+    let Some(named) = root.required_object("pools") else {
+        return pools;
+    };
+    let mut hosts = Vec::new();
+    for prop in named.named() {
+        let name = prop.name.as_str();
+        if name.is_empty() || !name.bytes().all(is_name_byte) {
+            let kind = FaultKind::Form {
+                field: "pools".to_owned(),
+                value: name.to_owned(),
+                expected: "lower-case letters, digits and hyphens as a pool's name",
+            };
+            faults.add(prop.start(), kind);
+        }
+        let Some(fields) = object_in(prop, faults) else {
+            continue;
+        };
+        let pool = read_pool(&fields, fleet, &mut hosts, faults);
+        pools.insert(SmolStr::new(name), pool);
+    }
+    pools
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-'
+}
+
+fn read_pool(
+    fields: &Fields<'_, '_>,
+    fleet: &Fleet,
+    hosts: &mut Vec<SmolStr>,
+    faults: &Faults<'_>,
+) -> Pool {
+    let kind_text = fields.required_text("kind");
+    let kind = fields.parsed("kind", &kind_text, "\"engine\" or \"service\"");
+    let mut pool = Pool {
+        kind: kind.unwrap_or(PoolKind::Service),
+        version: fields.text("version"),
+        routes: read_routes(fields, faults),
+        upstreams: Vec::new(),
+    };
+    for upstream in fields.objects("upstreams") {
+        pool.upstreams
+            .extend(read_upstream(&upstream, fleet, hosts, faults));
+    }
+    if pool.upstreams.is_empty() && !fields.present("upstreams") {
+        let field = "upstreams".to_owned();
+        faults.add(fields.offset(), FaultKind::Missing { field });
+    }
+    fields.finish();
+    pool
+}
+
+fn read_routes(fields: &Fields<'_, '_>, faults: &Faults<'_>) -> Vec<Route> {
+    let mut routes: Vec<Route> = Vec::new();
+    for fields in fields.objects("routes") {
+        let prefix = fields.required_text("prefix");
+        if !prefix.is_empty() && !prefix.starts_with('/') {
+            let kind = FaultKind::Form {
+                field: "prefix".to_owned(),
+                value: prefix.to_string(),
+                expected: "a path that starts with a slash",
+            };
+            faults.add(fields.offset_of("prefix"), kind);
+        }
+        if routes.iter().any(|route| route.prefix == prefix) {
+            let kind = FaultKind::Duplicate {
+                what: "route",
+                name: prefix.to_string(),
+            };
+            faults.add(fields.offset(), kind);
+        }
+        let repeatable = fields.boolean("repeatable").unwrap_or(false);
+        fields.finish();
+        routes.push(Route { prefix, repeatable });
+    }
+    routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    routes
+}
+
+fn read_upstream(
+    fields: &Fields<'_, '_>,
+    fleet: &Fleet,
+    hosts: &mut Vec<SmolStr>,
+    faults: &Faults<'_>,
+) -> Option<Upstream> {
+    let host = fields.required_text("host");
+    let data_centre = fields.required_text("data_centre");
+    let sidecar = fields.required_address("sidecar");
+    fields.finish();
+    if hosts.contains(&host) {
+        let kind = FaultKind::Duplicate {
+            what: "host",
+            name: host.to_string(),
+        };
+        faults.add(fields.offset(), kind);
+    }
+    hosts.push(host.clone());
+    if !data_centre.is_empty() {
+        check_declared(
+            "data centre",
+            &data_centre,
+            fleet.data_centres.keys(),
+            fields.offset_of("data_centre"),
+            faults,
+        );
+    }
+    Some(Upstream {
+        host,
+        data_centre,
+        sidecar: sidecar?,
+    })
+}
+
+fn check_declared<'a>(
+    what: &'static str,
+    name: &SmolStr,
+    mut declared: impl Iterator<Item = &'a SmolStr> + Clone,
+    offset: usize,
+    faults: &Faults<'_>,
+) {
+    let candidates = declared.clone();
+    if declared.any(|other| other == name) {
+        return;
+    }
+    let kind = FaultKind::Undeclared {
+        what,
+        name: name.to_string(),
+        suggestion: suggestion(name, candidates.map(SmolStr::as_str)),
+    };
+    faults.add(offset, kind);
+}
+
+fn read_workspaces(root: &Fields<'_, '_>, faults: &Faults<'_>) -> Vec<SmolStr> {
+    let mut workspaces = Vec::new();
+    for (offset, name) in root.texts("workspaces") {
+        if workspaces.contains(&name) {
+            let kind = FaultKind::Duplicate {
+                what: "workspace",
+                name: name.to_string(),
+            };
+            faults.add(offset, kind);
+        }
+        workspaces.push(name);
+    }
+    workspaces
+}
+
+fn read_exceptions(root: &Fields<'_, '_>, fleet: &Fleet, faults: &Faults<'_>) -> Vec<Exception> {
+    let mut exceptions: Vec<Exception> = Vec::new();
+    let objects = root.objects("exceptions");
+    if objects.len() > MAX_EXCEPTIONS {
+        let kind = FaultKind::TooManyExceptions {
+            count: objects.len(),
+            limit: MAX_EXCEPTIONS,
+        };
+        faults.add(root.offset_of("exceptions"), kind);
+    }
+    for fields in objects {
+        let Some(exception) = read_exception(&fields, fleet, faults) else {
+            continue;
+        };
+        check_against_earlier(&exception, &exceptions, fields.offset(), faults);
+        exceptions.push(exception);
+    }
+    exceptions
+}
+
+fn read_exception(
+    fields: &Fields<'_, '_>,
+    fleet: &Fleet,
+    faults: &Faults<'_>,
+) -> Option<Exception> {
+    let name = fields.required_text("name");
+    let reason = fields.text("reason").unwrap_or_default();
+    if reason.trim().is_empty() {
+        let name = name.to_string();
+        faults.add(fields.offset(), FaultKind::NoReason { name });
+    }
+    let scope = read_scope(fields, &name, fleet, faults);
+    let set = fields
+        .required_object("set")
+        .map(|set| read_values(&set, faults))
+        .unwrap_or_default();
+    fields.finish();
+    let scope = scope?;
+    check_scope_of_values(&scope, &set, fields.offset_of("set"), faults);
+    Some(Exception {
+        name,
+        reason,
+        scope,
+        set,
+    })
+}
+
+fn read_scope(
+    fields: &Fields<'_, '_>,
+    exception: &SmolStr,
+    fleet: &Fleet,
+    faults: &Faults<'_>,
+) -> Option<Scope> {
+    let kinds = [
+        ScopeKind::Host,
+        ScopeKind::Workspace,
+        ScopeKind::Pool,
+        ScopeKind::DataCentre,
+    ];
+    let mut scopes: Vec<Scope> = kinds
+        .into_iter()
+        .filter_map(|kind| {
+            let name = fields.text(kind.into())?;
+            Some(Scope { kind, name })
+        })
+        .collect();
+    if scopes.len() != 1 {
+        let name = exception.to_string();
+        faults.add(fields.offset(), FaultKind::Scope { name });
+        return None;
+    }
+    let scope = scopes.pop()?;
+    let offset = fields.offset_of(scope.kind.into());
+    match scope.kind {
+        ScopeKind::Host => {
+            let hosts = fleet.pools.values().flat_map(|pool| &pool.upstreams);
+            let hosts = hosts.map(|upstream| &upstream.host);
+            check_declared("host", &scope.name, hosts, offset, faults);
+        }
+        ScopeKind::Pool => {
+            check_declared("pool", &scope.name, fleet.pools.keys(), offset, faults);
+        }
+        ScopeKind::DataCentre => {
+            let names = fleet.data_centres.keys();
+            check_declared("data centre", &scope.name, names, offset, faults);
+        }
+        ScopeKind::Workspace => {
+            let names = fleet.workspaces.iter();
+            check_declared("workspace", &scope.name, names, offset, faults);
+        }
+    }
+    Some(scope)
+}
+
+fn check_scope_of_values(scope: &Scope, set: &Values, offset: usize, faults: &Faults<'_>) {
+    for (key, _) in set.iter() {
+        if key.scopes().contains(&scope.kind) {
+            continue;
+        }
+        let allowed: Vec<_> = key.scopes().iter().map(ToString::to_string).collect();
+        let kind = FaultKind::NotInScope {
+            key: key.to_string(),
+            scope: scope.kind.to_string(),
+            allowed: allowed.join(", "),
+        };
+        faults.add(offset, kind);
+    }
+}
+
+fn check_against_earlier(
+    exception: &Exception,
+    earlier: &[Exception],
+    offset: usize,
+    faults: &Faults<'_>,
+) {
+    for other in earlier {
+        if other.name == exception.name {
+            let kind = FaultKind::Duplicate {
+                what: "exception",
+                name: exception.name.to_string(),
+            };
+            faults.add(offset, kind);
+        }
+        if other.scope != exception.scope {
+            continue;
+        }
+        for (key, _) in exception.set.iter() {
+            if other.set.get(key).is_none() {
+                continue;
+            }
+            let kind = FaultKind::Conflict {
+                first: other.name.to_string(),
+                second: exception.name.to_string(),
+                key: key.to_string(),
+                scope: exception.scope.to_string(),
+            };
+            faults.add(offset, kind);
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,24 @@
+//! The fleet declaration and each process's own settings, in JSON with comments.
+//!
+//! Reading never stops at the first fault: a [`Report`] lists every fault with its line, column and
+//! remedy, and nothing of a faulty document is applied. See docs/OPERATIONS.md, "Declaration".
+
+pub mod diff;
+pub mod fleet;
+pub mod process;
+pub mod reader;
+pub mod report;
+pub mod value;
+
+mod fleet_reader;
+
+pub use crate::{
+    diff::{diff, Change},
+    fleet::{
+        DataCentre, Exception, Explained, Fleet, Pool, PoolKind, Route, Scope, Source, Upstream,
+    },
+    fleet_reader::read_fleet,
+    process::{read_entry, read_sidecar, EntrySettings, LinkRates, PeerSettings, SidecarSettings},
+    report::{Fault, Position, Report},
+    value::{ValueKey, ValueUnit, Values},
+};
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,404 @@
+//! Typed reading of a parsed document that collects faults instead of stopping.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+};
+
+use jsonc_parser::{
+    ast::{Object, ObjectProp, Value},
+    common::Ranged,
+    CollectOptions, ParseOptions,
+};
+use smol_str::SmolStr;
+
+use crate::report::{Fault, FaultKind, Position, Report};
+
+/// The longest document, the configuration service's limit on a value.
+pub const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
+
+/// Names further apart than this are not suggested for each other.
+const MAX_SUGGESTION_DISTANCE: usize = 3;
+
+/// Collects the faults of one text.
+pub struct Faults<'t> {
+    text: &'t str,
+    found: RefCell<Vec<(usize, FaultKind)>>,
+}
+
+impl<'t> Faults<'t> {
+    /// Starts an empty collection for `text`.
+    pub fn new(text: &'t str) -> Self {
+        Self {
+            text,
+            found: RefCell::default(),
+        }
+    }
+
+    /// Records a fault at a byte offset.
+    pub fn add(&self, offset: usize, kind: FaultKind) {
+        self.found.borrow_mut().push((offset, kind));
+    }
+
+    /// Gives `value` if no fault was recorded, else the sorted report.
+    pub fn finish<T>(self, value: T) -> Result<T, Report> {
+        let mut found = self.found.into_inner();
+        if found.is_empty() {
+            return Ok(value);
+        }
+        found.sort_by_key(|(offset, _)| *offset);
+        let faults = found
+            .into_iter()
+            .map(|(offset, kind)| Fault {
+                position: Position::of(self.text, offset),
+                kind,
+            })
+            .collect();
+        Err(Report { faults })
+    }
+}
+
+/// Checks length and encoding, which must hold before anything else can be said.
+pub fn decode(buf: &[u8]) -> Result<&str, Report> {
+    let at_start = Position { line: 1, column: 1 };
+    if buf.len() > MAX_DOCUMENT_BYTES {
+        let kind = FaultKind::TooLarge {
+            bytes: buf.len(),
+            limit: MAX_DOCUMENT_BYTES,
+        };
+        return Err(single(at_start, kind));
+    }
+    std::str::from_utf8(buf).map_err(|e| {
+        let valid = std::str::from_utf8(&buf[..e.valid_up_to()]).unwrap_or_default();
+        let kind = FaultKind::Encoding {
+            byte: buf[e.valid_up_to()],
+        };
+        single(Position::of(valid, valid.len()), kind)
+    })
+}
+
+/// Parses JSON with comments whose root is an object.
+pub fn parse(text: &str) -> Result<Object<'_>, Report> {
+    let options = ParseOptions::default();
+    let parsed =
+        jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options).map_err(|e| {
+            let kind = FaultKind::Syntax {
+                message: e.kind().to_string(),
+            };
+            single(Position::of(text, e.range().start), kind)
+        })?;
+    match parsed.value {
+        Some(Value::Object(object)) => Ok(object),
+        other => {
+            let kind = FaultKind::Type {
+                field: "document".to_owned(),
+                expected: "an object",
+                found: other.as_ref().map_or("nothing", type_name),
+            };
+            Err(single(Position::of(text, 0), kind))
+        }
+    }
+}
+
+fn single(position: Position, kind: FaultKind) -> Report {
+    Report {
+        faults: vec![Fault { position, kind }],
+    }
+}
+
+fn type_name(value: &Value) -> &'static str {
+    match value {
+        Value::StringLit(_) => "a string",
+        Value::NumberLit(_) => "a number",
+        Value::BooleanLit(_) => "a boolean",
+        Value::Object(_) => "an object",
+        Value::Array(_) => "a list",
+        Value::NullKeyword(_) => "null",
+    }
+}
+
+/// The candidate nearest to `name`, if any is near.
+pub fn suggestion<'a>(name: &str, candidates: impl Iterator<Item = &'a str>) -> Option<String> {
+    candidates
+        .map(|candidate| (strsim::damerau_levenshtein(name, candidate), candidate))
+        .filter(|(distance, _)| *distance <= MAX_SUGGESTION_DISTANCE)
+        .min()
+        .map(|(_, candidate)| candidate.to_owned())
+}
+
+/// Reads the fields of one object and reports those that nobody read.
+pub struct Fields<'d, 't> {
+    object: &'d Object<'t>,
+    faults: &'d Faults<'t>,
+    known: RefCell<Vec<&'static str>>,
+    any_name: Cell<bool>,
+}
+
+impl<'d, 't> Fields<'d, 't> {
+    /// Starts reading `object`; a field that stands twice is a fault.
+    pub fn new(object: &'d Object<'t>, faults: &'d Faults<'t>) -> Self {
+        for (n, prop) in object.properties.iter().enumerate() {
+            let name = prop.name.as_str();
+            let seen = &object.properties[..n];
+            if seen.iter().any(|other| other.name.as_str() == name) {
+                faults.add(
+                    prop.start(),
+                    FaultKind::Duplicate {
+                        what: "field",
+                        name: name.to_owned(),
+                    },
+                );
+            }
+        }
+        Self {
+            object,
+            faults,
+            known: RefCell::default(),
+            any_name: Cell::new(false),
+        }
+    }
+
+    /// Byte offset of the object.
+    pub fn offset(&self) -> usize {
+        self.object.start()
+    }
+
+    /// Byte offset of a field, or of the object if the field is absent.
+    pub fn offset_of(&self, name: &'static str) -> usize {
+        self.get(name).map_or(self.offset(), |prop| prop.start())
+    }
+
+    /// All fields, for objects whose field names are the user's own.
+    pub fn named(&self) -> impl Iterator<Item = &'d ObjectProp<'t>> {
+        self.any_name.set(true);
+        self.object.properties.iter()
+    }
+
+    /// The field's value, if present.
+    pub fn get(&self, name: &'static str) -> Option<&'d ObjectProp<'t>> {
+        self.known.borrow_mut().push(name);
+        let mut properties = self.object.properties.iter();
+        properties.find(|prop| prop.name.as_str() == name)
+    }
+
+    /// Whether the field is present.
+    pub fn present(&self, name: &'static str) -> bool {
+        self.get(name).is_some()
+    }
+
+    fn type_fault(&self, name: &str, value: &Value, expected: &'static str) {
+        let kind = FaultKind::Type {
+            field: name.to_owned(),
+            expected,
+            found: type_name(value),
+        };
+        self.faults.add(value.start(), kind);
+    }
+
+    fn missing(&self, name: &str) {
+        let kind = FaultKind::Missing {
+            field: name.to_owned(),
+        };
+        self.faults.add(self.offset(), kind);
+    }
+
+    /// An optional string.
+    pub fn text(&self, name: &'static str) -> Option<SmolStr> {
+        let prop = self.get(name)?;
+        match &prop.value {
+            Value::StringLit(lit) => Some(SmolStr::new(&lit.value)),
+            other => {
+                self.type_fault(name, other, "a string");
+                None
+            }
+        }
+    }
+
+    /// A string that must be present; empty after a fault.
+    pub fn required_text(&self, name: &'static str) -> SmolStr {
+        if !self.present(name) {
+            self.missing(name);
+        }
+        self.text(name).unwrap_or_default()
+    }
+
+    /// An optional boolean.
+    pub fn boolean(&self, name: &'static str) -> Option<bool> {
+        let prop = self.get(name)?;
+        match &prop.value {
+            Value::BooleanLit(lit) => Some(lit.value),
+            other => {
+                self.type_fault(name, other, "a boolean");
+                None
+            }
+        }
+    }
+
+    /// An optional whole number within a range.
+    pub fn number(
+        &self,
+        name: &'static str,
+        (least, most): (u64, u64),
+        unit: &'static str,
+    ) -> Option<u64> {
+        let prop = self.get(name)?;
+        number_in(prop, (least, most), unit, self.faults)
+    }
+
+    /// An IP number with a port that must be present.
+    pub fn required_address(&self, name: &'static str) -> Option<SocketAddr> {
+        if !self.present(name) {
+            self.missing(name);
+            return None;
+        }
+        self.address(name)
+    }
+
+    /// An optional IP number with a port.
+    pub fn address(&self, name: &'static str) -> Option<SocketAddr> {
+        let text = self.text(name)?;
+        self.parsed(name, &text, "an IP number and port such as 10.0.0.7:7000")
+    }
+
+    /// Parses a text that was read from `name`.
+    pub fn parsed<T: std::str::FromStr>(
+        &self,
+        name: &'static str,
+        text: &str,
+        expected: &'static str,
+    ) -> Option<T> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let kind = FaultKind::Form {
+                field: name.to_owned(),
+                value: text.to_owned(),
+                expected,
+            };
+            self.faults.add(self.offset_of(name), kind);
+        }
+        parsed
+    }
+
+    /// An object of the user's own names; absent counts as empty.
+    pub fn object(&self, name: &'static str) -> Option<Fields<'d, 't>> {
+        let prop = self.get(name)?;
+        object_in(prop, self.faults)
+    }
+
+    /// An object that must be present.
+    pub fn required_object(&self, name: &'static str) -> Option<Fields<'d, 't>> {
+        if !self.present(name) {
+            self.missing(name);
+        }
+        self.object(name)
+    }
+
+    /// The values of a list; absent counts as empty.
+    pub fn list(&self, name: &'static str) -> &'d [Value<'t>] {
+        let Some(prop) = self.get(name) else {
+            return &[];
+        };
+        match &prop.value {
+            Value::Array(array) => &array.elements,
+            other => {
+                self.type_fault(name, other, "a list");
+                &[]
+            }
+        }
+    }
+
+    /// The objects of a list; other elements are faults.
+    pub fn objects(&self, name: &'static str) -> Vec<Fields<'d, 't>> {
+        let mut objects = Vec::new();
+        for value in self.list(name) {
+            match value {
+                Value::Object(object) => objects.push(Fields::new(object, self.faults)),
+                other => self.type_fault(name, other, "a list of objects"),
+            }
+        }
+        objects
+    }
+
+    /// The strings of a list; other elements are faults.
+    pub fn texts(&self, name: &'static str) -> Vec<(usize, SmolStr)> {
+        let mut texts = Vec::new();
+        for value in self.list(name) {
+            match value {
+                Value::StringLit(lit) => texts.push((value.start(), SmolStr::new(&lit.value))),
+                other => self.type_fault(name, other, "a list of strings"),
+            }
+        }
+        texts
+    }
+
+    /// Reports the fields that were never asked for.
+    pub fn finish(&self) {
+        if self.any_name.get() {
+            return;
+        }
+        let known = self.known.borrow();
+        for prop in &self.object.properties {
+            let name = prop.name.as_str();
+            if known.contains(&name) {
+                continue;
+            }
+            let kind = FaultKind::UnknownField {
+                field: name.to_owned(),
+                suggestion: suggestion(name, known.iter().copied()),
+            };
+            self.faults.add(prop.start(), kind);
+        }
+    }
+}
+
+/// Reads a whole number within a range from a field.
+pub fn number_in(
+    prop: &ObjectProp<'_>,
+    (least, most): (u64, u64),
+    unit: &'static str,
+    faults: &Faults<'_>,
+) -> Option<u64> {
+    let field = prop.name.as_str().to_owned();
+    let Value::NumberLit(lit) = &prop.value else {
+        let kind = FaultKind::Type {
+            field,
+            expected: "a whole number",
+            found: type_name(&prop.value),
+        };
+        faults.add(prop.value.start(), kind);
+        return None;
+    };
+    match lit.value.parse() {
+        Ok(value) if (least..=most).contains(&value) => Some(value),
+        _ => {
+            let kind = FaultKind::Range {
+                field,
+                value: lit.value.to_string(),
+                least,
+                most,
+                unit,
+            };
+            faults.add(prop.value.start(), kind);
+            None
+        }
+    }
+}
+
+/// Reads an object from a field.
+pub fn object_in<'d, 't>(
+    prop: &'d ObjectProp<'t>,
+    faults: &'d Faults<'t>,
+) -> Option<Fields<'d, 't>> {
+    match &prop.value {
+        Value::Object(object) => Some(Fields::new(object, faults)),
+        other => {
+            let kind = FaultKind::Type {
+                field: prop.name.as_str().to_owned(),
+                expected: "an object",
+                found: type_name(other),
+            };
+            faults.add(other.start(), kind);
+            None
+        }
+    }
+}
