--- a/crates/daemon/src/sidecar/once_run.rs
+++ b/crates/daemon/src/sidecar/once_run.rs
@@ -1,6 +1,6 @@
 //! Runs requests that may run at most once, apart from the connection that asked for them.
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use actix_web::{
     http::{
@@ -190,7 +190,7 @@
         body,
         key: once.key,
     };
-    let visit = Arc::new(visit);
+    let visit = Rc::new(visit);
     actix_rt::spawn(detached.run(visit.clone(), tx));
     match rx.await {
         Ok(Ok(head)) => {
@@ -224,7 +224,7 @@
 }
 
 impl Detached {
-    async fn run(self, visit: Arc<Visit>, head: oneshot::Sender<Result<Head, Ended>>) {
+    async fn run(self, visit: Rc<Visit>, head: oneshot::Sender<Result<Head, Ended>>) {
         let outgoing = Outgoing {
             method: self.method,
             path: &self.path,
--- a/crates/lab/src/bench/address.rs
+++ b/crates/lab/src/bench/address.rs
@@ -46,7 +46,7 @@
     }
 
     /// An address that was not given before.
-    pub fn next(&mut self) -> IpAddr {
+    pub fn next_ip(&mut self) -> IpAddr {
         let high = (self.used / HOSTS_PER_BLOCK) as u8;
         let low = (self.used % HOSTS_PER_BLOCK) as u8 + 1;
         self.used += 1;
--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use balsamjunction_policy::once::MAX_CLOCK_SKEW_MS;
 use balsamjunction_protocol::{
     paths, FleetDocument, MemberDocument, MemberState, MembersDocument, PeerStatus,
 };
@@ -42,6 +43,8 @@
 const CALLER_PORT: u16 = 8080;
 /// How long a process may take to come up.
 const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Keys made sooner after a sidecar's start could have run before it, and are answered `unknown`.
+const KEYS_SETTLE: Duration = Duration::from_millis(MAX_CLOCK_SKEW_MS + 100);
 /// How often a process is asked whether it is ready.
 const READY_POLL: Duration = Duration::from_millis(25);
 
@@ -89,6 +92,9 @@
         bench.publish_members(&[], &[]).await?;
         bench.start_hosts()?;
         bench.wait_ready().await?;
+        if bench.spec.pools.iter().any(|pool| !pool.repeatable) {
+            actix_rt::time::sleep(KEYS_SETTLE).await;
+        }
         Ok(bench)
     }
 
@@ -98,7 +104,7 @@
         fs::create_dir_all(&dir)?;
         let shaped = spec.network.is_some();
         let mut host = |name: SmolStr, data_centre: DataCentre, port: u16, pool| {
-            let ip = addresses.next();
+            let ip = addresses.next_ip();
             let private = SocketAddr::new(ip, PRIVATE_PORT);
             Host {
                 name,
@@ -158,9 +164,9 @@
         &self.dir
     }
 
-    /// The file in which a pool's upstreams note their runs.
-    pub fn ledger(&self, pool: &str) -> PathBuf {
-        self.dir.join(format!("{pool}.ledger"))
+    /// The file in which the upstream of a host notes its runs.
+    pub fn ledger(&self, host: &Host) -> PathBuf {
+        self.dir.join(format!("{}.ledger", host.name))
     }
 
     /// Where callers connect.
@@ -276,7 +282,7 @@
 
     /// Starts the upstream of a host; it comes back by itself after a crash.
     pub fn start_upstream(&mut self, host: &Host, pool: &PoolSpec) -> Result<(), LabError> {
-        let ledger = self.ledger(&pool.name);
+        let ledger = self.ledger(host);
         let mut launch = Launch::lab(&format!("{}.upstream", host.name))?
             .arg("standin")
             .restart_after(Duration::from_millis(500));
@@ -430,6 +436,11 @@
         Ok(self.revision)
     }
 
+    /// The last published revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Publishes the membership list, with some hosts dead and some leaving.
     pub async fn publish_members(
         &mut self,
--- a/crates/lab/src/experiment/fleet.rs
+++ b/crates/lab/src/experiment/fleet.rs
@@ -1,13 +1,16 @@
 //! Fleets of the sizes that the experiments run.
 
-use std::{collections::HashMap, path::Path, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
     bench::{
         spec::{BenchSpec, EngineSpec, PoolSpec, FAST},
-        Bench,
+        Bench, Host,
     },
     error::LabError,
     load::Plan,
@@ -52,22 +55,57 @@
     plans
 }
 
-/// How often each id ran, by the upstreams' own record.
-pub fn runs(ledger: &Path) -> Result<HashMap<SmolStr, u64>, LabError> {
-    let mut runs = HashMap::new();
+/// One run on an upstream, by the upstream's own record.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// What ran: the caller's id or idempotency key.
+    pub id: SmolStr,
+    /// The system's name for the request.
+    pub request: SmolStr,
+    /// When it started, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// All runs on the upstream of a host.
+pub fn runs(bench: &Bench, host: &Host) -> Result<Vec<Run>, LabError> {
+    let ledger = bench.ledger(host);
     if !ledger.exists() {
-        return Ok(runs);
+        return Ok(Vec::new());
     }
-    for line in std::fs::read_to_string(ledger)?.lines() {
-        *runs.entry(SmolStr::new(line)).or_default() += 1;
+    let text = std::fs::read_to_string(ledger)?;
+    let parse = |line: &str| {
+        let mut words = line.split(' ');
+        Some(Run {
+            id: words.next()?.into(),
+            request: words.next()?.into(),
+            at_ms: words.next()?.parse().ok()?,
+        })
+    };
+    Ok(text.lines().filter_map(parse).collect())
+}
+
+/// All runs on the upstreams of a pool.
+pub fn pool_runs(bench: &Bench, pool: &str) -> Result<Vec<Run>, LabError> {
+    let mut all = Vec::new();
+    for host in bench.pool(pool) {
+        all.extend(runs(bench, &host)?);
     }
-    Ok(runs)
+    Ok(all)
 }
 
 /// How many keys of a pool ran more than once.
 pub fn doubled(bench: &Bench, pool: &str) -> Result<u64, LabError> {
-    let runs = runs(&bench.ledger(pool))?;
-    Ok(runs.values().filter(|count| **count > 1).count() as u64)
+    let mut counts: HashMap<SmolStr, u64> = HashMap::new();
+    for run in pool_runs(bench, pool)? {
+        *counts.entry(run.id).or_default() += 1;
+    }
+    Ok(counts.values().filter(|count| **count > 1).count() as u64)
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_millis() as u64
 }
 
 /// Waits while load runs.
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -1,8 +1,13 @@
 //! Experiments: each starts a bench, does something to it, and reports what was seen from outside.
 
+pub mod config;
 pub mod demo;
+pub mod fairness;
 pub mod fleet;
+pub mod once;
 pub mod overhead;
+pub mod weights;
+pub mod zone;
 
 use serde::Serialize;
 
@@ -19,9 +24,20 @@
     match experiment {
         Experiment::Demo { seconds } => report(&demo::run(seconds, !json).await?, json),
         Experiment::Overhead => report(&overhead::run().await?, json),
-        _ => Err(LabError::Command {
-            command: "x".into(),
-        }),
+        Experiment::Weights {
+            hosts,
+            seed,
+            policy,
+            fault,
+        } => report(&weights::run(hosts, seed, policy, fault).await?, json),
+        Experiment::Zone { seed, seconds } => report(&zone::run(seed, seconds).await?, json),
+        Experiment::Fairness {
+            seed,
+            policy,
+            seconds,
+        } => report(&fairness::run(seed, policy, seconds).await?, json),
+        Experiment::Once { seed, keys } => report(&once::run(seed, keys).await?, json),
+        Experiment::Config { seed, hosts } => report(&config::run(seed, hosts).await?, json),
     }
 }
 
--- a/crates/lab/src/experiment/overhead.rs
+++ b/crates/lab/src/experiment/overhead.rs
@@ -69,6 +69,7 @@
     instant.repeatable = true;
     let engine = EngineSpec {
         token_ms: 20,
+        cold_bears: STREAMS as u32,
         ..EngineSpec::default()
     };
     let mut bench = Bench::start(BenchSpec {
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -83,6 +83,8 @@
     pub versions: BTreeSet<SmolStr>,
     /// The HTTP status.
     pub status: u16,
+    /// The system's name for the request, if it answered.
+    pub carried_as: Option<SmolStr>,
 }
 
 /// Sends requests over one pool of connections.
@@ -166,6 +168,7 @@
             total: Duration::ZERO,
             versions: BTreeSet::new(),
             status: 0,
+            carried_as: None,
         };
         let Ok(mut answer) = prepared.send_body(body).await else {
             seen.total = sent.elapsed();
@@ -173,8 +176,12 @@
             return seen;
         };
         seen.status = answer.status().as_u16();
-        let outcome = answer.headers().get("balsam-outcome");
-        let outcome = outcome.and_then(|v| v.to_str().ok()).map(SmolStr::new);
+        let header = |name: &str| {
+            let value = answer.headers().get(name);
+            value.and_then(|v| v.to_str().ok()).map(SmolStr::new)
+        };
+        let outcome = header("balsam-outcome");
+        seen.carried_as = header("balsam-request-id");
         let mut whole = BytesMut::new();
         let mut broke = false;
         while let Some(piece) = answer.next().await {
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -119,6 +119,8 @@
     Config {
         /// Seed of everything random in the experiment.
         seed: u64,
+        /// How many sidecars.
+        hosts: usize,
     },
     /// The cost of the system.
     Overhead,
@@ -235,7 +237,10 @@
             seed,
             keys: options.number("--keys", 10_000)? as usize,
         },
-        "config" => Experiment::Config { seed },
+        "config" => Experiment::Config {
+            seed,
+            hosts: options.number("--hosts", 12)? as usize,
+        },
         "overhead" => Experiment::Overhead,
         _ => return Err(LabError::Command { command }),
     })
--- a/crates/lab/src/standin/engine.rs
+++ b/crates/lab/src/standin/engine.rs
@@ -333,8 +333,10 @@
     let Some(version) = version else {
         return HttpResponse::ServiceUnavailable().finish();
     };
+    let carried = req.headers().get("x-request-id");
+    let carried = carried.and_then(|v| v.to_str().ok()).unwrap_or("-");
     if !request.id.is_empty() {
-        server.ledger.note(&request.id);
+        server.ledger.note(&request.id, carried);
     }
     if request.crash {
         std::process::exit(CRASHED);
@@ -349,9 +351,7 @@
     let mut response = HttpResponse::Ok();
     response.insert_header(("content-type", "text/event-stream"));
     response.insert_header(("x-model-version", version.as_str()));
-    if let Some(id) = req.headers().get("x-request-id") {
-        response.insert_header(("x-request-id", id.clone()));
-    }
+    response.insert_header(("x-request-id", carried));
     let gap = server.options.token * admitted.slowdown;
     let tokens = request.tokens;
     let state = (running, 0, request.id);
--- a/crates/lab/src/standin/fabric.rs
+++ b/crates/lab/src/standin/fabric.rs
@@ -31,7 +31,7 @@
 use crate::error::LabError;
 
 /// Bytes that pass at once; small, so that connections share a link evenly.
-const SEGMENT_BYTES: usize = 4 * 1024;
+const SEGMENT_BYTES: usize = 2 * 1024;
 /// Unused time that a link may catch up on, since timers wake late.
 const CATCH_UP: Duration = Duration::from_millis(5);
 /// How often held connections look whether their fault has ended.
--- a/crates/lab/src/standin/ledger.rs
+++ b/crates/lab/src/standin/ledger.rs
@@ -5,6 +5,7 @@
     io::Write,
     path::Path,
     sync::{Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use crate::error::LabError;
@@ -25,13 +26,15 @@
         })
     }
 
-    /// Notes that a run started.
-    pub fn note(&self, id: &str) {
+    /// Notes that the request `request` started to run what `id` names.
+    pub fn note(&self, id: &str, request: &str) {
         let Some(file) = &self.file else {
             return;
         };
         let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
-        let written = writeln!(file, "{id}");
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now = now.unwrap_or_default().as_millis();
+        let written = writeln!(file, "{id} {request} {now}");
         written.expect("a ledger that cannot be written makes the experiment void");
     }
 }
--- a/crates/lab/src/standin/service.rs
+++ b/crates/lab/src/standin/service.rs
@@ -48,15 +48,13 @@
 
 async fn call(service: Data<Service>, req: HttpRequest, body: Bytes) -> HttpResponse {
     let header = |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok());
-    if let Some(key) = header("idempotency-key") {
-        service.ledger.note(key);
-    }
+    let request = header("x-request-id").unwrap_or("-");
+    let id = header("idempotency-key").unwrap_or("-");
+    service.ledger.note(id, request);
     if !service.service.is_zero() {
         actix_rt::time::sleep(service.service).await;
     }
     let mut response = HttpResponse::Ok();
-    if let Some(id) = header("x-request-id") {
-        response.insert_header(("x-request-id", id));
-    }
+    response.insert_header(("x-request-id", request));
     response.body(body)
 }
