Say not-run only when no connection was made

Cause: the client reports a server that closes an open connection without an answer as a connect error (ConnectError::Disconnected). Entry and sidecar took every connect error as proof that nothing ran, so a service killed in mid-call gave a false not-run, the key was freed and its resend ran again. Ruled out: crossed answers (ids are checked), restarts (keys older than the table are unknown).

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -1,11 +1,15 @@
 //! HTTP clients: one kind of connection pool for all outgoing calls.
 
 use std::{
+    io::ErrorKind,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
-use awc::{Client, Connector};
+use awc::{
+    error::{ConnectError, SendRequestError},
+    Client, Connector,
+};
 use balsamjunction_protocol::{header, ProtocolError};
 use derive_more::{Display, Error, From};
 use serde::{de::DeserializeOwned, Serialize};
@@ -39,12 +43,31 @@
         .finish()
 }
 
+/// Whether a request failed before a connection was made, so that no byte can have been read.
+///
+/// A server that closes an open connection without an answer also shows as a connect error of the
+/// client; it may well have run the request.
+pub fn never_connected(e: &SendRequestError) -> bool {
+    match e {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Io(e)) => matches!(
+            e.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
+        SendRequestError::Connect(ConnectError::Timeout) => true,
+        _ => false,
+    }
+}
+
 /// A call to a peer that brought no answer.
 #[derive(Debug, Display, Error, From)]
 pub enum PeerError {
     /// The peer did not answer.
     #[display("peer does not answer: {_0}")]
-    Send(#[error(not(source))] awc::error::SendRequestError),
+    Send(#[error(not(source))] SendRequestError),
     /// The answer broke off.
     #[display("answer of peer broke off: {_0}")]
     Payload(#[error(not(source))] awc::error::PayloadError),
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -28,6 +28,7 @@
     context::{EntryContext, InProgress, Target},
 };
 use crate::{
+    client::never_connected,
     http::{copy_request_headers, Answer},
     metrics::RequestLabels,
     problem::{self, Given},
@@ -246,10 +247,9 @@
     fn lost(&self, flight: Flight, e: &SendRequestError) -> AttemptEnd {
         debug!("{}: {} was lost: {e}", self.call.id, flight.target().host);
         flight.feedback(Feedback::Failed);
-        AttemptEnd::Lost(match e {
-            // Without a connection, no byte can have reached the upstream.
-            SendRequestError::Connect(_) | SendRequestError::Url(_) => Outcome::NotRun,
-            _ => Outcome::Unknown,
+        AttemptEnd::Lost(match never_connected(e) {
+            true => Outcome::NotRun,
+            false => Outcome::Unknown,
         })
     }
 
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -27,6 +27,7 @@
     gatekeeper::Permit,
 };
 use crate::{
+    client::never_connected,
     fleet::spread::report_crash,
     http::{copy_request_headers, Answer},
     inner::note_crash,
@@ -104,7 +105,7 @@
 ) -> Failure {
     debug!("{}: upstream failed: {e}", run.envelope.request);
     match e {
-        SendRequestError::Connect(_) => {
+        _ if never_connected(e) => {
             permit.finish(Finish::Crashed);
             Failure {
                 outcome: Outcome::NotRun,
--- a/crates/lab/src/experiment/once.rs
+++ b/crates/lab/src/experiment/once.rs
@@ -37,6 +37,8 @@
 const RESEND_PAUSE: Duration = Duration::from_millis(150);
 /// Time that callers wait for the first byte.
 const DEADLINE: Duration = Duration::from_millis(1500);
+/// Mean pause of a caller between keys, so that faults strike all along.
+const KEY_PAUSE: Duration = Duration::from_millis(150);
 /// Quiet time between two faults, in seconds.
 const QUIET_SECONDS: f64 = 1.5;
 
@@ -139,6 +141,7 @@
         while self.next.get() < self.keys {
             let number = self.next.replace(self.next.get() + 1);
             self.send_key(&caller, number, &mut rng).await;
+            actix_rt::time::sleep(KEY_PAUSE.mul_f64(rng.random_range(0.0..2.0))).await;
         }
     }
 
