Warm up by answers, fetch from peers beside the origin, poll engines less when idle

Cause: the gate raised its limit after the first answers, sooner than a cold engine can bear; all fetch places of a host were taken by the origin's slow link for the first quarter of a burst; a sidecar fetched the version that its engine already served, before it had asked the engine.

--- a/crates/daemon/src/sidecar/context.rs
+++ b/crates/daemon/src/sidecar/context.rs
@@ -95,6 +95,7 @@
             bounds: LimitBounds {
                 cold: 1,
                 warm: 1,
+                warm_up: 0,
                 watch_speed: false,
             },
             queue_length: 0,
@@ -191,6 +192,10 @@
             bounds: LimitBounds {
                 cold: (value(ValueKey::ColdConcurrency) as u32).min(warm),
                 warm,
+                warm_up: match kind {
+                    PoolKind::Engine => value(ValueKey::WarmUpRequests) as u32,
+                    PoolKind::Service => 0,
+                },
                 watch_speed: kind == PoolKind::Engine,
             },
             queue_length: value(ValueKey::QueueLength) as usize,
--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -7,7 +7,7 @@
 use balsamjunction_policy::{
     fence::Fence,
     fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
-    turnover::{predecessor, Turnover, TurnoverAction, TurnoverEvent},
+    turnover::{predecessor, Stage, Turnover, TurnoverAction, TurnoverEvent},
 };
 use balsamjunction_protocol::{
     paths,
@@ -39,8 +39,10 @@
 
 /// How often the fetch plan is asked for what to do.
 const FETCH_TURN: Duration = Duration::from_millis(10);
-/// How often the engine is asked for its state.
-const ENGINE_TURN: Duration = Duration::from_millis(100);
+/// How often the engine is asked for its state during a turnover.
+const ENGINE_TURN: Duration = Duration::from_millis(50);
+/// Turns that are left out between questions while nothing is under way.
+const IDLE_TURNS: u32 = 5;
 /// A peer that does not say in this time what it holds is passed over.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A peer that does not send a chunk in this time is stalled.
@@ -58,6 +60,7 @@
     boot: SmolStr,
     asking_turn: bool,
     polling: bool,
+    idle_turns: u32,
 }
 
 struct Shared {
@@ -124,6 +127,7 @@
             boot: SmolStr::default(),
             asking_turn: false,
             polling: false,
+            idle_turns: 0,
         }
     }
 
@@ -269,9 +273,12 @@
             return;
         }
         self.ask_for_turn(ctx);
-        if self.polling {
+        self.idle_turns += 1;
+        let idle = self.turnover.stage() == Stage::Settled && self.idle_turns < IDLE_TURNS;
+        if self.polling || idle {
             return;
         }
+        self.idle_turns = 0;
         self.polling = true;
         let shared = self.shared.clone();
         let addr = ctx.address();
@@ -284,7 +291,6 @@
 
     /// Asks the host that switches before this one whether it has.
     fn ask_for_turn(&mut self, ctx: &mut Context<Self>) {
-        use balsamjunction_policy::turnover::Stage;
         if self.turnover.stage() != Stage::Waiting || self.asking_turn {
             return;
         }
--- a/crates/lab/src/experiment/fleet.rs
+++ b/crates/lab/src/experiment/fleet.rs
@@ -5,6 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use serde_json::json;
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
@@ -28,6 +29,7 @@
             PoolSpec::engines("floor-terminal", 1, EngineSpec::default()),
         ],
         network: Some(FAST),
+        defaults: json!({"cold_concurrency": 2}),
         ..BenchSpec::default()
     }
 }
--- a/crates/policy/src/fetch.rs
+++ b/crates/policy/src/fetch.rs
@@ -15,8 +15,11 @@
 
 use crate::{rendezvous, Moment};
 
-/// Chunks that one host fetches at once.
-pub const PARALLEL: usize = 6;
+/// Chunks that one host fetches from peers at once.
+const PARALLEL_FROM_PEERS: usize = 6;
+/// Chunks that one host fetches from the origin at once; all hosts share the origin's link, and
+/// more would keep places that peers could fill.
+const PARALLEL_FROM_ORIGIN: usize = 2;
 /// Chunks that one host fetches at once from one peer.
 const PARALLEL_PER_SOURCE: usize = 2;
 /// How long an answer about held chunks is used before the peer is asked again.
@@ -122,6 +125,7 @@
     held: Vec<bool>,
     missing: usize,
     fetching: HashSet<usize>,
+    from_origin: usize,
     probes: usize,
     origin_avoid_until: Moment,
     started: Moment,
@@ -153,6 +157,7 @@
             held: vec![false; chunks],
             missing: chunks,
             fetching: HashSet::new(),
+            from_origin: 0,
             probes: 0,
             origin_avoid_until: Moment::ZERO,
             started: now,
@@ -245,7 +250,7 @@
         let mut actions = Vec::new();
         let mut blocked = Vec::new();
         for n in 0..self.order.len() {
-            if self.fetching.len() >= PARALLEL {
+            if self.is_full() {
                 break;
             }
             let chunk = self.order[n];
@@ -260,17 +265,28 @@
                 None => blocked.push(chunk),
             }
         }
-        if self.fetching.len() < PARALLEL {
+        if !self.is_full() {
             self.probe(now, &blocked, &mut actions);
         }
         self.order.retain(|chunk| !self.held[*chunk]);
         actions
     }
 
+    fn is_full(&self) -> bool {
+        let from_peers = self.fetching.len() - self.from_origin;
+        match self.distribution {
+            Distribution::Owners => from_peers >= PARALLEL_FROM_PEERS,
+            Distribution::Direct => self.from_origin >= PARALLEL_FROM_ORIGIN,
+        }
+    }
+
     fn start(&mut self, chunk: usize, source: &Source) {
         self.fetching.insert(chunk);
-        if let Source::Peer { host, .. } = source {
-            self.views.entry(host.clone()).or_default().fetching += 1;
+        match source {
+            Source::Origin => self.from_origin += 1,
+            Source::Peer { host, .. } => {
+                self.views.entry(host.clone()).or_default().fetching += 1;
+            }
         }
     }
 
@@ -302,7 +318,8 @@
     }
 
     fn origin(&self, now: Moment) -> Option<Source> {
-        (now >= self.origin_avoid_until).then_some(Source::Origin)
+        let free = self.from_origin < PARALLEL_FROM_ORIGIN && now >= self.origin_avoid_until;
+        free.then_some(Source::Origin)
     }
 
     fn peer(&self, host: &SmolStr) -> Option<Source> {
@@ -437,10 +454,15 @@
     }
 
     fn release(&mut self, chunk: usize, source: &Source) {
-        self.fetching.remove(&chunk);
-        if let Source::Peer { host, .. } = source {
-            let view = self.views.entry(host.clone()).or_default();
-            view.fetching = view.fetching.saturating_sub(1);
+        if !self.fetching.remove(&chunk) {
+            return;
+        }
+        match source {
+            Source::Origin => self.from_origin -= 1,
+            Source::Peer { host, .. } => {
+                let view = self.views.entry(host.clone()).or_default();
+                view.fetching = view.fetching.saturating_sub(1);
+            }
         }
     }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,6 +6,8 @@
 const SLOW_FACTOR: f64 = 3.0;
 /// Differences below this are scheduling noise, not a cold upstream.
 const SLOW_FLOOR: Moment = Moment::from_millis(20);
+/// An answer within this factor of the best shows a warm upstream.
+const WARM_FACTOR: f64 = 2.0;
 /// Slow answers in a row after which the upstream counts as cold.
 const SLOW_STREAK: u32 = 2;
 /// The best time drifts up by this factor per answer, so that a lasting change becomes normal.
@@ -18,6 +20,8 @@
     pub cold: u32,
     /// Requests that a warm upstream bears.
     pub warm: u32,
+    /// Answers that a cold upstream gives before it may be warm.
+    pub warm_up: u32,
     /// Whether slower answers mean a cold upstream, as they do for engines.
     pub watch_speed: bool,
 }
@@ -29,6 +33,8 @@
     limit: f64,
     best: Option<f64>,
     slow_streak: u32,
+    answers: u32,
+    threshold: f64,
 }
 
 impl Limit {
@@ -39,6 +45,8 @@
             limit: f64::from(bounds.cold),
             best: None,
             slow_streak: 0,
+            answers: 0,
+            threshold: f64::INFINITY,
         }
     }
 
@@ -74,7 +82,11 @@
             return false;
         }
         self.slow_streak = 0;
-        if running + 1 >= self.current() {
+        self.answers = self.answers.saturating_add(1);
+        let warm = !self.bounds.watch_speed
+            || sample <= best * WARM_FACTOR
+            || sample <= best + SLOW_FLOOR.as_secs_f64();
+        if warm && self.answers > self.bounds.warm_up && 2 * (running + 1) >= self.current() {
             self.raise();
         }
         false
@@ -83,16 +95,23 @@
     /// Halves the limit after an answer that shows trouble.
     pub fn troubled(&mut self) {
         self.limit = (self.limit / 2.0).max(f64::from(self.bounds.cold));
+        self.threshold = self.limit;
     }
 
     /// Returns to the cold limit.
     pub fn make_cold(&mut self) {
         self.limit = f64::from(self.bounds.cold);
         self.slow_streak = 0;
+        self.answers = 0;
+        self.threshold = f64::INFINITY;
     }
 
-    /// About one more per round of answers.
+    /// One more per answer, and past the last trouble about one more per round of answers.
     fn raise(&mut self) {
-        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.bounds.warm));
+        let step = match self.limit < self.threshold {
+            true => 1.0,
+            false => 1.0 / self.limit,
+        };
+        self.limit = (self.limit + step).min(f64::from(self.bounds.warm));
     }
 }
--- a/crates/policy/src/turnover.rs
+++ b/crates/policy/src/turnover.rs
@@ -81,6 +81,7 @@
     ordered: Option<Moment>,
     running: u32,
     open: bool,
+    engine_seen: bool,
 }
 
 impl Turnover {
@@ -140,7 +141,12 @@
         }
     }
 
+    /// Starts towards the wanted version, once it is known what the engine serves.
     fn restart(&mut self) -> Vec<TurnoverAction> {
+        if !self.engine_seen {
+            self.stage = Stage::Settled;
+            return Vec::new();
+        }
         let Some(wanted) = self.wanted.clone() else {
             self.stage = Stage::Settled;
             return Vec::new();
@@ -191,6 +197,7 @@
         serving: Option<SmolStr>,
         loaded: Option<SmolStr>,
     ) -> Vec<TurnoverAction> {
+        self.engine_seen = true;
         let changed = serving != self.serving;
         self.serving = serving.clone();
         if serving.is_none() {
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -47,6 +47,8 @@
     MaxConcurrency,
     /// Requests that a cold upstream runs at once.
     ColdConcurrency,
+    /// Answers that a cold upstream gives before it may be warm.
+    WarmUpRequests,
     /// Requests that wait at one sidecar.
     QueueLength,
     /// Time that a request has when its caller names none.
@@ -85,6 +87,7 @@
         let (default, range, unit, scopes) = match self {
             Self::MaxConcurrency => (8, (1, 4096), ValueUnit::Requests, UPSTREAM_SCOPES),
             Self::ColdConcurrency => (1, (1, 4096), ValueUnit::Requests, UPSTREAM_SCOPES),
+            Self::WarmUpRequests => (16, (0, 100_000), ValueUnit::Requests, UPSTREAM_SCOPES),
             Self::QueueLength => (64, (0, 65_536), ValueUnit::Requests, UPSTREAM_SCOPES),
             Self::DeadlineMs => (30_000, (1, 3_600_000), ValueUnit::Milliseconds, POOL_SCOPES),
             Self::RepeatWindowMs => (
