Fetch chunks from the least busy holder nearby, and learn from every chunk what its sender holds

Cause: with the owner as the only sender, every moment for which its link stood idle was lost, and hosts learned of new chunks by questions every 100 ms.

--- a/crates/daemon/src/sidecar/pacing.rs
+++ b/crates/daemon/src/sidecar/pacing.rs
@@ -1,7 +1,10 @@
 //! Paces bulk transfers of this host, so that live traffic goes first.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
     time::Duration,
 };
 
@@ -21,6 +24,7 @@
 pub struct Pacing {
     context: Arc<SidecarContext>,
     pacers: Mutex<Pacers>,
+    uploads: AtomicU32,
 }
 
 impl Pacing {
@@ -36,9 +40,23 @@
         Self {
             context,
             pacers: Mutex::new(pacers),
+            uploads: AtomicU32::new(0),
         }
     }
 
+    /// Chunks that are being sent.
+    pub fn uploads(&self) -> u32 {
+        self.uploads.load(Ordering::Relaxed)
+    }
+
+    /// Notes the start or the end of an upload.
+    pub fn count_upload(&self, start: bool) {
+        match start {
+            true => self.uploads.fetch_add(1, Ordering::Relaxed),
+            false => self.uploads.fetch_sub(1, Ordering::Relaxed),
+        };
+    }
+
     fn lock(&self) -> MutexGuard<'_, Pacers> {
         self.pacers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -10,7 +10,7 @@
     turnover::{predecessor, Stage, Turnover, TurnoverAction, TurnoverEvent},
 };
 use balsamjunction_protocol::{
-    paths,
+    header, paths,
     platform::{EngineOrder, EngineState, Manifest},
     HaveAnswer, HaveRequest, MemberDocument, MemberState, PROTOCOL_VERSION,
 };
@@ -25,7 +25,7 @@
     context::{Post, SidecarContext},
     gatekeeper::VersionGate,
     pacing::Pacing,
-    weights_http::DATA_CENTRE_HEADER,
+    weights_http::{DATA_CENTRE_HEADER, HELD_HEADER},
 };
 use crate::{
     audit::{Action, Record, Verdict},
@@ -101,7 +101,13 @@
     version: SmolStr,
     chunk: usize,
     source: Source,
-    buf: Option<Bytes>,
+    arrival: Option<Arrival>,
+}
+
+/// A chunk as it came, with what its sender holds besides.
+struct Arrival {
+    buf: Bytes,
+    sender_holds: Option<HaveAnswer>,
 }
 
 impl Weights {
@@ -232,6 +238,9 @@
     }
 
     fn fetch_turn(&mut self, ctx: &mut Context<Self>) {
+        if self.turnover.stage() == Stage::Settled {
+            return;
+        }
         let now = self.shared.context.clock.now();
         if let Some(plan) = &mut self.plan {
             for action in plan.next(now) {
@@ -244,12 +253,12 @@
                             let fetched = shared.fetch(&version, chunk, &source).await;
                             let missed =
                                 |e: &PlatformError| debug!("chunk {chunk} did not come: {e}");
-                            let buf = fetched.inspect_err(missed).ok();
+                            let arrival = fetched.inspect_err(missed).ok();
                             addr.do_send(Fetched {
                                 version,
                                 chunk,
                                 source,
-                                buf,
+                                arrival,
                             });
                         };
                         actix_rt::spawn(fetch);
@@ -398,25 +407,28 @@
         version: &str,
         chunk: usize,
         source: &Source,
-    ) -> Result<Bytes, PlatformError> {
+    ) -> Result<Arrival, PlatformError> {
         let manifest = self.context.chunks.manifest(version);
         let expected = manifest.map_or(0, |manifest| manifest.length_of(chunk));
         let wait = self.pacing.receive(expected);
         if wait > Duration::ZERO {
             actix_rt::time::sleep(wait).await;
         }
-        let buf = match (source, &self.origin) {
-            (Source::Origin, Some(origin)) => origin.chunk(version, chunk).await?,
+        let arrival = match (source, &self.origin) {
+            (Source::Origin, Some(origin)) => Arrival {
+                buf: origin.chunk(version, chunk).await?,
+                sender_holds: None,
+            },
             (Source::Origin, None) => return Err(PlatformError::Status { status: 404 }),
             (Source::Peer { address, .. }, _) => {
                 self.fetch_from_peer(*address, version, chunk).await?
             }
         };
-        if buf.len() != expected {
-            let found = buf.len();
+        if arrival.buf.len() != expected {
+            let found = arrival.buf.len();
             return Err(PlatformError::Length { found, expected });
         }
-        Ok(buf)
+        Ok(arrival)
     }
 
     async fn fetch_from_peer(
@@ -424,7 +436,7 @@
         address: std::net::SocketAddr,
         version: &str,
         chunk: usize,
-    ) -> Result<Bytes, PlatformError> {
+    ) -> Result<Arrival, PlatformError> {
         let url = format!("http://{address}{}/{version}/{chunk}", paths::CHUNK);
         let data_centre = self.context.settings.peer.data_centre.as_str();
         let request = self.client.get(url).timeout(CHUNK_TIMEOUT);
@@ -434,7 +446,10 @@
             let status = response.status().as_u16();
             return Err(PlatformError::Status { status });
         }
-        Ok(response.body().limit(MAX_CHUNK_BYTES).await?)
+        let held = response.headers().get(HELD_HEADER);
+        let sender_holds = held.and_then(|value| header::from_header(value.to_str().ok()?).ok());
+        let buf = response.body().limit(MAX_CHUNK_BYTES).await?;
+        Ok(Arrival { buf, sender_holds })
     }
 }
 
@@ -575,8 +590,7 @@
     fn handle(&mut self, probed: Probed, _: &mut Self::Context) {
         let now = self.shared.context.clock.now();
         if let Some(plan) = &mut self.plan {
-            let held = probed.answer.map(|answer| answer.map);
-            plan.probed(now, &probed.host, held);
+            plan.probed(now, &probed.host, probed.answer);
         }
     }
 }
@@ -594,8 +608,11 @@
         let context = &self.shared.context;
         let now = context.clock.now();
         let chunk = fetched.chunk;
-        match fetched.buf {
-            Some(buf) => {
+        match fetched.arrival {
+            Some(Arrival { buf, sender_holds }) => {
+                if let (Source::Peer { host, .. }, Some(held)) = (&fetched.source, sender_holds) {
+                    plan.learned(host, held);
+                }
                 let bytes = buf.len() as u64;
                 context.count_bytes(&fetched.source, bytes);
                 if context.chunks.put(&fetched.version, chunk, buf) {
--- a/crates/daemon/src/sidecar/weights_http.rs
+++ b/crates/daemon/src/sidecar/weights_http.rs
@@ -17,6 +17,8 @@
 
 /// Tells a sender in which data centre a chunk is needed, so that it paces the link to there.
 pub const DATA_CENTRE_HEADER: &str = "balsam-data-centre";
+/// Tells with each chunk which others the sender holds, so that the receiver need not ask.
+pub const HELD_HEADER: &str = "balsam-held";
 /// A chunk goes out in pieces of this length, so that live answers fit in between.
 const PIECE_BYTES: usize = 8 * 1024;
 
@@ -31,12 +33,22 @@
         );
 }
 
-async fn have(context: Data<SidecarContext>, body: Bytes) -> Result<HttpResponse, InnerError> {
+async fn have(
+    context: Data<SidecarContext>,
+    pacing: Data<Pacing>,
+    body: Bytes,
+) -> Result<HttpResponse, InnerError> {
     let request: HaveRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
-    let serving = context.versions().serving.as_ref() == Some(&request.version);
-    let map = context.chunks.map(&request.version);
-    message(&HaveAnswer { map, serving })
+    message(&what_is_held(&context, &pacing, &request.version))
+}
+
+fn what_is_held(context: &SidecarContext, pacing: &Pacing, version: &SmolStr) -> HaveAnswer {
+    HaveAnswer {
+        map: context.chunks.map(version),
+        serving: context.versions().serving.as_ref() == Some(version),
+        uploads: pacing.uploads(),
+    }
 }
 
 async fn manifest(context: Data<SidecarContext>, version: Path<SmolStr>) -> HttpResponse {
@@ -63,25 +75,50 @@
         return HttpResponse::Ok().body(buf);
     };
     let length = buf.len() as u64;
-    let pieces = paced(pacing.into_inner(), buf, SmolStr::new(data_centre));
-    HttpResponse::Ok().body(SizedStream::new(length, pieces))
+    let held = what_is_held(&context, &pacing, &version);
+    let pieces = paced(
+        Upload::start(pacing.into_inner()),
+        buf,
+        SmolStr::new(data_centre),
+    );
+    let mut response = HttpResponse::Ok();
+    if let Ok(held) = header::to_header(&held) {
+        response.insert_header((HELD_HEADER, held));
+    }
+    response.body(SizedStream::new(length, pieces))
+}
+
+/// Counts a chunk as being sent until it is dropped.
+struct Upload(Arc<Pacing>);
+
+impl Upload {
+    fn start(pacing: Arc<Pacing>) -> Self {
+        pacing.count_upload(true);
+        Self(pacing)
+    }
+}
+
+impl Drop for Upload {
+    fn drop(&mut self) {
+        self.0.count_upload(false);
+    }
 }
 
 fn paced(
-    pacing: Arc<Pacing>,
+    upload: Upload,
     buf: Bytes,
     data_centre: SmolStr,
 ) -> impl futures_util::Stream<Item = Result<Bytes, PayloadError>> {
-    let pieces = stream::unfold((pacing, buf, data_centre), |(pacing, mut buf, dc)| async {
+    let pieces = stream::unfold((upload, buf, data_centre), |(upload, mut buf, dc)| async {
         if buf.is_empty() {
             return None;
         }
         let piece = buf.split_to(buf.len().min(PIECE_BYTES));
-        let wait = pacing.send(piece.len(), &dc);
+        let wait = upload.0.send(piece.len(), &dc);
         if wait > Duration::ZERO {
             actix_rt::time::sleep(wait).await;
         }
-        Some((Ok(piece), (pacing, buf, dc)))
+        Some((Ok(piece), (upload, buf, dc)))
     });
     Box::pin(pieces)
 }
--- a/crates/policy/src/fetch.rs
+++ b/crates/policy/src/fetch.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
 };
 
-use balsamjunction_protocol::{ChunkMap, MemberDocument, MemberState};
+use balsamjunction_protocol::{ChunkMap, HaveAnswer, MemberDocument, MemberState};
 use rand::{seq::SliceRandom, Rng};
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
@@ -16,10 +16,12 @@
 use crate::{rendezvous, Moment};
 
 /// Chunks that one host fetches from peers at once.
-const PARALLEL_FROM_PEERS: usize = 6;
-/// Chunks that one host fetches from the origin at once; all hosts share the origin's link, and
-/// more would keep places that peers could fill.
-const PARALLEL_FROM_ORIGIN: usize = 2;
+const PARALLEL_FROM_PEERS: usize = 10;
+/// Chunks that one host fetches from the origin at once. All hosts share the origin's link, so more
+/// would only delay the first whole chunk, and with it everybody who waits for it.
+const PARALLEL_FROM_ORIGIN: usize = 1;
+/// Chunks that one host fetches at once if all come from the origin.
+const PARALLEL_DIRECT: usize = 4;
 /// Chunks that one host fetches at once from one peer.
 const PARALLEL_PER_SOURCE: usize = 2;
 /// How long an answer about held chunks is used before the peer is asked again.
@@ -98,6 +100,7 @@
 #[derive(Clone, Debug, Default)]
 struct PeerView {
     held: ChunkMap,
+    uploads: u32,
     asked: Option<Moment>,
     asking: bool,
     fetching: usize,
@@ -249,6 +252,7 @@
     pub fn next(&mut self, now: Moment) -> Vec<FetchAction> {
         let mut actions = Vec::new();
         let mut blocked = Vec::new();
+        let nearby = self.held_nearby(now);
         for n in 0..self.order.len() {
             if self.is_full() {
                 break;
@@ -257,7 +261,7 @@
             if self.held[chunk] || self.fetching.contains(&chunk) {
                 continue;
             }
-            match self.source_of(now, chunk) {
+            match self.source_of(now, chunk, &nearby) {
                 Some(source) => {
                     self.start(chunk, &source);
                     actions.push(FetchAction::Fetch { chunk, source });
@@ -276,7 +280,7 @@
         let from_peers = self.fetching.len() - self.from_origin;
         match self.distribution {
             Distribution::Owners => from_peers >= PARALLEL_FROM_PEERS,
-            Distribution::Direct => self.from_origin >= PARALLEL_FROM_ORIGIN,
+            Distribution::Direct => self.from_origin >= PARALLEL_DIRECT,
         }
     }
 
@@ -291,7 +295,7 @@
     }
 
     /// From whom this host may fetch a chunk now.
-    fn source_of(&self, now: Moment, chunk: usize) -> Option<Source> {
+    fn source_of(&self, now: Moment, chunk: usize, nearby: &ChunkMap) -> Option<Source> {
         if self.distribution == Distribution::Direct {
             return self.origin(now);
         }
@@ -299,8 +303,14 @@
             return self.origin(now).or_else(|| self.any_holder(now, chunk));
         }
         let expected = self.expected_holder(chunk);
-        if self.can_send(now, expected, chunk) {
-            return self.peer(expected);
+        if self.owners.local[chunk] == self.host {
+            if self.can_send(now, expected, chunk) {
+                return self.peer(expected);
+            }
+        } else if nearby.has(chunk) {
+            if let Some(source) = self.local_holder(now, chunk) {
+                return Some(source);
+            }
         }
         if self.may_bypass(now, expected) {
             let holder = self.any_holder(now, chunk);
@@ -309,6 +319,19 @@
         None
     }
 
+    /// What the peers of the own data centre hold together; spares asking each for every chunk.
+    fn held_nearby(&self, now: Moment) -> ChunkMap {
+        let mut nearby = ChunkMap::empty(self.held.len());
+        for (host, view) in &self.views {
+            let peer = self.peers.get(host);
+            let local = peer.is_some_and(|(_, data_centre)| *data_centre == self.data_centre);
+            if local && view.fetching < PARALLEL_PER_SOURCE && now >= view.avoid_until {
+                nearby.add(&view.held);
+            }
+        }
+        nearby
+    }
+
     /// Whom the plan names for a chunk that this host does not own fleet-wide.
     fn expected_holder(&self, chunk: usize) -> &SmolStr {
         if self.owners.local[chunk] == self.host {
@@ -318,7 +341,11 @@
     }
 
     fn origin(&self, now: Moment) -> Option<Source> {
-        let free = self.from_origin < PARALLEL_FROM_ORIGIN && now >= self.origin_avoid_until;
+        let most = match self.distribution {
+            Distribution::Owners => PARALLEL_FROM_ORIGIN,
+            Distribution::Direct => PARALLEL_DIRECT,
+        };
+        let free = self.from_origin < most && now >= self.origin_avoid_until;
         free.then_some(Source::Origin)
     }
 
@@ -351,15 +378,35 @@
         avoided || gone || stalled
     }
 
+    /// The least busy peer of the own data centre that is known to hold the chunk.
+    ///
+    /// The owner is only the first to have it; were it the only sender, any time for which its link
+    /// stood idle would be lost to the burst.
+    fn local_holder(&self, now: Moment, chunk: usize) -> Option<Source> {
+        let local = self.peers.iter();
+        let local = local.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
+        self.least_busy(now, chunk, local.map(|(host, _)| host))
+    }
+
     /// Any peer known to hold the chunk, one in the own data centre first.
     fn any_holder(&self, now: Moment, chunk: usize) -> Option<Source> {
-        let holders = self.peers.iter();
-        let holders = holders.filter(|(host, _)| self.can_send(now, host, chunk));
-        let best = holders.min_by_key(|(host, (_, data_centre))| {
-            let fetching = self.views.get(*host).map_or(0, |view| view.fetching);
-            (*data_centre != self.data_centre, fetching, (*host).clone())
+        let local = self.local_holder(now, chunk);
+        local.or_else(|| self.least_busy(now, chunk, self.peers.keys()))
+    }
+
+    fn least_busy<'h>(
+        &self,
+        now: Moment,
+        chunk: usize,
+        hosts: impl Iterator<Item = &'h SmolStr>,
+    ) -> Option<Source> {
+        let holders = hosts.filter(|host| self.can_send(now, host, chunk));
+        let best = holders.min_by_key(|host| {
+            let view = self.views.get(*host);
+            let busy = view.map_or(0, |view| view.uploads as usize + 2 * view.fetching);
+            (busy, rendezvous::weight(self.host.as_bytes(), host))
         });
-        self.peer(best?.0)
+        self.peer(best?)
     }
 
     /// The origin, if this host is the first rank that is left to draw the chunk.
@@ -386,6 +433,9 @@
                 wanted.push(expected);
             }
         }
+        let local = self.peers.iter();
+        let local = local.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
+        wanted.extend(local.map(|(host, _)| host.clone()));
         let stalled = now.saturating_sub(self.last_progress.max(self.started)) > OWNER_PATIENCE;
         if stalled {
             wanted.extend(self.peers.keys().cloned());
@@ -414,16 +464,23 @@
     }
 
     /// Notes what a peer holds; nothing if it did not answer.
-    pub fn probed(&mut self, now: Moment, host: &SmolStr, held: Option<ChunkMap>) {
+    pub fn probed(&mut self, now: Moment, host: &SmolStr, answer: Option<HaveAnswer>) {
         self.probes = self.probes.saturating_sub(1);
         let view = self.views.entry(host.clone()).or_default();
         view.asking = false;
-        match held {
-            Some(held) => view.held = held,
+        match answer {
+            Some(answer) => self.learned(host, answer),
             None => view.avoid_until = now + AVOID_FAILED,
         }
     }
 
+    /// Notes what a peer holds and sends, as it says with every chunk.
+    pub fn learned(&mut self, host: &SmolStr, answer: HaveAnswer) {
+        let view = self.views.entry(host.clone()).or_default();
+        view.held = answer.map;
+        view.uploads = answer.uploads;
+    }
+
     /// Notes a chunk that arrived and has its hash.
     pub fn arrived(&mut self, now: Moment, chunk: usize, source: &Source) {
         self.release(chunk, source);
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -127,6 +127,13 @@
             .is_some_and(|byte| byte & (1 << (chunk % 8)) != 0)
     }
 
+    /// Marks every chunk that `other` holds.
+    pub fn add(&mut self, other: &Self) {
+        for (byte, more) in self.0.iter_mut().zip(&other.0) {
+            *byte |= more;
+        }
+    }
+
     /// Marks the chunk as held.
     pub fn set(&mut self, chunk: usize) {
         if let Some(byte) = self.0.get_mut(chunk / 8) {
@@ -152,6 +159,9 @@
     /// Whether the sidecar has switched its engine to the version.
     #[serde(default)]
     pub serving: bool,
+    /// Chunks that the sidecar sends now.
+    #[serde(default)]
+    pub uploads: u32,
 }
 
 /// Asks an earlier owner of an idempotency key to give it up.
