Test the decisions: unit cases and random histories against oracles

Cause of one fault found by them: a load report that had faded to a millionth still decided between two upstreams, so an upstream that was busy once was avoided for good.

--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -23,6 +23,8 @@
 pub const SUBSET: usize = 32;
 /// A load report loses half of its weight in this time.
 const REPORT_HALF_LIFE: Moment = Moment::from_millis(500);
+/// Loads that differ by less are even; the trace of a faded report must not decide.
+const LOAD_TIE: f64 = 0.02;
 /// Added to the load of an upstream in another region.
 const OTHER_REGION_LOAD: f64 = 0.25;
 /// Failures in a row after which an upstream is left out.
@@ -275,7 +277,7 @@
         }
         let second = candidates[self.rng.random_range(0..candidates.len())];
         let load = |key: UpstreamKey| self.upstreams[key].load(now);
-        let lighter = if load(second) < load(first) {
+        let lighter = if load(second) + LOAD_TIE < load(first) {
             second
         } else {
             first
--- /dev/null
+++ b/crates/policy/tests/fleet.rs
@@ -0,0 +1,319 @@
+//! Declarations, election, spreading, crash records, turns and fences.
+
+use std::collections::BTreeSet;
+
+use balsamjunction_policy::{
+    acceptance::{Acceptance, Offer},
+    crash::CrashList,
+    election::{is_reader, readers, READERS},
+    fence::Fence,
+    pace::Pacer,
+    pause::PauseWatch,
+    rendezvous::{balanced_owners, owner},
+    spread::{pull_target, push_targets},
+    turnover::predecessor,
+    Moment,
+};
+use balsamjunction_protocol::{Crash, FleetDocument, MemberDocument, MemberState, MembersDocument};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::{format_smolstr, SmolStr};
+
+fn document(revision: u64, text: &str) -> FleetDocument {
+    FleetDocument {
+        revision,
+        author: "operator".into(),
+        text: text.to_owned(),
+    }
+}
+
+const VALID: &str = r#"{"data_centres": {}, "pools": {}}"#;
+
+fn members(count: usize, data_centres: usize) -> Vec<MemberDocument> {
+    (0..count)
+        .map(|n| MemberDocument {
+            host: format_smolstr!("h{n}"),
+            data_centre: format_smolstr!("dc{}", n % data_centres),
+            address: format_smolstr!("10.0.0.1:{}", 1_000 + n),
+            state: MemberState::Live,
+        })
+        .collect()
+}
+
+#[test]
+fn a_lower_revision_never_replaces_a_higher_one() {
+    let mut acceptance = Acceptance::default();
+    acceptance.offer(document(5, VALID));
+
+    let offer = acceptance.offer(document(4, VALID));
+
+    assert!(matches!(offer, Offer::Stale { current: 5 }));
+    assert_eq!(acceptance.revision(), 5);
+}
+
+#[test]
+fn an_invalid_declaration_is_refused_whole_and_the_last_one_stays() {
+    let mut acceptance = Acceptance::default();
+    acceptance.offer(document(1, VALID));
+
+    let offer = acceptance.offer(document(2, r#"{"pools": {}}"#));
+    let again = acceptance.offer(document(2, r#"{"pools": {}}"#));
+    let next = acceptance.offer(document(3, VALID));
+
+    assert!(matches!(offer, Offer::Invalid(_)));
+    assert!(matches!(again, Offer::KnownInvalid));
+    assert!(matches!(next, Offer::Accepted { from: 1 }));
+}
+
+#[test]
+fn two_operators_with_one_revision_leave_the_first_text_in_force() {
+    let mut acceptance = Acceptance::default();
+    acceptance.offer(document(1, VALID));
+
+    let offer = acceptance.offer(document(
+        1,
+        r#"{"data_centres": {}, "pools": {}, "workspaces": ["a"]}"#,
+    ));
+
+    assert!(matches!(offer, Offer::Conflict));
+    let in_force = acceptance.in_force().expect("revision 1 is in force");
+    assert_eq!(in_force.document.text, VALID);
+}
+
+#[test]
+fn an_older_membership_list_is_ignored() {
+    let mut acceptance = Acceptance::default();
+    let list = |generation| MembersDocument {
+        generation,
+        members: members(2, 1),
+    };
+
+    assert!(acceptance.offer_members(list(3)));
+    assert!(!acceptance.offer_members(list(2)));
+    assert_eq!(acceptance.members().generation, 3);
+}
+
+#[test]
+fn each_data_centre_elects_its_own_few_readers() {
+    let members = members(60, 3);
+
+    for n in 0..3 {
+        let data_centre = format!("dc{n}");
+        let readers = readers(&members, &data_centre);
+        let inside = |host: &SmolStr| {
+            members
+                .iter()
+                .any(|m| m.host == *host && m.data_centre == data_centre)
+        };
+        assert_eq!(readers.len(), READERS);
+        assert!(readers.iter().all(inside));
+    }
+}
+
+#[test]
+fn a_dead_reader_is_replaced_and_the_others_stay() {
+    let mut members = members(30, 1);
+    let before = readers(&members, "dc0");
+
+    members.retain(|m| m.host != before[0]);
+    let after = readers(&members, "dc0");
+
+    assert!(after.contains(&before[1]));
+    assert!(!after.contains(&before[0]));
+    assert_eq!(after.len(), READERS);
+}
+
+#[test]
+fn without_a_list_everybody_reads() {
+    assert!(is_reader(&[], "dc0", "h0"));
+}
+
+#[test]
+fn news_reaches_three_thousand_processes_by_pushes_and_a_few_pulls() {
+    let members = members(3_770, 22);
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut informed: BTreeSet<usize> = BTreeSet::from([0]);
+    let mut fresh = vec![0];
+    let index = |m: &MemberDocument| m.host[1..].parse::<usize>().expect("hosts are numbered");
+
+    let mut pushes = 0;
+    while let Some(n) = fresh.pop() {
+        let me = &members[n];
+        for target in push_targets(&members, &me.host, &me.data_centre, &mut rng) {
+            pushes += 1;
+            if informed.insert(index(target)) {
+                fresh.push(index(target));
+            }
+        }
+    }
+    let after_pushes = informed.len();
+    let mut rounds = 0;
+    while informed.len() < members.len() {
+        rounds += 1;
+        for (n, me) in members.iter().enumerate() {
+            let target = pull_target(&members, &me.host, &me.data_centre, &mut rng);
+            if target.is_some_and(|target| informed.contains(&index(target))) {
+                informed.insert(n);
+            }
+        }
+    }
+
+    assert!(after_pushes > 3_700, "pushes alone reach {after_pushes}");
+    assert!(pushes <= 6 * members.len());
+    assert!(rounds <= 4, "{rounds} rounds of pulls of a second each");
+}
+
+fn crash(fingerprint: u64, upstream: &str) -> Crash {
+    Crash {
+        fingerprint,
+        upstream: upstream.into(),
+    }
+}
+
+#[test]
+fn a_request_is_refused_after_its_second_crash() {
+    let mut list = CrashList::default();
+
+    list.add(crash(1, "a/0"));
+    let after_one = list.refuses(1, 2);
+    list.add(crash(1, "b/0"));
+
+    assert!(!after_one);
+    assert!(list.refuses(1, 2));
+}
+
+#[test]
+fn one_crash_that_is_heard_of_twice_counts_once() {
+    let mut list = CrashList::default();
+
+    list.add(crash(1, "a/0"));
+    let news = list.add(crash(1, "a/0"));
+
+    assert!(!news);
+    assert!(!list.refuses(1, 2));
+}
+
+#[test]
+fn a_suspect_that_is_served_is_cleared() {
+    let mut list = CrashList::default();
+    list.add(crash(1, "a/0"));
+
+    list.served(1, 2);
+    list.add(crash(1, "b/0"));
+
+    assert!(!list.refuses(1, 2));
+}
+
+#[test]
+fn crash_records_stay_bounded() {
+    let mut list = CrashList::default();
+
+    for n in 0..10_000 {
+        list.add(crash(n, "a/0"));
+    }
+
+    assert!(list.records().len() <= 256);
+    assert!(list.refuses(9_999, 1));
+    assert!(!list.refuses(0, 1));
+}
+
+#[test]
+fn a_newer_declaration_outranks_a_later_start() {
+    let old_declaration_new_start = Fence::new(4, 2_000);
+    let new_declaration_old_start = Fence::new(5, 1_000);
+    let same_declaration_new_start = Fence::new(5, 2_000);
+
+    assert!(old_declaration_new_start < new_declaration_old_start);
+    assert!(new_declaration_old_start < same_declaration_new_start);
+}
+
+#[test]
+fn a_gap_longer_than_the_lease_is_noticed_once() {
+    let mut watch = PauseWatch::new(Moment::from_secs(2));
+
+    let turns = [0, 1, 5, 6].map(|s| watch.turn(Moment::from_secs(s)));
+
+    assert_eq!(turns, [false, false, true, false]);
+}
+
+#[test]
+fn bulk_keeps_to_its_allowance() {
+    let mut pacer = Pacer::new(Moment::ZERO, 1_000_000);
+    let mut now = Moment::ZERO;
+
+    for _ in 0..1_000 {
+        now += pacer.take(now, 1_000);
+    }
+
+    let rate = 1_000_000.0 / now.as_secs_f64();
+    assert!(
+        (980_000.0..=1_040_000.0).contains(&rate),
+        "{rate} bytes a second"
+    );
+}
+
+#[test]
+fn bulk_yields_to_late_live_answers_and_recovers() {
+    let mut pacer = Pacer::new(Moment::ZERO, 1_000_000);
+
+    pacer.live_delay(Moment::from_secs(1), 1.5);
+    let yielded = pacer.rate();
+    pacer.take(Moment::from_secs(10), 1);
+
+    assert!(yielded < 750_000.0);
+    assert_eq!(pacer.rate(), 1_000_000.0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn balanced_owners_never_exceed_the_even_share(keys in 1_usize..400, nodes in 1_usize..40) {
+        let names: Vec<String> = (0..nodes).map(|n| format!("h{n}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let owners = balanced_owners("v", keys, &names);
+        let most = (0..nodes).map(|n| owners.iter().filter(|o| **o == n).count()).max();
+        prop_assert_eq!(owners.len(), keys);
+        prop_assert!(most <= Some(keys.div_ceil(nodes)));
+    }
+
+    #[test]
+    fn an_owner_changes_only_if_it_leaves(nodes in 2_usize..30, gone in 0_usize..30, key: u64) {
+        let names: Vec<String> = (0..nodes).map(|n| format!("h{n}")).collect();
+        let gone = &names[gone % nodes];
+        let key = key.to_le_bytes();
+        let before = owner(&key, names.iter().map(String::as_str));
+        let rest = names.iter().filter(|name| *name != gone);
+        let after = owner(&key, rest.map(String::as_str));
+        prop_assert!(before == after || before == Some(gone.as_str()));
+    }
+
+    #[test]
+    fn taking_turns_ends_and_never_takes_more_than_the_share(
+        count in 1_usize..60,
+        percent in 1_u64..=50,
+    ) {
+        let hosts: Vec<SmolStr> = (0..count).map(|n| format_smolstr!("h{n}")).collect();
+        let lanes = (count as u64 * percent / 100).max(1) as usize;
+        let mut done: BTreeSet<SmolStr> = BTreeSet::new();
+        let mut rounds = 0;
+        while done.len() < count {
+            let may = |host: &&SmolStr| {
+                let before = predecessor("v", host, &hosts, percent);
+                !done.contains(*host) && before.is_none_or(|before| done.contains(&before))
+            };
+            let turning: Vec<SmolStr> = hosts.iter().filter(may).cloned().collect();
+            prop_assert!(!turning.is_empty(), "nobody may turn");
+            prop_assert!(turning.len() <= lanes);
+            done.extend(turning);
+            rounds += 1;
+        }
+        prop_assert!(rounds <= count.div_ceil(lanes));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/weights.rs
@@ -0,0 +1,379 @@
+//! Fetch plans of many hosts together, and the turnover of an engine.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use balsamjunction_policy::{
+    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
+    turnover::{Stage, Turnover, TurnoverAction, TurnoverEvent},
+    Moment,
+};
+use balsamjunction_protocol::{HaveAnswer, MemberDocument, MemberState};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use smol_str::{format_smolstr, SmolStr};
+
+const CHUNKS: usize = 48;
+const TURN: Moment = Moment::from_millis(20);
+
+fn host(n: usize) -> SmolStr {
+    format_smolstr!("h{n}")
+}
+
+fn members(count: usize, data_centres: usize, dead: &BTreeSet<usize>) -> Vec<MemberDocument> {
+    (0..count)
+        .filter(|n| !dead.contains(n))
+        .map(|n| MemberDocument {
+            host: host(n),
+            data_centre: format_smolstr!("dc{}", n % data_centres),
+            address: format_smolstr!("10.0.0.1:{}", 1_000 + n),
+            state: MemberState::Live,
+        })
+        .collect()
+}
+
+/// Hosts that fetch from each other; each fetch takes one turn.
+struct Burst {
+    now: Moment,
+    count: usize,
+    data_centres: usize,
+    plans: BTreeMap<usize, FetchPlan>,
+    dead: BTreeSet<usize>,
+    corrupt: BTreeSet<usize>,
+    from_origin: usize,
+    between: usize,
+    rng: Pcg64Mcg,
+}
+
+impl Burst {
+    fn start(count: usize, data_centres: usize, distribution: Distribution, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let all = members(count, data_centres, &BTreeSet::new());
+        let plans = (0..count).map(|n| {
+            let participants = participants(n, data_centres, all.clone());
+            let seeded = Pcg64Mcg::seed_from_u64(rng.random());
+            let plan = FetchPlan::new(
+                Moment::ZERO,
+                "v2".into(),
+                CHUNKS,
+                distribution,
+                participants,
+                seeded,
+            );
+            (n, plan)
+        });
+        let plans = plans.collect();
+        Self {
+            now: Moment::ZERO,
+            count,
+            data_centres,
+            plans,
+            dead: BTreeSet::new(),
+            corrupt: BTreeSet::new(),
+            from_origin: 0,
+            between: 0,
+            rng,
+        }
+    }
+
+    /// Kills a host; the list says so only when [`Burst::announce`] is called.
+    fn kill(&mut self, n: usize) {
+        self.dead.insert(n);
+        self.plans.remove(&n);
+    }
+
+    fn announce(&mut self) {
+        let live = members(self.count, self.data_centres, &self.dead);
+        for (n, plan) in &mut self.plans {
+            plan.set_participants(participants(*n, self.data_centres, live.clone()));
+        }
+    }
+
+    fn turn(&mut self) {
+        self.now += TURN;
+        let hosts: Vec<usize> = self.plans.keys().copied().collect();
+        for n in hosts {
+            let Some(plan) = self.plans.get_mut(&n) else {
+                continue;
+            };
+            for action in plan.next(self.now) {
+                self.carry_out(n, action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, action: FetchAction) {
+        match action {
+            FetchAction::Probe { host, .. } => {
+                let other: usize = host[1..].parse().expect("hosts are numbered");
+                let answer = self.plans.get(&other).map(|plan| HaveAnswer {
+                    map: plan.map(),
+                    ..HaveAnswer::default()
+                });
+                let now = self.now;
+                self.plan(n).probed(now, &host, answer);
+            }
+            FetchAction::Fetch { chunk, source } => self.fetch(n, chunk, &source),
+        }
+    }
+
+    fn plan(&mut self, n: usize) -> &mut FetchPlan {
+        self.plans.get_mut(&n).expect("only live hosts act")
+    }
+
+    fn fetch(&mut self, n: usize, chunk: usize, source: &Source) {
+        let now = self.now;
+        let Source::Peer { host, .. } = source else {
+            self.from_origin += 1;
+            self.plan(n).arrived(now, chunk, source);
+            return;
+        };
+        let other: usize = host[1..].parse().expect("hosts are numbered");
+        let holds = self
+            .plans
+            .get(&other)
+            .is_some_and(|plan| plan.map().has(chunk));
+        if !holds {
+            self.plan(n)
+                .failed(now, chunk, source, FetchFailure::Unavailable);
+        } else if self.corrupt.contains(&other) {
+            self.plan(n)
+                .failed(now, chunk, source, FetchFailure::Corrupt);
+        } else {
+            self.between += usize::from(other % self.data_centres != n % self.data_centres);
+            self.plan(n).arrived(now, chunk, source);
+        }
+    }
+
+    fn run(&mut self, turns: usize) {
+        for _ in 0..turns {
+            if self.missing() == 0 {
+                return;
+            }
+            self.turn();
+        }
+    }
+
+    fn missing(&self) -> usize {
+        self.plans.values().map(FetchPlan::missing).sum()
+    }
+
+    fn some_host(&mut self) -> usize {
+        self.rng.random_range(0..self.count)
+    }
+}
+
+fn participants(n: usize, data_centres: usize, members: Vec<MemberDocument>) -> Participants {
+    Participants {
+        host: host(n),
+        data_centre: format_smolstr!("dc{}", n % data_centres),
+        members,
+    }
+}
+
+#[test]
+fn a_quiet_burst_draws_one_copy_and_crosses_each_link_once() {
+    let mut burst = Burst::start(24, 3, Distribution::Owners, 1);
+
+    burst.run(200);
+
+    assert_eq!(burst.missing(), 0);
+    assert_eq!(burst.from_origin, CHUNKS);
+    assert_eq!(burst.between, 2 * CHUNKS);
+}
+
+#[test]
+fn the_baseline_draws_a_copy_per_host() {
+    let mut burst = Burst::start(6, 3, Distribution::Direct, 1);
+
+    burst.run(200);
+
+    assert_eq!(burst.missing(), 0);
+    assert_eq!(burst.from_origin, 6 * CHUNKS);
+}
+
+#[test]
+fn a_single_host_fetches_all_from_the_origin() {
+    let mut burst = Burst::start(1, 1, Distribution::Owners, 1);
+
+    burst.run(100);
+
+    assert_eq!(burst.missing(), 0);
+}
+
+#[test]
+fn a_host_that_joins_late_is_helped_by_the_others() {
+    let mut burst = Burst::start(12, 3, Distribution::Owners, 2);
+    let late = burst.plans.remove(&11).expect("host 11 exists");
+    burst.run(400);
+    let drawn = burst.from_origin;
+
+    burst.plans.insert(11, late);
+    burst.run(400);
+
+    assert_eq!(burst.missing(), 0);
+    assert!(
+        burst.from_origin <= drawn + CHUNKS / 6,
+        "{} then {}",
+        drawn,
+        burst.from_origin
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_burst_ends_complete_whoever_dies_or_sends_corrupt_chunks(
+        count in 4_usize..20,
+        deaths in 0_usize..4,
+        corrupt in 0_usize..3,
+        announced: bool,
+        seed: u64,
+    ) {
+        let mut burst = Burst::start(count, 3, Distribution::Owners, seed);
+        for _ in 0..corrupt {
+            let n = burst.some_host();
+            burst.corrupt.insert(n);
+        }
+        for _ in 0..deaths.min(count - 2) {
+            burst.run(5);
+            let n = burst.some_host();
+            burst.kill(n);
+        }
+        if announced {
+            burst.announce();
+        }
+        burst.run(4_000);
+        prop_assert_eq!(burst.missing(), 0);
+    }
+}
+
+fn version(name: &str) -> Option<SmolStr> {
+    Some(name.into())
+}
+
+fn engine(serving: &str, loaded: Option<&str>) -> TurnoverEvent {
+    TurnoverEvent::Engine {
+        serving: version(serving),
+        loaded: loaded.map(SmolStr::new),
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+/// A turnover that serves v1 and has fetched and loaded v2.
+fn loaded_turnover() -> Turnover {
+    let mut turnover = Turnover::default();
+    turnover.handle(at(0), TurnoverEvent::Wanted(version("v1")));
+    turnover.handle(at(0), engine("v1", None));
+    turnover.handle(at(1), TurnoverEvent::Wanted(version("v2")));
+    turnover.handle(at(2), TurnoverEvent::Complete("v2".into()));
+    turnover.handle(at(3), engine("v1", Some("v2")));
+    turnover
+}
+
+#[test]
+fn nothing_is_fetched_before_the_engine_has_said_what_it_serves() {
+    let mut turnover = Turnover::default();
+
+    let before = turnover.handle(at(0), TurnoverEvent::Wanted(version("v1")));
+    let after = turnover.handle(at(1), engine("v1", None));
+
+    assert!(before.is_empty());
+    assert_eq!(after, [TurnoverAction::Serve("v1".into())]);
+}
+
+#[test]
+fn an_engine_is_ordered_to_load_only_a_complete_version() {
+    let mut turnover = Turnover::default();
+    turnover.handle(at(0), engine("v1", None));
+
+    let wanted = turnover.handle(at(1), TurnoverEvent::Wanted(version("v2")));
+    let other = turnover.handle(at(2), TurnoverEvent::Complete("v0".into()));
+    let complete = turnover.handle(at(3), TurnoverEvent::Complete("v2".into()));
+
+    assert_eq!(wanted, [TurnoverAction::Fetch("v2".into())]);
+    assert!(other.is_empty());
+    assert_eq!(complete, [TurnoverAction::OrderLoad("v2".into())]);
+}
+
+#[test]
+fn the_switch_waits_for_its_turn_and_for_running_requests() {
+    let mut turnover = loaded_turnover();
+    turnover.handle(at(4), TurnoverEvent::Running(2));
+
+    let not_yet = turnover.handle(at(5), TurnoverEvent::MayTurn(false));
+    let held = turnover.handle(at(6), TurnoverEvent::MayTurn(true));
+    let one_left = turnover.handle(at(7), TurnoverEvent::Running(1));
+    let drained = turnover.handle(at(8), TurnoverEvent::Running(0));
+
+    assert!(not_yet.is_empty());
+    assert_eq!(held, [TurnoverAction::Hold]);
+    assert!(one_left.is_empty());
+    assert_eq!(drained, [TurnoverAction::OrderSwitch("v2".into())]);
+}
+
+#[test]
+fn requests_flow_again_when_the_engine_has_switched() {
+    let mut turnover = loaded_turnover();
+    turnover.handle(at(6), TurnoverEvent::MayTurn(true));
+
+    let actions = turnover.handle(at(9), engine("v2", None));
+
+    assert_eq!(actions, [TurnoverAction::Serve("v2".into())]);
+    assert_eq!(turnover.stage(), Stage::Settled);
+}
+
+#[test]
+fn a_version_declared_midway_replaces_the_fetch_and_frees_held_requests() {
+    let mut turnover = loaded_turnover();
+    turnover.handle(at(5), TurnoverEvent::Running(1));
+    turnover.handle(at(6), TurnoverEvent::MayTurn(true));
+
+    let actions = turnover.handle(at(7), TurnoverEvent::Wanted(version("v3")));
+
+    assert_eq!(
+        actions,
+        [
+            TurnoverAction::Serve("v1".into()),
+            TurnoverAction::Fetch("v3".into())
+        ]
+    );
+}
+
+#[test]
+fn an_engine_that_restarts_empty_takes_no_requests_and_is_loaded_again() {
+    let mut turnover = loaded_turnover();
+    let empty = TurnoverEvent::Engine {
+        serving: None,
+        loaded: None,
+    };
+
+    let actions = turnover.handle(at(1_000), empty);
+
+    assert_eq!(actions[0], TurnoverAction::Refuse);
+    assert_eq!(turnover.stage(), Stage::Loading);
+    assert!(actions.contains(&TurnoverAction::OrderLoad("v2".into())));
+}
+
+#[test]
+fn an_order_that_was_not_taken_is_given_again() {
+    let mut turnover = Turnover::default();
+    turnover.handle(at(0), engine("v1", None));
+    turnover.handle(at(1), TurnoverEvent::Wanted(version("v2")));
+    turnover.handle(at(2), TurnoverEvent::Complete("v2".into()));
+
+    let soon = turnover.handle(at(100), engine("v1", None));
+    let later = turnover.handle(at(600), engine("v1", None));
+
+    assert!(soon.is_empty());
+    assert_eq!(later, [TurnoverAction::OrderLoad("v2".into())]);
+}
--- /dev/null
+++ b/crates/settings/tests/fleet.rs
@@ -0,0 +1,300 @@
+//! Reading, refusing and explaining declarations.
+
+use balsamjunction_settings::{
+    diff, fleet::Place, read_fleet, Fleet, PoolKind, Report, Source, ValueKey,
+};
+use proptest::prelude::*;
+
+const VALID: &str = r#"{
+    // Fleet-wide defaults.
+    "defaults": {"max_concurrency": 16, "deadline_ms": 5000},
+    "data_centres": {
+        "addis-a": {"region": "addis"},
+        "mekelle-a": {"region": "mekelle", "in_service": false},
+    },
+    "pools": {
+        "deck-model": {
+            "kind": "engine",
+            "version": "v1",
+            "routes": [
+                {"prefix": "/v1", "repeatable": true},
+                {"prefix": "/v1/release", "repeatable": false},
+            ],
+            "upstreams": [
+                {"host": "h1", "data_centre": "addis-a", "sidecar": "10.0.0.1:7000"},
+                {"host": "h2", "data_centre": "mekelle-a", "sidecar": "10.0.0.2:7000"},
+            ],
+        },
+    },
+    "workspaces": ["selam"],
+    "exceptions": [
+        {
+            "name": "small-host",
+            "reason": "half of its accelerators are broken",
+            "host": "h1",
+            "set": {"max_concurrency": 4},
+        },
+        {
+            "name": "slow-pool",
+            "reason": "its prompts are long",
+            "pool": "deck-model",
+            "set": {"deadline_ms": 9000, "max_concurrency": 12},
+        },
+    ],
+}"#;
+
+fn valid() -> Fleet {
+    read_fleet(VALID.as_bytes()).expect("the fixture is valid")
+}
+
+/// The faults of the valid declaration after a replacement.
+fn faults(old: &str, new: &str) -> Vec<String> {
+    assert!(VALID.contains(old), "the fixture has no {old}");
+    let text = VALID.replacen(old, new, 1);
+    let report = read_fleet(text.as_bytes()).expect_err("the replacement is a fault");
+    report.lines("fleet.jsonc").collect()
+}
+
+fn one_fault(old: &str, new: &str) -> String {
+    let mut faults = faults(old, new);
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    faults.remove(0)
+}
+
+fn host(name: &str) -> Place {
+    let fleet = valid();
+    let (pool, upstream) = fleet.upstream_on(name).expect("the host is declared");
+    fleet.place_of(pool, upstream)
+}
+
+#[test]
+fn a_valid_declaration_is_read_with_comments_and_trailing_commas() {
+    let fleet = valid();
+
+    let pool = &fleet.pools["deck-model"];
+    assert_eq!(pool.kind, PoolKind::Engine);
+    assert_eq!(pool.upstreams.len(), 2);
+    assert_eq!(fleet.exceptions.len(), 2);
+}
+
+#[test]
+fn the_longest_prefix_decides_whether_a_route_may_be_repeated() {
+    let fleet = valid();
+    let pool = &fleet.pools["deck-model"];
+
+    assert!(pool.repeatable("/v1/generate"));
+    assert!(!pool.repeatable("/v1/release/7"));
+    assert!(!pool.repeatable("/other"));
+}
+
+#[test]
+fn the_most_specific_exception_gives_the_value_with_its_reason() {
+    let explained = valid().explain(ValueKey::MaxConcurrency, &host("h1"));
+
+    assert_eq!(explained.value, 4);
+    let reason = "half of its accelerators are broken".into();
+    let name = "small-host".into();
+    assert_eq!(explained.source, Source::Exception { name, reason });
+}
+
+#[test]
+fn without_an_exception_the_default_and_then_the_built_in_value_hold() {
+    let fleet = valid();
+    let nowhere = Place::default();
+
+    let declared = fleet.explain(ValueKey::MaxConcurrency, &nowhere);
+    let built_in = fleet.explain(ValueKey::QueueLength, &nowhere);
+
+    assert_eq!((declared.value, declared.source), (16, Source::Default));
+    assert_eq!((built_in.value, built_in.source), (64, Source::BuiltIn));
+}
+
+#[test]
+fn a_data_centre_out_takes_its_hosts_out() {
+    let fleet = valid();
+    let pool = "deck-model".into();
+    let upstreams = &fleet.pools["deck-model"].upstreams;
+
+    assert!(fleet.in_service(&pool, &upstreams[0]));
+    assert!(!fleet.in_service(&pool, &upstreams[1]));
+}
+
+#[test]
+fn every_fault_is_listed_at_once_in_the_order_of_the_text() {
+    let text = VALID
+        .replacen("\"deadline_ms\": 5000", "\"deadline_ms\": 0", 1)
+        .replacen("\"region\": \"addis\"", "\"regoin\": \"addis\"", 1)
+        .replacen("10.0.0.2:7000", "store.example:7000", 1);
+    let report = read_fleet(text.as_bytes()).expect_err("there are faults");
+
+    let lines: Vec<String> = report.lines("f").collect();
+
+    assert_eq!(lines.len(), 4, "{lines:#?}");
+    assert!(lines[0].starts_with("f:3:"), "{}", lines[0]);
+    assert!(lines[0].contains("use 1 to 3600000 milliseconds"));
+    assert!(lines.iter().any(|l| l.contains("did you mean \"region\"?")));
+    assert!(lines
+        .iter()
+        .any(|l| l.contains("field \"region\" is missing")));
+    assert!(lines[3].contains("IP number and port"));
+}
+
+#[test]
+fn an_exception_without_a_written_reason_is_refused() {
+    let absent = one_fault("\"reason\": \"its prompts are long\",", "");
+    let blank = one_fault("its prompts are long", "  ");
+
+    for fault in [absent, blank] {
+        assert!(
+            fault.contains("exception \"slow-pool\" has no written reason"),
+            "{fault}"
+        );
+    }
+}
+
+#[test]
+fn two_exceptions_for_one_value_in_one_scope_are_refused() {
+    let fault = one_fault(
+        "\"host\": \"h1\",\n            \"set\"",
+        "\"pool\": \"deck-model\",\n            \"set\"",
+    );
+
+    assert!(
+        fault.contains("both set \"max_concurrency\" for pool \"deck-model\""),
+        "{fault}"
+    );
+}
+
+#[test]
+fn a_host_stands_in_one_place_only() {
+    let fault = one_fault("\"host\": \"h2\"", "\"host\": \"h1\"");
+
+    assert!(fault.contains("host \"h1\" is declared twice"), "{fault}");
+}
+
+#[test]
+fn an_exception_names_what_is_declared() {
+    let fault = one_fault("\"pool\": \"deck-model\"", "\"pool\": \"deck-modle\"");
+
+    assert!(fault.contains("did you mean \"deck-model\"?"), "{fault}");
+}
+
+#[test]
+fn a_value_is_set_only_where_it_has_effect() {
+    let fault = one_fault(
+        "\"set\": {\"max_concurrency\": 4}",
+        "\"set\": {\"retry_percent\": 4}",
+    );
+
+    assert!(fault.contains("cannot be set for a host"), "{fault}");
+}
+
+#[test]
+fn a_field_that_stands_twice_is_refused() {
+    let fault = one_fault(
+        "\"kind\": \"engine\",",
+        "\"kind\": \"engine\", \"kind\": \"service\",",
+    );
+
+    assert!(
+        fault.contains("field \"kind\" is declared twice"),
+        "{fault}"
+    );
+}
+
+#[test]
+fn a_cold_limit_above_the_warm_one_is_refused() {
+    let fault = one_fault(
+        "\"max_concurrency\": 16",
+        "\"max_concurrency\": 16, \"cold_concurrency\": 17",
+    );
+
+    assert!(
+        fault.contains("\"cold_concurrency\" is 17 but \"max_concurrency\" is 16"),
+        "{fault}"
+    );
+}
+
+#[test]
+fn a_syntax_fault_names_its_place() {
+    let faults = faults(
+        "\"workspaces\": [\"selam\"],",
+        "\"workspaces\": [\"selam\" oops],",
+    );
+
+    assert!(faults[0].starts_with("fleet.jsonc:2"), "{faults:?}");
+}
+
+fn refused(buf: &[u8]) -> Report {
+    read_fleet(buf).expect_err("the document is faulty")
+}
+
+#[test]
+fn an_overlong_document_is_refused() {
+    let text = format!("{VALID}{}", " ".repeat(1024 * 1024));
+
+    let report = refused(text.as_bytes());
+
+    assert!(report
+        .to_string()
+        .contains("shorten it to at most 1048576 bytes"));
+}
+
+#[test]
+fn bytes_that_are_not_text_are_refused_with_their_place() {
+    let report = refused(b"{\n \"defaults\": \"\xff\"}");
+
+    let lines: Vec<String> = report.lines("f").collect();
+    assert_eq!(
+        lines,
+        ["f:2:15: error: byte 0xff is not UTF-8; save the file as UTF-8"]
+    );
+}
+
+#[test]
+fn a_diff_names_what_changed_and_nothing_else() {
+    let old = valid();
+    let text = VALID
+        .replacen("\"version\": \"v1\"", "\"version\": \"v2\"", 1)
+        .replacen(", \"in_service\": false", "", 1);
+    let new = read_fleet(text.as_bytes()).expect("the change is valid");
+
+    let changes = diff(&old, &new);
+
+    let paths: Vec<&str> = changes.iter().map(|c| c.path.as_str()).collect();
+    assert_eq!(
+        paths,
+        [
+            "data_centres/mekelle-a/in_service",
+            "pools/deck-model/version"
+        ]
+    );
+    assert_eq!(changes[1].old.as_deref(), Some("v1"));
+    assert_eq!(changes[1].new.as_deref(), Some("v2"));
+    assert!(diff(&old, &old).is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_bytes_make_the_reader_panic(buf in proptest::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(read_fleet(&buf).is_err());
+    }
+
+    #[test]
+    fn a_damaged_declaration_is_read_or_refused_with_places(at in 0_usize..1200, byte: u8) {
+        let mut buf = VALID.as_bytes().to_vec();
+        let at = at % buf.len();
+        buf[at] = byte;
+        if let Err(report) = read_fleet(&buf) {
+            prop_assert!(!report.faults.is_empty());
+            prop_assert!(report.faults.iter().all(|f| f.position.line >= 1 && f.position.column >= 1));
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/process.rs
@@ -0,0 +1,64 @@
+//! Reading the settings of processes.
+
+use balsamjunction_settings::{read_entry, read_sidecar};
+use smol_str::SmolStr;
+
+const ENTRY: &str = r#"{
+    "host": "e1",
+    "data_centre": "addis-a",
+    "inner_listen": "127.0.0.1:7000",
+    "listen": "127.0.0.1:8080",
+    "config_service": "10.0.0.1:80",
+    "membership": "10.0.0.2:80",
+    "seeds": ["10.0.0.3:7000"], // asked first
+}"#;
+
+fn set(name: &str, value: &str) -> [(SmolStr, SmolStr); 1] {
+    [(name.into(), value.into())]
+}
+
+#[test]
+fn settings_are_read_with_defaults() {
+    let settings = read_entry(ENTRY.as_bytes(), &[]).expect("the fixture is valid");
+
+    assert_eq!(settings.workers, 2);
+    assert_eq!(settings.peer.advertise, settings.peer.inner_listen);
+    assert_eq!(settings.peer.seeds.len(), 1);
+}
+
+#[test]
+fn an_override_replaces_a_field_or_adds_one() {
+    let replaced = read_entry(ENTRY.as_bytes(), &set("listen", "127.0.0.1:9999"));
+    let added = read_entry(ENTRY.as_bytes(), &set("workers", "4"));
+
+    assert_eq!(replaced.expect("it is valid").listen.port(), 9999);
+    assert_eq!(added.expect("it is valid").workers, 4);
+}
+
+#[test]
+fn an_override_is_checked_like_a_field() {
+    let unknown = read_entry(ENTRY.as_bytes(), &set("wrokers", "4"));
+    let range = read_entry(ENTRY.as_bytes(), &set("workers", "0"));
+
+    let unknown = unknown.expect_err("the field is unknown").to_string();
+    let range = range.expect_err("zero is out of range").to_string();
+    assert!(unknown.contains("did you mean \"workers\"?"), "{unknown}");
+    assert!(range.contains("use 1 to 64 threads"), "{range}");
+}
+
+#[test]
+fn a_sidecar_needs_its_upstream() {
+    let report = read_sidecar(ENTRY.as_bytes(), &[]).expect_err("fields are missing");
+
+    let text = report.to_string();
+    assert!(text.contains("field \"upstream\" is missing"), "{text}");
+    assert!(text.contains("field \"listen\" is unknown"), "{text}");
+}
+
+#[test]
+fn host_names_are_not_addresses() {
+    let report = read_entry(ENTRY.as_bytes(), &set("membership", "members.example:80"));
+
+    let text = report.expect_err("names are not resolved").to_string();
+    assert!(text.contains("use an IP number and port"), "{text}");
+}
