--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -28,7 +28,6 @@
     context::{EntryContext, InProgress, Target},
 };
 use crate::{
-    client::never_connected,
     http::{copy_request_headers, Answer},
     metrics::RequestLabels,
     problem::{self, Given},
@@ -247,7 +246,7 @@
     fn lost(&self, flight: Flight, e: &SendRequestError) -> AttemptEnd {
         debug!("{}: {} was lost: {e}", self.call.id, flight.target().host);
         flight.feedback(Feedback::Failed);
-        AttemptEnd::Lost(match never_connected(e) {
+        AttemptEnd::Lost(match balsamjunction_client::never_connected(e) {
             true => Outcome::NotRun,
             false => Outcome::Unknown,
         })
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -22,7 +22,6 @@
 use self::context::EntryContext;
 use crate::{
     audit::{Action, Audit, Record, Verdict},
-    client,
     clock::Clock,
     error::DaemonError,
     fleet::{FleetState, Spread},
@@ -58,7 +57,7 @@
         HttpServer::new(move || App::new().app_data(inner.clone()).configure(inner::routes))
             .workers(1)
             .disable_signals()
-            .keep_alive(client::SERVER_IDLE_LIMIT)
+            .keep_alive(balsamjunction_client::SERVER_IDLE_LIMIT)
             .listen(peers)?
             .run();
 
@@ -67,13 +66,13 @@
     let caller_server = HttpServer::new(move || {
         App::new()
             .app_data(Data::from(served.clone()))
-            .app_data(Data::new(client::new(outbound_ip)))
+            .app_data(Data::new(balsamjunction_client::new(outbound_ip)))
             .default_service(web::to(forward::handle))
     })
     .workers(settings.workers)
     .backlog(BACKLOG as u32)
     .disable_signals()
-    .keep_alive(client::SERVER_IDLE_LIMIT)
+    .keep_alive(balsamjunction_client::SERVER_IDLE_LIMIT)
     .client_request_timeout(Duration::from_millis(settings.header_timeout_ms))
     .h1_allow_half_closed(false)
     .listen(callers)?
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -31,7 +31,6 @@
 };
 use crate::{
     audit::{Action, Audit, Record, Verdict},
-    client,
     clock::Clock,
     error::DaemonError,
     fleet::{FleetState, Renew, Spread},
@@ -78,7 +77,7 @@
             .app_data(inner.clone())
             .app_data(Data::from(served.clone()))
             .app_data(Data::from(pacing.clone()))
-            .app_data(Data::new(client::new(outbound_ip)))
+            .app_data(Data::new(balsamjunction_client::new(outbound_ip)))
             .configure(inner::routes)
             .configure(weights_http::routes)
             .route(paths::CLOSE_KEY, web::post().to(once_run::close_key))
@@ -86,7 +85,7 @@
     })
     .workers(1)
     .disable_signals()
-    .keep_alive(client::SERVER_IDLE_LIMIT)
+    .keep_alive(balsamjunction_client::SERVER_IDLE_LIMIT)
     .h1_allow_half_closed(false)
     .listen(peers)?
     .run();
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -27,7 +27,6 @@
     gatekeeper::Permit,
 };
 use crate::{
-    client::never_connected,
     fleet::spread::report_crash,
     http::{copy_request_headers, Answer},
     inner::note_crash,
@@ -105,7 +104,7 @@
 ) -> Failure {
     debug!("{}: upstream failed: {e}", run.envelope.request);
     match e {
-        _ if never_connected(e) => {
+        _ if balsamjunction_client::never_connected(e) => {
             permit.finish(Finish::Crashed);
             Failure {
                 outcome: Outcome::NotRun,
@@ -196,7 +195,7 @@
         if let Some(permit) = self.permit.take() {
             permit.finish(Finish::Crashed);
         }
-        let client = crate::client::new(self.context.settings.peer.outbound_ip);
+        let client = balsamjunction_client::new(self.context.settings.peer.outbound_ip);
         actix_rt::spawn(blame(self.context.clone(), client, self.fingerprint));
     }
 }
--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -114,7 +114,7 @@
     /// An actor that has not started.
     pub fn new(context: Arc<SidecarContext>, pacing: Arc<Pacing>) -> Self {
         let settings = &context.settings;
-        let client = client::new(settings.peer.outbound_ip);
+        let client = balsamjunction_client::new(settings.peer.outbound_ip);
         let origin = settings.origin.map(|address| {
             Box::new(StoreHttp::new(client.clone(), address)) as Box<dyn WeightStore>
         });
--- a/crates/lab/src/load/caller.rs
+++ b/crates/lab/src/load/caller.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use awc::{Client, ClientRequest, Connector};
+use awc::{Client, ClientRequest};
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use serde::Deserialize;
@@ -95,14 +95,7 @@
 
 impl Default for Caller {
     fn default() -> Self {
-        let connector = Connector::new()
-            .limit(20_000)
-            .timeout(Duration::from_secs(2));
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
+        let client = balsamjunction_client::new(None);
         Self { client }
     }
 }
