--- /dev/null
+++ b/crates/cli/src/command/diff.rs
@@ -0,0 +1,27 @@
+//! `diff`: what changes from one declaration to the next.
+
+use std::{io::Write, path::Path};
+
+use balsamjunction_settings::diff;
+use serde_json::json;
+
+use super::read_declaration;
+use crate::error::CliError;
+
+/// Writes a line for each change.
+pub fn run(old: &Path, new: &Path, json: bool, out: &mut dyn Write) -> Result<(), CliError> {
+    let changes = diff(&read_declaration(old)?, &read_declaration(new)?);
+    if json {
+        writeln!(out, "{}", json!({ "changes": changes }))?;
+        return Ok(());
+    }
+    for change in changes {
+        match (change.old, change.new) {
+            (Some(old), Some(new)) => writeln!(out, "~ {}: {old} -> {new}", change.path)?,
+            (None, Some(new)) => writeln!(out, "+ {}: {new}", change.path)?,
+            (Some(old), None) => writeln!(out, "- {}: {old}", change.path)?,
+            (None, None) => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/explain.rs
@@ -0,0 +1,78 @@
+//! `explain`: the values that hold for a host or workspace, and what gave them.
+
+use std::{io::Write, path::Path};
+
+use balsamjunction_settings::{
+    fleet::Place, reader::suggestion, Explained, Fleet, Source, ValueKey,
+};
+use serde_json::json;
+use smol_str::SmolStr;
+use strum::IntoEnumIterator;
+
+use super::read_declaration;
+use crate::error::CliError;
+
+/// Writes a line for each value.
+pub fn run(
+    path: &Path,
+    host: &SmolStr,
+    workspace: Option<&SmolStr>,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), CliError> {
+    let fleet = read_declaration(path)?;
+    let place = find(&fleet, path, host, workspace)?;
+    let explained = ValueKey::iter().map(|key| (key, fleet.explain(key, &place)));
+    if json {
+        let values: serde_json::Map<_, _> = explained
+            .map(|(key, value)| (key.to_string(), json!(value)))
+            .collect();
+        writeln!(
+            out,
+            "{}",
+            json!({"host": host, "workspace": workspace, "values": values})
+        )?;
+        return Ok(());
+    }
+    for (key, value) in explained {
+        write_value(key, &value, out)?;
+    }
+    Ok(())
+}
+
+fn find(
+    fleet: &Fleet,
+    path: &Path,
+    host: &SmolStr,
+    workspace: Option<&SmolStr>,
+) -> Result<Place, CliError> {
+    let Some((pool, upstream)) = fleet.upstream_on(host) else {
+        let upstreams = fleet.pools.values().flat_map(|pool| &pool.upstreams);
+        let names = upstreams.map(|upstream| upstream.host.as_str());
+        return Err(CliError::UnknownHost {
+            host: host.clone(),
+            path: path.to_owned(),
+            suggestion: suggestion(host, names),
+        });
+    };
+    let mut place = fleet.place_of(pool, upstream);
+    place.workspace = workspace.cloned();
+    Ok(place)
+}
+
+fn write_value(key: ValueKey, value: &Explained, out: &mut dyn Write) -> Result<(), CliError> {
+    let unit: &str = key.unit().into();
+    let number = value.value;
+    let name = key.to_string();
+    match &value.source {
+        Source::BuiltIn => writeln!(out, "{name:<20} {number:>8} {unit}, built in")?,
+        Source::Default => writeln!(out, "{name:<20} {number:>8} {unit}, by default")?,
+        Source::Exception { name: by, reason } => {
+            writeln!(
+                out,
+                "{name:<20} {number:>8} {unit}, by exception \"{by}\": {reason}"
+            )?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,52 @@
+//! The commands, a file each.
+
+mod audit;
+mod check;
+mod diff;
+mod explain;
+mod status;
+mod weights;
+
+use std::{fs, io::Write, path::Path};
+
+use balsamjunction_settings::{read_fleet, Fleet};
+
+use crate::{
+    error::CliError,
+    options::{Command, Options},
+};
+
+/// Runs a command and writes its answer.
+pub fn run(options: &Options, out: &mut dyn Write) -> Result<(), CliError> {
+    let json = options.json;
+    let system = actix_rt::System::new();
+    match &options.command {
+        Command::Check { file } => check::run(file, json, out),
+        Command::Diff { old, new } => diff::run(old, new, json, out),
+        Command::Explain {
+            file,
+            host,
+            workspace,
+        } => explain::run(file, host, workspace.as_ref(), json, out),
+        Command::Status { entry } => system.block_on(status::run(*entry, json, out)),
+        Command::Audit { entry } => system.block_on(audit::run(*entry, json, out)),
+        Command::Weights { entry, watch } => {
+            system.block_on(weights::run(*entry, *watch, json, out))
+        }
+    }
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, CliError> {
+    fs::read(path).map_err(|source| CliError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn read_declaration(path: &Path) -> Result<Fleet, CliError> {
+    let buf = read_file(path)?;
+    read_fleet(&buf).map_err(|report| CliError::Faults {
+        path: path.to_owned(),
+        report,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,116 @@
+//! The command line, checked once.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use balsamjunction_settings::reader::suggestion;
+use smol_str::SmolStr;
+
+use crate::{cli::Args, error::CliError};
+
+/// The names of the commands, for suggestions.
+const COMMANDS: [&str; 6] = ["check", "diff", "explain", "status", "audit", "weights"];
+
+/// A command with what it needs.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Lists every fault of a declaration.
+    Check {
+        /// The declaration.
+        file: PathBuf,
+    },
+    /// Shows what changes.
+    Diff {
+        /// The declaration before.
+        old: PathBuf,
+        /// The declaration after.
+        new: PathBuf,
+    },
+    /// Shows the values that hold.
+    Explain {
+        /// The declaration.
+        file: PathBuf,
+        /// For which host.
+        host: SmolStr,
+        /// For which workspace.
+        workspace: Option<SmolStr>,
+    },
+    /// Shows what every process does.
+    Status {
+        /// The process to ask.
+        entry: SocketAddr,
+    },
+    /// Shows the audit trail.
+    Audit {
+        /// The process to ask.
+        entry: SocketAddr,
+    },
+    /// Shows versions and fetches.
+    Weights {
+        /// The process to ask.
+        entry: SocketAddr,
+        /// Whether to redraw until all is done.
+        watch: bool,
+    },
+}
+
+/// Everything that the tool runs with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The command.
+    pub command: Command,
+    /// Whether to answer in JSON.
+    pub json: bool,
+}
+
+impl Options {
+    /// Checks the command line.
+    pub fn from_args(args: Args) -> Result<Self, CliError> {
+        let json = args.json;
+        let mut words = args.words.clone().into_iter();
+        let name = words.next().ok_or(CliError::Missing { what: "COMMAND" })?;
+        let mut file = |what| match words.next() {
+            Some(word) => Ok(PathBuf::from(word.as_str())),
+            None => Err(CliError::Missing { what }),
+        };
+        let command = match name.as_str() {
+            "check" => Command::Check {
+                file: file("FILE")?,
+            },
+            "diff" => Command::Diff {
+                old: file("OLD")?,
+                new: file("NEW")?,
+            },
+            "explain" => Command::Explain {
+                file: file("FILE")?,
+                host: args.host.ok_or(CliError::Missing { what: "--host" })?,
+                workspace: args.workspace,
+            },
+            "status" => Command::Status {
+                entry: address(args.entry)?,
+            },
+            "audit" => Command::Audit {
+                entry: address(args.entry)?,
+            },
+            "weights" => Command::Weights {
+                entry: address(args.entry)?,
+                watch: args.watch,
+            },
+            _ => {
+                let suggestion = suggestion(&name, COMMANDS.into_iter());
+                return Err(CliError::Command {
+                    command: name,
+                    suggestion,
+                });
+            }
+        };
+        match words.next() {
+            Some(word) => Err(lexopt::Error::UnexpectedArgument(word.as_str().into()).into()),
+            None => Ok(Self { command, json }),
+        }
+    }
+}
+
+fn address(entry: Option<SmolStr>) -> Result<SocketAddr, CliError> {
+    let value = entry.ok_or(CliError::Missing { what: "--entry" })?;
+    value.parse().map_err(|_| CliError::Address { value })
+}
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,180 @@
+//! The real tool: exit codes, places of faults, JSON, suggestions.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+use serde_json::Value;
+
+const VALID: &str = r#"{
+    "defaults": {"max_concurrency": 16},
+    "data_centres": {"addis-a": {"region": "addis"}},
+    "pools": {
+        "desk": {
+            "kind": "service",
+            "upstreams": [{"host": "h1", "data_centre": "addis-a", "sidecar": "10.0.0.1:7000"}]
+        }
+    },
+    "workspaces": ["selam"],
+    "exceptions": [
+        {"name": "old", "reason": "an old machine", "host": "h1", "set": {"max_concurrency": 2}}
+    ]
+}"#;
+
+/// A file that is removed when dropped.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str, text: &str) -> Self {
+        let name = format!("balsamjunction-cli-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).expect("the file can be written");
+        Self(path)
+    }
+
+    fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+fn tool(args: &[&str]) -> Output {
+    let mut tool = Command::new(env!("CARGO_BIN_EXE_balsamjunction"));
+    tool.args(args).output().expect("the tool runs")
+}
+
+fn on_file(command: &str, file: &Scratch, rest: &[&str]) -> Output {
+    let path = file.path().to_str().expect("the path is text");
+    let mut args = vec![command, path];
+    args.extend(rest);
+    tool(&args)
+}
+
+fn text(buf: &[u8]) -> String {
+    String::from_utf8_lossy(buf).into_owned()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).expect("the answer is one JSON object")
+}
+
+#[test]
+fn a_valid_declaration_exits_with_zero() {
+    let file = Scratch::new("valid", VALID);
+
+    let output = on_file("check", &file, &[]);
+
+    assert_eq!(output.status.code(), Some(0));
+    assert!(text(&output.stdout).contains("valid, 1 data centres, 1 pools"));
+}
+
+#[test]
+fn faults_go_to_standard_error_with_file_line_and_column() {
+    let file = Scratch::new("faulty", &VALID.replace("\"service\"", "\"sevrice\""));
+
+    let output = on_file("check", &file, &[]);
+
+    let expected = format!("{}:6:13: error: field \"kind\"", file.path().display());
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        text(&output.stderr).starts_with(&expected),
+        "{}",
+        text(&output.stderr)
+    );
+    assert!(output.stdout.is_empty());
+}
+
+#[test]
+fn faults_are_listed_in_json() {
+    let file = Scratch::new("faulty-json", &VALID.replace("\"service\"", "\"sevrice\""));
+
+    let output = on_file("check", &file, &["--json"]);
+
+    let faults = json(&output);
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(faults["valid"], false);
+    assert_eq!(faults["faults"][0]["line"], 6);
+}
+
+#[test]
+fn a_diff_shows_each_change() {
+    let old = Scratch::new("old", VALID);
+    let new = Scratch::new(
+        "new",
+        &VALID.replace("\"max_concurrency\": 16", "\"max_concurrency\": 9"),
+    );
+
+    let output = on_file(
+        "diff",
+        &old,
+        &[new.path().to_str().expect("the path is text")],
+    );
+
+    assert_eq!(
+        text(&output.stdout),
+        "~ defaults/max_concurrency: 16 -> 9\n"
+    );
+}
+
+#[test]
+fn an_explanation_names_the_exception_and_its_reason() {
+    let file = Scratch::new("explain", VALID);
+
+    let plain = on_file("explain", &file, &["--host", "h1"]);
+    let structured = on_file(
+        "explain",
+        &file,
+        &["--host", "h1", "--workspace", "selam", "--json"],
+    );
+
+    assert!(text(&plain.stdout).contains("by exception \"old\": an old machine"));
+    let value = &json(&structured)["values"]["max_concurrency"];
+    assert_eq!(value["value"], 2);
+    assert_eq!(value["reason"], "an old machine");
+}
+
+#[test]
+fn an_unknown_host_is_answered_with_a_suggestion() {
+    let file = Scratch::new("host", VALID);
+
+    let output = on_file("explain", &file, &["--host", "h2"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("did you mean \"h1\"?"));
+}
+
+#[test]
+fn bad_use_exits_with_two() {
+    let typo = tool(&["chekc", "x"]);
+    let nothing = tool(&[]);
+    let option = tool(&["check", "x", "--verbose"]);
+    let address = tool(&["status", "--entry", "localhost:1"]);
+
+    for output in [&typo, &nothing, &option, &address] {
+        assert_eq!(output.status.code(), Some(2), "{}", text(&output.stderr));
+    }
+    assert!(text(&typo.stderr).contains("did you mean \"check\"?"));
+}
+
+#[test]
+fn help_shows_examples() {
+    let output = tool(&["--help"]);
+
+    assert_eq!(output.status.code(), Some(0));
+    assert!(text(&output.stdout).contains("balsamjunction check fleet.jsonc"));
+}
+
+#[test]
+fn a_process_that_does_not_answer_is_named() {
+    let output = tool(&["audit", "--entry", "127.0.0.1:1"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("127.0.0.1:1 does not answer"));
+}
--- a/crates/client/tests/broken.rs
+++ b/crates/client/tests/broken.rs
@@ -56,12 +56,9 @@
 async fn a_server_that_closes_without_an_answer_may_have_run_the_request() {
     let url = answering(b"").await;
 
-    let e: SendRequestError = new(None)
-        .get(url)
-        .send()
-        .await
-        .err()
-        .expect("no answer comes");
+    let answer = new(None).get(url).send().await;
+
+    let e: SendRequestError = answer.expect_err("no answer comes");
 
     assert!(!never_connected(&e), "{e}");
 }
@@ -76,5 +73,5 @@
 
     let e = new(None).get(format!("http://{address}/")).send().await;
 
-    assert!(never_connected(&e.err().expect("nobody listens")));
+    assert!(never_connected(&e.expect_err("nobody listens")));
 }
--- a/crates/lab/src/experiment/once.rs
+++ b/crates/lab/src/experiment/once.rs
@@ -25,7 +25,7 @@
         Bench,
     },
     error::LabError,
-    load::{caller::Fate, Caller, Request, Task},
+    load::{caller::Fate, Caller, Request, Seen, Task},
     standin::fabric::{Fault, FaultKind},
 };
 
@@ -72,6 +72,18 @@
     not_run: Vec<SmolStr>,
 }
 
+impl Book {
+    fn note(&mut self, seen: Seen) {
+        self.sends += 1;
+        match seen.fate {
+            Fate::Ran => self.answered += 1,
+            Fate::NotRun => self.not_run.extend(seen.carried_as),
+            Fate::Wrong | Fate::Lost => self.lost += 1,
+            Fate::Unknown | Fate::Cut => {}
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Sender {
     entries: Vec<SocketAddr>,
@@ -158,19 +170,11 @@
         for _ in 0..MAX_SENDS {
             let entry = *self.entries.choose(rng).expect("the bench has entries");
             let seen = caller.send(entry, &request).await;
-            let mut book = self.book.borrow_mut();
-            book.sends += 1;
             last = seen.fate;
-            match seen.fate {
-                Fate::Ran => {
-                    book.answered += 1;
-                    return;
-                }
-                Fate::NotRun => book.not_run.extend(seen.carried_as),
-                Fate::Wrong | Fate::Lost => book.lost += 1,
-                Fate::Unknown | Fate::Cut => {}
+            self.book.borrow_mut().note(seen);
+            if last == Fate::Ran {
+                return;
             }
-            drop(book);
             actix_rt::time::sleep(RESEND_PAUSE).await;
         }
         if last != Fate::NotRun {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/system/fleet.rs
@@ -1,7 +1,6 @@
 //! Declarations, members and weights through real processes under failures.
 
-mod common;
-
+use super::common::{assert_ran, engines, generate, in_force, pause, send, start};
 use balsamjunction_lab::{
     bench::{
         control::get_json,
@@ -15,7 +14,6 @@
         fabric::{Fault, FaultKind},
     },
 };
-use common::{assert_ran, engines, generate, in_force, pause, send, start};
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
--- /dev/null
+++ b/crates/lab/tests/system/main.rs
@@ -0,0 +1,5 @@
+//! Integration tests: the real programs behind the fault-injecting network.
+
+mod common;
+mod fleet;
+mod requests;
--- a/crates/lab/tests/requests.rs
+++ b/crates/lab/tests/system/requests.rs
@@ -1,7 +1,9 @@
 //! Requests through real processes under failures: whole answers, true outcomes, once at most.
 
-mod common;
-
+use super::common::{
+    assert_ran, booking, crash, engines, fresh_key, generate, in_force, pause, runs_of, send,
+    send_soon, services, start,
+};
 use balsamjunction_lab::{
     bench::{control::get_json, spec::DATA_CENTRES},
     experiment::fleet::{pool_runs, runs, unix_ms},
@@ -11,10 +13,6 @@
         fabric::{Fault, FaultKind},
     },
 };
-use common::{
-    assert_ran, booking, crash, engines, fresh_key, generate, in_force, pause, runs_of, send,
-    send_soon, services, start,
-};
 use nix::sys::signal::Signal;
 
 fn fault(kind: FaultKind, from: Option<&str>, to: Option<&str>) -> Fault {
