--- a/crates/lab/src/experiment/weights.rs
+++ b/crates/lab/src/experiment/weights.rs
@@ -40,7 +40,7 @@
 /// Requests a second of all live callers, per host.
 const LIVE_RATE_PER_HOST: f64 = 3.0;
 /// Load before anything is measured, while engines warm up.
-const WARM_UP_SECONDS: f64 = 10.0;
+const WARM_UP_SECONDS: f64 = 15.0;
 /// Quiet time against which the burst is compared.
 const QUIET_SECONDS: f64 = 6.0;
 /// When a fault strikes, after the declaration.
--- a/crates/lab/src/standin/fabric.rs
+++ b/crates/lab/src/standin/fabric.rs
@@ -9,7 +9,7 @@
     path::PathBuf,
     sync::{
         atomic::{AtomicU64, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, PoisonError,
     },
     time::{Duration, Instant},
 };
@@ -24,7 +24,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     runtime::Handle,
-    sync::oneshot,
+    sync::{oneshot, watch},
 };
 
 use super::IDLE_LIMIT;
@@ -141,7 +141,7 @@
     up: HashMap<SmolStr, Link>,
     down: HashMap<SmolStr, Link>,
     between: HashMap<(SmolStr, SmolStr), Link>,
-    faults: RwLock<Vec<Fault>>,
+    faults: watch::Sender<Vec<Fault>>,
     crossing: Mutex<HashMap<SmolStr, Swap>>,
     sent: HashMap<SmolStr, AtomicU64>,
     crossed: HashMap<(SmolStr, SmolStr), AtomicU64>,
@@ -154,7 +154,7 @@
             up: HashMap::new(),
             down: HashMap::new(),
             between: HashMap::new(),
-            faults: RwLock::default(),
+            faults: watch::Sender::new(Vec::new()),
             crossing: Mutex::default(),
             sent: HashMap::new(),
             crossed: HashMap::new(),
@@ -180,7 +180,7 @@
     }
 
     fn fault(&self, from: Option<&Place>, to: &Place) -> Option<FaultKind> {
-        let faults = self.faults.read().unwrap_or_else(PoisonError::into_inner);
+        let faults = self.faults.borrow();
         let hit = faults.iter().find(|fault| {
             let from_hit = match (&fault.from, from) {
                 (None, _) => true,
@@ -297,11 +297,7 @@
 }
 
 async fn set_faults(fabric: Data<Fabric>, faults: Json<Vec<Fault>>) -> HttpResponse {
-    let mut current = fabric
-        .faults
-        .write()
-        .unwrap_or_else(PoisonError::into_inner);
-    *current = faults.into_inner();
+    fabric.faults.send_replace(faults.into_inner());
     HttpResponse::Ok().finish()
 }
 
@@ -422,8 +418,9 @@
     }
 
     async fn cut(&self) {
-        loop {
-            tokio::time::sleep(FAULT_POLL).await;
+        let mut changes = self.fabric.faults.subscribe();
+        // The sender lives as long as the network, so a change always comes or the process ends.
+        while changes.changed().await.is_ok() {
             let fault = self.fabric.fault(self.connecting.as_ref(), &self.connected);
             if fault == Some(FaultKind::Cut) {
                 return;
