--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -6,7 +6,9 @@
 use awc::Client;
 use balsamjunction_policy::{
     fence::Fence,
-    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
+    fetch::{
+        manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
+    },
     turnover::{predecessor, Stage, Turnover, TurnoverAction, TurnoverEvent},
 };
 use balsamjunction_protocol::{
@@ -32,7 +34,7 @@
     client,
     platform::{
         engine_http::EngineHttp,
-        store_http::{StoreHttp, MAX_CHUNK_BYTES},
+        store_http::{self, StoreHttp, MAX_CHUNK_BYTES},
         Engine, PlatformError, WeightStore,
     },
 };
@@ -50,7 +52,7 @@
 /// An engine must not carry an order out later than this.
 const ORDER_LIFETIME: Duration = Duration::from_secs(5);
 /// Pause before a manifest is asked for again.
-const MANIFEST_RETRY: Duration = Duration::from_millis(500);
+const MANIFEST_RETRY: Duration = Duration::from_millis(30);
 
 /// The actor that brings wanted versions to this host and its engine.
 pub struct Weights {
@@ -215,8 +217,10 @@
         let shared = self.shared.clone();
         let addr = ctx.address();
         let ask = async move {
+            let mut asked = 0;
             while shared.wanted(&version) {
-                match shared.find_manifest(&version).await {
+                asked += 1;
+                match shared.find_manifest(&version, asked).await {
                     Some(manifest) => {
                         addr.do_send(ManifestKnown(manifest));
                         return;
@@ -370,27 +374,34 @@
         self.context.versions().wanted.as_deref() == Some(version)
     }
 
-    /// The manifest as the origin or, if it is gone, any peer has it.
-    async fn find_manifest(&self, version: &str) -> Option<Manifest> {
+    /// The manifest, from the origin if this host is to ask there, else from a peer.
+    async fn find_manifest(&self, version: &str, asked: u32) -> Option<Manifest> {
         if let Some(manifest) = self.context.chunks.manifest(version) {
             return Some(manifest);
         }
-        let origin = self.origin.as_ref()?;
-        match origin.manifest(version).await {
-            Ok(manifest) => return Some(manifest),
-            Err(e) => debug!("origin has no manifest of {version}: {e}"),
-        }
         let post = self.context.post()?;
-        for member in self.context.pool_members(&post) {
-            let url = format!("http://{}{}/{version}", member.address, paths::MANIFEST);
-            let limit = MAX_CHUNK_BYTES;
-            let body =
-                crate::platform::store_http::get(&self.client, url, limit, PROBE_TIMEOUT).await;
-            if let Some(manifest) = body.ok().and_then(|b| serde_json::from_slice(&b).ok()) {
-                return Some(manifest);
+        let members = self.context.pool_members(&post);
+        let peer = &self.context.settings.peer;
+        let luck = rand::random();
+        match manifest_source(
+            version,
+            &peer.host,
+            &peer.data_centre,
+            &members,
+            asked,
+            luck,
+        ) {
+            Source::Origin => {
+                let manifest = self.origin.as_ref()?.manifest(version).await;
+                let missed = |e: &PlatformError| debug!("manifest of {version} did not come: {e}");
+                manifest.inspect_err(missed).ok()
+            }
+            Source::Peer { address, .. } => {
+                let url = format!("http://{address}{}/{version}", paths::MANIFEST);
+                let body = store_http::get(&self.client, url, MAX_CHUNK_BYTES, PROBE_TIMEOUT).await;
+                serde_json::from_slice(&body.ok()?).ok()
             }
         }
-        None
     }
 
     async fn have(&self, address: std::net::SocketAddr, version: &SmolStr) -> Option<HaveAnswer> {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -22,6 +22,7 @@
           [--policy drr|fifo]
   once --seed S                 resends of keyed requests under faults
   config --seed S               declarations under outage, stale reads and restarts
+  slopes                        what decisions cost as the fleet grows
   overhead                      through the system against straight to the stand-in
 
 Stand-ins:
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod once;
 pub mod overhead;
+pub mod slopes;
 pub mod weights;
 pub mod zone;
 
@@ -23,6 +24,7 @@
 pub async fn run(experiment: Experiment, json: bool) -> Result<bool, LabError> {
     match experiment {
         Experiment::Demo { seconds } => report(&demo::run(seconds, !json).await?, json),
+        Experiment::Slopes => report(&slopes::run()?, json),
         Experiment::Overhead => report(&overhead::run().await?, json),
         Experiment::Weights {
             hosts,
--- a/crates/lab/src/experiment/overhead.rs
+++ b/crates/lab/src/experiment/overhead.rs
@@ -201,11 +201,20 @@
 
 /// The most memory that a process has held.
 pub fn peak_bytes(id: Option<u32>) -> Result<u64, LabError> {
-    let Some(id) = id else {
-        return Ok(0);
-    };
-    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    match id {
+        Some(id) => memory(&format!("/proc/{id}/status"), "VmHWM:"),
+        None => Ok(0),
+    }
+}
+
+/// The memory that this process holds now.
+pub fn resident_bytes() -> Result<u64, LabError> {
+    memory("/proc/self/status", "VmRSS:")
+}
+
+fn memory(file: &str, field: &str) -> Result<u64, LabError> {
+    let status = std::fs::read_to_string(file)?;
+    let line = status.lines().find(|line| line.starts_with(field));
     let kilobytes = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok());
     Ok(kilobytes.unwrap_or(0) * 1024)
 }
--- /dev/null
+++ b/crates/lab/src/experiment/slopes.rs
@@ -0,0 +1,274 @@
+//! What decisions cost as the fleet grows: the policy's state machines at several sizes, in one
+//! process. docs/CAPACITY.md works with these figures.
+
+use std::time::{Duration, Instant};
+
+use balsamjunction_policy::{
+    acceptance::Acceptance,
+    fetch::{Distribution, FetchPlan, Participants},
+    gate::{Arrival, Finish, Gate, GateConfig},
+    limit::LimitBounds,
+    once::{Kept, OnceConfig, OnceEnd, OnceTable},
+    queue::Discipline,
+    router::{Choice, Router, Wanted},
+    spread::push_targets,
+    Moment,
+};
+use balsamjunction_protocol::{
+    header, FleetDocument, MemberDocument, MemberState, MembersDocument, Priority,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use smol_str::{format_smolstr, SmolStr};
+
+use super::{overhead::resident_bytes, Outcome};
+use crate::error::LabError;
+
+/// Data centres over which hosts are spread.
+const DATA_CENTRES: usize = 22;
+/// Regions over which data centres are spread.
+const REGIONS: usize = 6;
+/// Repetitions of an operation that is timed.
+const REPEATS: u32 = 10_000;
+
+/// Costs at one size; times in microseconds, sizes in bytes.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Slope {
+    hosts: usize,
+    declaration_bytes: usize,
+    declaration_accept_us: f64,
+    members_bytes: usize,
+    router_configure_us: f64,
+    router_choose_us: f64,
+    router_bytes: u64,
+    push_targets_us: f64,
+    fetch_assign_us: f64,
+    fetch_next_us: f64,
+}
+
+/// Costs that do not depend on the fleet's size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Flat {
+    gate_cycle_us: f64,
+    once_cycle_us: f64,
+    once_bytes_per_key: u64,
+}
+
+/// All costs.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slopes {
+    sizes: Vec<Slope>,
+    flat: Flat,
+}
+
+impl Outcome for Slopes {
+    fn promises_held(&self) -> bool {
+        // Only measures; the page that uses the figures states the bounds.
+        true
+    }
+}
+
+/// Measures at three sizes up to that of two years.
+pub fn run() -> Result<Slopes, LabError> {
+    let mut sizes = Vec::new();
+    for hosts in [200, 800, 3_200] {
+        sizes.push(slope(hosts)?);
+    }
+    let flat = Flat {
+        gate_cycle_us: gate_cycle(),
+        once_cycle_us: 0.0,
+        once_bytes_per_key: 0,
+    };
+    let (once_cycle_us, once_bytes_per_key) = once_costs()?;
+    let flat = Flat {
+        once_cycle_us,
+        once_bytes_per_key,
+        ..flat
+    };
+    Ok(Slopes { sizes, flat })
+}
+
+fn micros(elapsed: Duration, repeats: u32) -> f64 {
+    elapsed.as_secs_f64() * 1e6 / f64::from(repeats)
+}
+
+fn declaration(hosts: usize) -> String {
+    let data_centres: Vec<String> = (0..DATA_CENTRES)
+        .map(|n| format!(r#""dc{n}": {{"region": "r{}"}}"#, n % REGIONS))
+        .collect();
+    let upstreams: Vec<String> = (0..hosts)
+        .map(|n| {
+            let (high, low) = (n / 250, n % 250);
+            let data_centre = n % DATA_CENTRES;
+            format!(
+                r#"{{"host":"h{n}","data_centre":"dc{data_centre}","sidecar":"10.0.{high}.{low}:7000"}}"#
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"data_centres":{{{}}},"pools":{{"p":{{"kind":"engine","version":"v1","upstreams":[{}]}}}}}}"#,
+        data_centres.join(","),
+        upstreams.join(",")
+    )
+}
+
+fn members(hosts: usize) -> Vec<MemberDocument> {
+    (0..hosts)
+        .map(|n| MemberDocument {
+            host: format_smolstr!("h{n}"),
+            data_centre: format_smolstr!("dc{}", n % DATA_CENTRES),
+            address: format_smolstr!("10.0.{}.{}:7000", n / 250, n % 250),
+            state: MemberState::Live,
+        })
+        .collect()
+}
+
+fn slope(hosts: usize) -> Result<Slope, LabError> {
+    let text = declaration(hosts);
+    let declaration_bytes = text.len();
+    let mut acceptance = Acceptance::default();
+    let started = Instant::now();
+    acceptance.offer(FleetDocument {
+        revision: 1,
+        author: SmolStr::default(),
+        text,
+    });
+    let declaration_accept_us = micros(started.elapsed(), 1);
+    let fleet = match acceptance.in_force() {
+        Some(in_force) => in_force.fleet.clone(),
+        None => {
+            return Err(LabError::Waited {
+                what: "a valid declaration",
+                seconds: 0,
+            })
+        }
+    };
+
+    let members = members(hosts);
+    let list = MembersDocument {
+        generation: 1,
+        members: members.clone(),
+    };
+    let members_bytes = header::to_bytes(&list).map_or(0, |buf| buf.len());
+
+    let rng = Pcg64Mcg::seed_from_u64(1);
+    let before = resident_bytes()?;
+    let mut router = Router::new("entry".into(), "dc0".into(), Choice::TwoChoices, rng);
+    let started = Instant::now();
+    router.configure(Moment::ZERO, &fleet, &[]);
+    let router_configure_us = micros(started.elapsed(), 1);
+    let router_bytes = resident_bytes()?.saturating_sub(before);
+    let started = Instant::now();
+    for n in 0..REPEATS {
+        let now = Moment::from_micros(u64::from(n));
+        if let Some(key) = router.choose(now, "p", &Wanted::default()) {
+            router.end(key);
+        }
+    }
+    let router_choose_us = micros(started.elapsed(), REPEATS);
+
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    let started = Instant::now();
+    for _ in 0..100 {
+        push_targets(&members, "h0", "dc0", &mut rng);
+    }
+    let push_targets_us = micros(started.elapsed(), 100);
+    let (fetch_assign_us, fetch_next_us) = fetch_costs(members);
+    Ok(Slope {
+        hosts,
+        declaration_bytes,
+        declaration_accept_us,
+        members_bytes,
+        router_configure_us,
+        router_choose_us,
+        router_bytes,
+        push_targets_us,
+        fetch_assign_us,
+        fetch_next_us,
+    })
+}
+
+/// Chunks of the version whose fetch is planned.
+const CHUNKS: usize = 1_024;
+
+fn fetch_costs(members: Vec<MemberDocument>) -> (f64, f64) {
+    let participants = Participants {
+        host: "h0".into(),
+        data_centre: "dc0".into(),
+        members,
+    };
+    let rng = Pcg64Mcg::seed_from_u64(3);
+    let started = Instant::now();
+    let mut plan = FetchPlan::new(
+        Moment::ZERO,
+        "v2".into(),
+        CHUNKS,
+        Distribution::Owners,
+        participants,
+        rng,
+    );
+    let assign = micros(started.elapsed(), 1);
+    let started = Instant::now();
+    for n in 0..100 {
+        plan.next(Moment::from_millis(n));
+    }
+    (assign, micros(started.elapsed(), 100))
+}
+
+fn gate_cycle() -> f64 {
+    let mut gate = Gate::new(GateConfig {
+        bounds: LimitBounds {
+            cold: 8,
+            warm: 8,
+            warm_up: 0,
+            watch_speed: true,
+        },
+        queue_length: 64,
+        discipline: Discipline::Fair,
+    });
+    let started = Instant::now();
+    for n in 0..REPEATS {
+        let now = Moment::from_micros(u64::from(n));
+        let arrival = Arrival {
+            workspace: format_smolstr!("w{}", n % 10),
+            weight: 100,
+            priority: Priority::Normal,
+            cost: 20,
+            deadline: now + Moment::from_secs(10),
+        };
+        let (key, _) = gate.arrive(now, arrival);
+        let first_byte = Moment::from_micros(10);
+        gate.finish(now, key, Finish::Served { first_byte });
+    }
+    micros(started.elapsed(), REPEATS)
+}
+
+#[derive(Clone)]
+struct Answer([u8; 64]);
+
+impl Kept for Answer {
+    fn bytes(&self) -> usize {
+        self.0.len()
+    }
+}
+
+fn once_costs() -> Result<(f64, u64), LabError> {
+    const KEYS: u32 = 100_000;
+    let mut table = OnceTable::new(OnceConfig {
+        repeat_window: Moment::from_secs(600),
+        started_ms: 0,
+        started: Moment::ZERO,
+    });
+    let before = resident_bytes()?;
+    let started = Instant::now();
+    for n in 0..KEYS {
+        let key = format_smolstr!("workspace-{}/0192f3c4-7d1e-7a2b-9c3d-{n:012}", n % 10);
+        let now = Moment::from_secs(10);
+        table.begin(now, &key, Some(5_000));
+        table.end(now, &key, OnceEnd::Ran(Some(Answer([0; 64]))));
+    }
+    let cycle = micros(started.elapsed(), KEYS);
+    let bytes = resident_bytes()?.saturating_sub(before) / u64::from(KEYS);
+    Ok((cycle, bytes))
+}
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -124,6 +124,8 @@
     },
     /// The cost of the system.
     Overhead,
+    /// The cost of decisions as the fleet grows.
+    Slopes,
 }
 
 /// What to run.
@@ -242,6 +244,7 @@
             hosts: options.number("--hosts", 12)? as usize,
         },
         "overhead" => Experiment::Overhead,
+        "slopes" => Experiment::Slopes,
         _ => return Err(LabError::Command { command }),
     })
 }
--- a/crates/policy/src/fetch.rs
+++ b/crates/policy/src/fetch.rs
@@ -77,6 +77,47 @@
     },
 }
 
+/// Questions to peers after which a host asks the origin itself.
+const PATIENT_QUESTIONS: u32 = 40;
+
+/// Whom to ask for a version's manifest, for the `asked`th time.
+///
+/// One host of the fleet asks the origin and one of each data centre asks that host; the others ask
+/// a peer nearby at random, so that the manifest doubles its holders with each round.
+pub fn manifest_source(
+    version: &str,
+    host: &str,
+    data_centre: &str,
+    members: &[MemberDocument],
+    asked: u32,
+    luck: u64,
+) -> Source {
+    let names = members.iter().map(|m| m.host.as_str());
+    let first = rendezvous::owner(version.as_bytes(), names);
+    let near: Vec<&MemberDocument> = members
+        .iter()
+        .filter(|m| m.data_centre == data_centre)
+        .collect();
+    let nearest = rendezvous::owner(version.as_bytes(), near.iter().map(|m| m.host.as_str()));
+    if first == Some(host) || asked > PATIENT_QUESTIONS {
+        return Source::Origin;
+    }
+    let target = if nearest == Some(host) {
+        members.iter().find(|m| Some(m.host.as_str()) == first)
+    } else {
+        let others: Vec<_> = near.into_iter().filter(|m| m.host != host).collect();
+        others
+            .get((luck % others.len().max(1) as u64) as usize)
+            .copied()
+    };
+    let peer = target.and_then(|m| {
+        let address = m.address.parse().ok()?;
+        let host = m.host.clone();
+        Some(Source::Peer { host, address })
+    });
+    peer.unwrap_or(Source::Origin)
+}
+
 /// How a fetch failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FetchFailure {
@@ -261,7 +302,8 @@
             if self.held[chunk] || self.fetching.contains(&chunk) {
                 continue;
             }
-            match self.source_of(now, chunk, &nearby) {
+            let luck = self.rng.random();
+            match self.source_of(now, chunk, &nearby, luck) {
                 Some(source) => {
                     self.start(chunk, &source);
                     actions.push(FetchAction::Fetch { chunk, source });
@@ -294,13 +336,14 @@
         }
     }
 
-    /// From whom this host may fetch a chunk now.
-    fn source_of(&self, now: Moment, chunk: usize, nearby: &ChunkMap) -> Option<Source> {
+    /// From whom this host may fetch a chunk now; `luck` decides between even holders.
+    fn source_of(&self, now: Moment, chunk: usize, nearby: &ChunkMap, luck: u64) -> Option<Source> {
         if self.distribution == Distribution::Direct {
             return self.origin(now);
         }
         if self.owners.fleet[chunk] == self.host {
-            return self.origin(now).or_else(|| self.any_holder(now, chunk));
+            let holder = || self.any_holder(now, chunk, luck);
+            return self.origin(now).or_else(holder);
         }
         let expected = self.expected_holder(chunk);
         if self.owners.local[chunk] == self.host {
@@ -308,12 +351,12 @@
                 return self.peer(expected);
             }
         } else if nearby.has(chunk) {
-            if let Some(source) = self.local_holder(now, chunk) {
+            if let Some(source) = self.local_holder(now, chunk, luck) {
                 return Some(source);
             }
         }
         if self.may_bypass(now, expected) {
-            let holder = self.any_holder(now, chunk);
+            let holder = self.any_holder(now, chunk, luck);
             return holder.or_else(|| self.stand_in(now, chunk));
         }
         None
@@ -378,33 +421,36 @@
         avoided || gone || stalled
     }
 
-    /// The least busy peer of the own data centre that is known to hold the chunk.
+    /// A peer of the own data centre that is known to hold the chunk and not known to be busy.
     ///
     /// The owner is only the first to have it; were it the only sender, any time for which its link
     /// stood idle would be lost to the burst.
-    fn local_holder(&self, now: Moment, chunk: usize) -> Option<Source> {
+    fn local_holder(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
         let local = self.peers.iter();
         let local = local.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
-        self.least_busy(now, chunk, local.map(|(host, _)| host))
+        self.least_busy(now, chunk, local.map(|(host, _)| host), luck)
     }
 
     /// Any peer known to hold the chunk, one in the own data centre first.
-    fn any_holder(&self, now: Moment, chunk: usize) -> Option<Source> {
-        let local = self.local_holder(now, chunk);
-        local.or_else(|| self.least_busy(now, chunk, self.peers.keys()))
+    fn any_holder(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
+        let local = self.local_holder(now, chunk, luck);
+        local.or_else(|| self.least_busy(now, chunk, self.peers.keys(), luck))
     }
 
+    /// The holder that was least busy when last heard of; luck decides between even ones, so that
+    /// hosts do not all choose the same.
     fn least_busy<'h>(
         &self,
         now: Moment,
         chunk: usize,
         hosts: impl Iterator<Item = &'h SmolStr>,
+        luck: u64,
     ) -> Option<Source> {
         let holders = hosts.filter(|host| self.can_send(now, host, chunk));
         let best = holders.min_by_key(|host| {
             let view = self.views.get(*host);
             let busy = view.map_or(0, |view| view.uploads as usize + 2 * view.fetching);
-            (busy, rendezvous::weight(self.host.as_bytes(), host))
+            (busy, rendezvous::weight(&luck.to_le_bytes(), host))
         });
         self.peer(best?)
     }
