--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -71,7 +71,7 @@
         let mut response = response.map_err(|e| unreachable(address, &e))?;
         let body = response.body().limit(MAX_BYTES).await;
         let body = body.map_err(|e| unreachable(address, &e))?;
-        Ok(header::from_bytes(&body)?)
+        Ok(header::from_compressed(&body, MAX_BYTES as u64)?)
     }
 
     /// The declaration in force and every member with its status.
--- a/crates/daemon/src/audit.rs
+++ b/crates/daemon/src/audit.rs
@@ -43,18 +43,9 @@
 pub struct Entry {
     /// Milliseconds since the Unix epoch.
     pub at_ms: u64,
-    /// Who caused it: an author, a peer, or the process itself.
-    pub who: SmolStr,
-    /// What kind of change.
-    pub action: Action,
-    /// What stood before.
-    pub from: SmolStr,
-    /// What stands now, or would.
-    pub to: SmolStr,
-    /// Whether it is in force.
-    pub verdict: Verdict,
-    /// Why, in words.
-    pub why: SmolStr,
+    /// The change.
+    #[serde(flatten)]
+    pub record: Record,
 }
 
 /// The last entries of the trail, which also go to standard output.
@@ -65,9 +56,9 @@
 }
 
 /// A change to be recorded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Record {
-    /// Who caused it.
+    /// Who caused it: an author, a peer, or the process itself.
     pub who: SmolStr,
     /// What kind of change.
     pub action: Action,
@@ -81,6 +72,20 @@
     pub why: SmolStr,
 }
 
+impl Record {
+    /// The start or the stop of a process.
+    pub fn process(host: &str, role: &str, to: &str) -> Self {
+        Self {
+            who: host.into(),
+            action: Action::Process,
+            from: "".into(),
+            to: to.into(),
+            verdict: Verdict::Accepted,
+            why: role.into(),
+        }
+    }
+}
+
 impl Audit {
     /// An empty trail.
     pub fn new(clock: Clock) -> Self {
@@ -94,12 +99,7 @@
     pub fn record(&self, record: Record) {
         let entry = Entry {
             at_ms: self.clock.unix_ms(),
-            who: record.who,
-            action: record.action,
-            from: record.from,
-            to: record.to,
-            verdict: record.verdict,
-            why: record.why,
+            record,
         };
         if let Ok(line) = serde_json::to_string(&entry) {
             println!("{line}");
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use awc::{error::SendRequestError, Client};
-use balsamjunction_protocol::{header, ProtocolError};
+use balsamjunction_protocol::{header, paths, ProtocolError, PullAnswer, PullRequest};
+use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use serde::{de::DeserializeOwned, Serialize};
 
@@ -39,6 +40,28 @@
     message: &Q,
     timeout: Duration,
 ) -> Result<A, PeerError> {
+    let buf = exchange(client, address, path, message, timeout).await?;
+    Ok(header::from_bytes(&buf)?)
+}
+
+/// Asks a peer for what it knows; the answer comes compressed.
+pub async fn pull(
+    client: &Client,
+    address: SocketAddr,
+    request: &PullRequest,
+    timeout: Duration,
+) -> Result<PullAnswer, PeerError> {
+    let buf = exchange(client, address, paths::PULL, request, timeout).await?;
+    Ok(header::from_compressed(&buf, MAX_MESSAGE_BYTES as u64)?)
+}
+
+async fn exchange<Q: Serialize>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    message: &Q,
+    timeout: Duration,
+) -> Result<Bytes, PeerError> {
     let buf = header::to_bytes(message)?;
     let request = client.post(format!("http://{address}{path}"));
     let mut response = request.timeout(timeout).send_body(buf).await?;
@@ -46,6 +69,5 @@
         let status = response.status().as_u16();
         return Err(PeerError::Status { status });
     }
-    let buf = response.body().limit(MAX_MESSAGE_BYTES).await?;
-    Ok(header::from_bytes(&buf)?)
+    Ok(response.body().limit(MAX_MESSAGE_BYTES).await?)
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -217,7 +217,6 @@
             once: self.call.once.clone(),
             fingerprint: self.fingerprint,
             revision: self.revision,
-            version: None,
             lateness_percent: self.context.lateness_percent(target),
         }
     }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -21,7 +21,7 @@
 
 use self::context::EntryContext;
 use crate::{
-    audit::{Action, Audit, Record, Verdict},
+    audit::{Audit, Record},
     clock::Clock,
     error::DaemonError,
     fleet::{FleetState, Spread},
@@ -85,23 +85,12 @@
         "entry {} listens on {}",
         settings.peer.host, settings.listen
     );
-    audit.record(process_record(&settings.peer.host, "started"));
+    audit.record(Record::process(&settings.peer.host, "entry", "started"));
 
     process::stop_signal().await?;
     info!("entry {} drains", settings.peer.host);
     context.lifecycle.stop();
     process::drain(|| context.in_progress.load(Ordering::Acquire), &handles).await;
-    audit.record(process_record(&settings.peer.host, "stopped"));
+    audit.record(Record::process(&settings.peer.host, "entry", "stopped"));
     Ok(())
 }
-
-fn process_record(host: &str, to: &str) -> Record {
-    Record {
-        who: host.into(),
-        action: Action::Process,
-        from: "".into(),
-        to: to.into(),
-        verdict: Verdict::Accepted,
-        why: "entry".into(),
-    }
-}
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -4,6 +4,6 @@
 pub mod state;
 
 pub use self::{
-    spread::{Announce, Renew, Spread, Suspect},
+    spread::{Renew, Spread, Suspect},
     state::{FleetState, Snapshot},
 };
--- a/crates/daemon/src/fleet/spread.rs
+++ b/crates/daemon/src/fleet/spread.rs
@@ -1,14 +1,14 @@
 //! Spreads declarations, members and crash records among the processes.
 //!
-//! A few elected processes of each data centre watch the platform; news is pushed to a few peers at
-//! once and pulled by everybody from a random peer every second. See docs/DESIGN.md, "Configuration".
+//! A few elected processes of each data centre watch the platform; news is announced to a few peers at
+//! once, who pull it, and everybody pulls from a random peer every second. See docs/DESIGN.md, "Configuration".
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, ResponseFuture, WrapFuture};
 use awc::Client;
 use balsamjunction_policy::{election, pause::PauseWatch, spread as policy};
-use balsamjunction_protocol::{paths, Crash, PullAnswer, PushRequest, PROTOCOL_VERSION};
+use balsamjunction_protocol::{paths, Announcement, Crash, PROTOCOL_VERSION};
 use log::{debug, info, warn};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -45,11 +45,6 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Done {}
 
-/// Pushes the current declaration and list to a few peers.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Announce;
-
 /// Pulls from a peer that seems to know more.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -74,6 +69,7 @@
     client: Client,
     fleet: WatchedHttp,
     members: WatchedHttp,
+    pulling: Cell<bool>,
 }
 
 impl Spread {
@@ -88,6 +84,7 @@
             client,
             fleet,
             members,
+            pulling: Cell::new(false),
         };
         Self {
             link: Rc::new(link),
@@ -113,23 +110,20 @@
     }
 }
 
-impl Handler<Announce> for Spread {
-    type Result = ();
-
-    fn handle(&mut self, _: Announce, ctx: &mut Self::Context) {
-        let link = self.link.clone();
-        ctx.spawn(async move { link.push().await }.into_actor(self));
-    }
-}
-
 impl Handler<Suspect> for Spread {
     type Result = ();
 
     fn handle(&mut self, suspect: Suspect, ctx: &mut Self::Context) {
         let link = self.link.clone();
+        if link.pulling.replace(true) {
+            // Many peers tell the same news; one of them is enough.
+            return;
+        }
         let pull = async move {
-            if link.pull(suspect.peer).await.unwrap_or(false) {
-                link.push().await;
+            let news = link.pull(suspect.peer).await;
+            link.pulling.set(false);
+            if news.unwrap_or(false) {
+                link.announce().await;
             }
         };
         ctx.spawn(pull.into_actor(self));
@@ -181,8 +175,7 @@
 
     async fn pull(&self, peer: SocketAddr) -> Result<bool, PeerError> {
         let request = self.state.pull_request();
-        let answer: PullAnswer =
-            client::call(&self.client, peer, paths::PULL, &request, PEER_TIMEOUT).await?;
+        let answer = client::pull(&self.client, peer, &request, PEER_TIMEOUT).await?;
         Ok(self.state.accept_pull(answer, &format_smolstr!("{peer}")))
     }
 
@@ -192,7 +185,7 @@
         let peer = &self.state.peer;
         let members = &snapshot.members.members;
         let mut heard = false;
-        for target in policy::push_targets(members, &peer.host, &peer.data_centre, &mut rng()) {
+        for target in policy::announce_targets(members, &peer.host, &peer.data_centre, &mut rng()) {
             if let Ok(address) = target.address.parse() {
                 heard |= self.pull(address).await.is_ok();
             }
@@ -216,34 +209,34 @@
                 continue;
             };
             match self.pull(address).await {
-                Ok(true) => self.push().await,
+                Ok(true) => self.announce().await,
                 Ok(false) => {}
                 Err(e) => debug!("pull from {address} failed: {e}"),
             }
         }
     }
 
-    async fn push(&self) {
+    async fn announce(&self) {
         let snapshot = self.state.snapshot();
-        let fleet = snapshot.in_force.as_ref();
-        let request = PushRequest {
+        let peer = &self.state.peer;
+        let news = Announcement {
             v: PROTOCOL_VERSION,
-            fleet: fleet.map(|f| f.document.as_ref().clone()),
-            members: Some(snapshot.members.as_ref().clone()),
+            revision: snapshot.revision(),
+            generation: snapshot.members.generation,
+            from: format_smolstr!("{}", peer.advertise),
         };
-        let peer = &self.state.peer;
         let members = &snapshot.members.members;
-        let targets = policy::push_targets(members, &peer.host, &peer.data_centre, &mut rng());
+        let targets = policy::announce_targets(members, &peer.host, &peer.data_centre, &mut rng());
         let addresses = targets.iter().filter_map(|m| m.address.parse().ok());
-        let pushes = addresses.map(|address| self.push_to(address, &request));
-        futures_util::future::join_all(pushes).await;
+        let announcements = addresses.map(|address| self.announce_to(address, &news));
+        futures_util::future::join_all(announcements).await;
     }
 
-    async fn push_to(&self, address: SocketAddr, request: &PushRequest) {
-        let pushed: Result<Done, _> =
-            client::call(&self.client, address, paths::PUSH, request, PEER_TIMEOUT).await;
-        if let Err(e) = pushed {
-            debug!("push to {address} failed: {e}");
+    async fn announce_to(&self, address: SocketAddr, news: &Announcement) {
+        let told: Result<Done, _> =
+            client::call(&self.client, address, paths::ANNOUNCE, news, PEER_TIMEOUT).await;
+        if let Err(e) = told {
+            debug!("{address} was not told: {e}");
         }
     }
 
@@ -259,7 +252,7 @@
         match ConfigSource::watch(&self.fleet, self.state.revision(), wait).await {
             Ok(Some(document)) => {
                 if self.state.offer(document, "configuration service") {
-                    self.push().await;
+                    self.announce().await;
                 }
                 true
             }
@@ -298,7 +291,7 @@
             match Membership::watch(&self.members, generation, WATCH_WAIT).await {
                 Ok(Some(members)) => {
                     if self.state.offer_members(members) {
-                        self.push().await;
+                        self.announce().await;
                     }
                 }
                 Ok(None) => {}
--- a/crates/daemon/src/fleet/state.rs
+++ b/crates/daemon/src/fleet/state.rs
@@ -156,9 +156,6 @@
 
     /// What this process tells a peer that asks.
     pub fn answer_pull(&self, request: &PullRequest) -> PullAnswer {
-        for crash in &request.crashes {
-            self.add_crash(crash.clone());
-        }
         let snapshot = self.snapshot();
         let fleet = snapshot
             .in_force
@@ -172,7 +169,16 @@
             members,
             revision: snapshot.revision(),
             generation: snapshot.members.generation,
-            crashes: lock(&self.crashes).records(),
+            crashes: self.crashes_unless(request.crash_digest),
+        }
+    }
+
+    /// The known crashes, if a peer knows others.
+    fn crashes_unless(&self, digest: u64) -> Vec<Crash> {
+        let crashes = lock(&self.crashes);
+        match crashes.digest() == digest {
+            true => Vec::new(),
+            false => crashes.records(),
         }
     }
 
@@ -183,7 +189,7 @@
             v: PROTOCOL_VERSION,
             revision: snapshot.revision(),
             generation: snapshot.members.generation,
-            crashes: lock(&self.crashes).records(),
+            crash_digest: lock(&self.crashes).digest(),
         }
     }
 
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -9,19 +9,21 @@
     HttpResponse, ResponseError,
 };
 use balsamjunction_protocol::{
-    header, paths, Crash, PeerStatus, ProtocolError, PullRequest, PushRequest, PROTOCOL_VERSION,
+    header, paths, Announcement, Crash, PeerStatus, ProtocolError, PullRequest, PROTOCOL_VERSION,
 };
 use derive_more::{Display, Error, From};
 use serde::Serialize;
 
 use crate::{
     audit::{Action, Audit, Record, Verdict},
-    fleet::{spread::Done, Announce, FleetState, Spread},
+    fleet::{spread::Done, FleetState, Spread, Suspect},
     metrics::Metrics,
 };
 
 /// The longest message of a peer.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// The media type of messages between processes.
+const MESSAGE_TYPE: &str = "application/msgpack";
 /// The media type of OpenMetrics.
 const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -69,7 +71,7 @@
 pub fn message<T: Serialize>(message: &T) -> Result<HttpResponse, InnerError> {
     let body = header::to_bytes(message)?;
     Ok(HttpResponse::Ok()
-        .insert_header((CONTENT_TYPE, "application/msgpack"))
+        .insert_header((CONTENT_TYPE, MESSAGE_TYPE))
         .body(body))
 }
 
@@ -86,7 +88,7 @@
 pub fn routes(cfg: &mut ServiceConfig) {
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
         .route(paths::PULL, web::post().to(pull))
-        .route(paths::PUSH, web::post().to(push))
+        .route(paths::ANNOUNCE, web::post().to(announced))
         .route(paths::CRASH, web::post().to(crash))
         .route(paths::STATUS, web::get().to(status))
         .route(paths::AUDIT, web::get().to(audit))
@@ -98,18 +100,20 @@
 async fn pull(inner: Data<Inner>, body: Bytes) -> Result<HttpResponse, InnerError> {
     let request: PullRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
-    message(&inner.state.answer_pull(&request))
+    let body = header::to_compressed(&inner.state.answer_pull(&request))?;
+    Ok(HttpResponse::Ok()
+        .insert_header((CONTENT_TYPE, MESSAGE_TYPE))
+        .body(body))
 }
 
-async fn push(inner: Data<Inner>, body: Bytes) -> Result<HttpResponse, InnerError> {
-    let request: PushRequest = header::from_bytes(&body)?;
-    check_version(request.v)?;
-    let members = request
-        .members
-        .is_some_and(|m| inner.state.offer_members(m));
-    let fleet = request.fleet.is_some_and(|f| inner.state.offer(f, "peer"));
-    if members || fleet {
-        inner.spread.do_send(Announce);
+async fn announced(inner: Data<Inner>, body: Bytes) -> Result<HttpResponse, InnerError> {
+    let news: Announcement = header::from_bytes(&body)?;
+    check_version(news.v)?;
+    let snapshot = inner.state.snapshot();
+    let behind =
+        news.revision > snapshot.revision() || news.generation > snapshot.members.generation;
+    if let (true, Ok(peer)) = (behind, news.from.parse()) {
+        inner.spread.do_send(Suspect { peer });
     }
     message(&Done {})
 }
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod upstream;
 mod weights;
 mod weights_http;
+mod weights_link;
 
 use std::{
     sync::{atomic::Ordering, Arc},
@@ -30,7 +31,7 @@
     weights::{FleetChanged, Weights},
 };
 use crate::{
-    audit::{Action, Audit, Record, Verdict},
+    audit::{Audit, Record},
     clock::Clock,
     error::DaemonError,
     fleet::{FleetState, Renew, Spread},
@@ -92,28 +93,17 @@
     let handle = server.handle();
     actix_rt::spawn(server);
     info!("sidecar {host} stands before {}", context.settings.upstream);
-    audit.record(process_record(&host, "started"));
+    audit.record(Record::process(&host, "sidecar", "started"));
 
     process::stop_signal().await?;
     info!("sidecar {host} drains");
     context.lifecycle.stop();
     context.gate.set_draining(true);
     process::drain(|| context.in_progress.load(Ordering::Acquire), &[handle]).await;
-    audit.record(process_record(&host, "stopped"));
+    audit.record(Record::process(&host, "sidecar", "stopped"));
     Ok(())
 }
 
-fn process_record(host: &str, to: &str) -> Record {
-    Record {
-        who: host.into(),
-        action: Action::Process,
-        from: "".into(),
-        to: to.into(),
-        verdict: Verdict::Accepted,
-        why: "sidecar".into(),
-    }
-}
-
 async fn follow_fleet(context: Arc<SidecarContext>, weights: Addr<Weights>) {
     let mut changes = context.state.subscribe();
     loop {
--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights.rs
@@ -3,21 +3,16 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, WrapFuture};
-use awc::Client;
 use balsamjunction_policy::{
     fence::Fence,
-    fetch::{
-        manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
-    },
+    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
     turnover::{predecessor, Stage, Turnover, TurnoverAction, TurnoverEvent},
 };
 use balsamjunction_protocol::{
-    header, paths,
     platform::{EngineOrder, EngineState, Manifest},
-    HaveAnswer, HaveRequest, MemberDocument, MemberState, PROTOCOL_VERSION,
+    HaveAnswer,
 };
 use balsamjunction_settings::{PoolKind, ValueKey};
-use bytes::Bytes;
 use log::{debug, info, warn};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -27,16 +22,11 @@
     context::{Post, SidecarContext},
     gatekeeper::VersionGate,
     pacing::Pacing,
-    weights_http::{DATA_CENTRE_HEADER, HELD_HEADER},
+    weights_link::{Arrival, Link},
 };
 use crate::{
     audit::{Action, Record, Verdict},
-    client,
-    platform::{
-        engine_http::EngineHttp,
-        store_http::{self, StoreHttp, MAX_CHUNK_BYTES},
-        Engine, PlatformError, WeightStore,
-    },
+    platform::{engine_http::EngineHttp, store_http::StoreHttp, PlatformError, WeightStore},
 };
 
 /// How often the fetch plan is asked for what to do.
@@ -45,10 +35,6 @@
 const ENGINE_TURN: Duration = Duration::from_millis(50);
 /// Turns that are left out between questions while nothing is under way.
 const IDLE_TURNS: u32 = 5;
-/// A peer that does not say in this time what it holds is passed over.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// A peer that does not send a chunk in this time is stalled.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(4);
 /// An engine must not carry an order out later than this.
 const ORDER_LIFETIME: Duration = Duration::from_secs(5);
 /// Pause before a manifest is asked for again.
@@ -56,7 +42,7 @@
 
 /// The actor that brings wanted versions to this host and its engine.
 pub struct Weights {
-    shared: Rc<Shared>,
+    link: Rc<Link>,
     turnover: Turnover,
     plan: Option<FetchPlan>,
     boot: SmolStr,
@@ -65,14 +51,6 @@
     idle_turns: u32,
 }
 
-struct Shared {
-    context: Arc<SidecarContext>,
-    pacing: Arc<Pacing>,
-    client: Client,
-    origin: Option<Box<dyn WeightStore>>,
-    engine: Box<dyn Engine>,
-}
-
 /// Declaration or membership changed.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -106,12 +84,6 @@
     arrival: Option<Arrival>,
 }
 
-/// A chunk as it came, with what its sender holds besides.
-struct Arrival {
-    buf: Bytes,
-    sender_holds: Option<HaveAnswer>,
-}
-
 impl Weights {
     /// An actor that has not started.
     pub fn new(context: Arc<SidecarContext>, pacing: Arc<Pacing>) -> Self {
@@ -121,7 +93,7 @@
             Box::new(StoreHttp::new(client.clone(), address)) as Box<dyn WeightStore>
         });
         let engine = Box::new(EngineHttp::new(client.clone(), settings.upstream));
-        let shared = Shared {
+        let link = Link {
             origin,
             engine,
             client,
@@ -129,7 +101,7 @@
             context,
         };
         Self {
-            shared: Rc::new(shared),
+            link: Rc::new(link),
             turnover: Turnover::default(),
             plan: None,
             boot: SmolStr::default(),
@@ -140,12 +112,12 @@
     }
 
     fn engine_post(&self) -> Option<Post> {
-        let post = self.shared.context.post();
+        let post = self.link.context.post();
         post.filter(|post| post.kind == PoolKind::Engine)
     }
 
     fn handle_event(&mut self, event: TurnoverEvent, ctx: &mut Context<Self>) {
-        let now = self.shared.context.clock.now();
+        let now = self.link.context.clock.now();
         for action in self.turnover.handle(now, event) {
             self.act(action, ctx);
         }
@@ -153,7 +125,7 @@
     }
 
     fn act(&mut self, action: TurnoverAction, ctx: &mut Context<Self>) {
-        let gate = &self.shared.context.gate;
+        let gate = &self.link.context.gate;
         match action {
             TurnoverAction::Fetch(version) => self.start_fetch(version, ctx),
             TurnoverAction::OrderLoad(version) => self.order(version, Order::Load, ctx),
@@ -161,7 +133,7 @@
             TurnoverAction::Hold => gate.set_version(VersionGate::Switching),
             TurnoverAction::Refuse => gate.set_version(VersionGate::None),
             TurnoverAction::Serve(version) => {
-                let old = self.shared.context.versions().serving.clone();
+                let old = self.link.context.versions().serving.clone();
                 // Requests are pinned to what is published here, so it comes before they flow.
                 self.publish();
                 gate.set_version(VersionGate::Open);
@@ -175,9 +147,9 @@
         if old == new {
             return;
         }
-        let host = &self.shared.context.settings.peer.host;
+        let host = &self.link.context.settings.peer.host;
         info!("engine on {host} serves {new}");
-        self.shared.context.state.audit.record(Record {
+        self.link.context.state.audit.record(Record {
             who: host.clone(),
             action: Action::Version,
             from: old,
@@ -189,7 +161,7 @@
 
     /// Shows operators and the request path where the turnover stands.
     fn publish(&self) {
-        let mut versions = self.shared.context.versions();
+        let mut versions = self.link.context.versions();
         versions.serving = self.turnover.serving().cloned();
         versions.wanted = self.turnover.wanted().cloned();
         versions.stage = SmolStr::new_static(self.turnover.stage().into());
@@ -203,9 +175,9 @@
         self.plan = None;
         let serving = self.turnover.serving().cloned();
         let keep: Vec<&SmolStr> = serving.iter().chain([&version]).collect();
-        self.shared.context.chunks.retain(&keep);
+        self.link.context.chunks.retain(&keep);
         {
-            let mut versions = self.shared.context.versions();
+            let mut versions = self.link.context.versions();
             versions.chunks_total = 0;
             versions.chunks_held = 0;
         }
@@ -214,13 +186,13 @@
     }
 
     fn ask_manifest(&mut self, version: SmolStr, ctx: &mut Context<Self>) {
-        let shared = self.shared.clone();
+        let link = self.link.clone();
         let addr = ctx.address();
         let ask = async move {
             let mut asked = 0;
-            while shared.wanted(&version) {
+            while link.wanted(&version) {
                 asked += 1;
-                match shared.find_manifest(&version, asked).await {
+                match link.find_manifest(&version, asked).await {
                     Some(manifest) => {
                         addr.do_send(ManifestKnown(manifest));
                         return;
@@ -233,11 +205,11 @@
     }
 
     fn participants(&self, post: &Post) -> Participants {
-        let peer = &self.shared.context.settings.peer;
+        let peer = &self.link.context.settings.peer;
         Participants {
             host: peer.host.clone(),
             data_centre: peer.data_centre.clone(),
-            members: self.shared.context.pool_members(post),
+            members: self.link.context.pool_members(post),
         }
     }
 
@@ -245,16 +217,16 @@
         if self.turnover.stage() == Stage::Settled {
             return;
         }
-        let now = self.shared.context.clock.now();
+        let now = self.link.context.clock.now();
         if let Some(plan) = &mut self.plan {
             for action in plan.next(now) {
-                let shared = self.shared.clone();
+                let link = self.link.clone();
                 let addr = ctx.address();
                 let version = plan.version().clone();
                 match action {
                     FetchAction::Fetch { chunk, source } => {
                         let fetch = async move {
-                            let fetched = shared.fetch(&version, chunk, &source).await;
+                            let fetched = link.fetch(&version, chunk, &source).await;
                             let missed =
                                 |e: &PlatformError| debug!("chunk {chunk} did not come: {e}");
                             let arrival = fetched.inspect_err(missed).ok();
@@ -269,7 +241,7 @@
                     }
                     FetchAction::Probe { host, address } => {
                         let probe = async move {
-                            let answer = shared.have(address, &version).await;
+                            let answer = link.have(address, &version).await;
                             addr.do_send(Probed { host, answer });
                         };
                         actix_rt::spawn(probe);
@@ -277,12 +249,12 @@
                 }
             }
         }
-        let running = self.shared.context.gate.load().running;
+        let running = self.link.context.gate.load().running;
         self.handle_event(TurnoverEvent::Running(running), ctx);
     }
 
     fn engine_turn(&mut self, ctx: &mut Context<Self>) {
-        if self.engine_post().is_none() || self.shared.context.beliefs_stale() {
+        if self.engine_post().is_none() || self.link.context.beliefs_stale() {
             return;
         }
         self.ask_for_turn(ctx);
@@ -293,10 +265,10 @@
         }
         self.idle_turns = 0;
         self.polling = true;
-        let shared = self.shared.clone();
+        let link = self.link.clone();
         let addr = ctx.address();
         actix_rt::spawn(async move {
-            let state = shared.engine.state().await;
+            let state = link.engine.state().await;
             let silent = |e: &PlatformError| debug!("engine does not answer: {e}");
             addr.do_send(EngineSeen(state.inspect_err(silent).ok()));
         });
@@ -311,10 +283,10 @@
         else {
             return;
         };
-        let members = self.shared.context.pool_members(&post);
+        let members = self.link.context.pool_members(&post);
         let hosts: Vec<SmolStr> = members.iter().map(|m| m.host.clone()).collect();
         let percent = post.pool_value(ValueKey::TurnoverPercent);
-        let host = &self.shared.context.settings.peer.host;
+        let host = &self.link.context.settings.peer.host;
         let Some(before) = predecessor(&wanted, host, &hosts, percent) else {
             self.handle_event(TurnoverEvent::MayTurn(true), ctx);
             return;
@@ -324,10 +296,10 @@
             return;
         };
         self.asking_turn = true;
-        let shared = self.shared.clone();
+        let link = self.link.clone();
         let addr = ctx.address();
         actix_rt::spawn(async move {
-            let answer = shared.have(address, &wanted).await;
+            let answer = link.have(address, &wanted).await;
             // A host that is gone cannot serve the old version either; waiting for it helps nobody.
             let may = answer.is_none_or(|answer| answer.serving);
             addr.do_send(Event(TurnoverEvent::MayTurn(may)));
@@ -335,7 +307,7 @@
     }
 
     fn order(&mut self, version: SmolStr, order: Order, ctx: &mut Context<Self>) {
-        let context = &self.shared.context;
+        let context = &self.link.context;
         if context.beliefs_stale() {
             return;
         }
@@ -348,12 +320,12 @@
             not_after_ms: not_after,
             weights: Some(format_smolstr!("http://{listen}/weights")),
         };
-        let shared = self.shared.clone();
+        let link = self.link.clone();
         let addr = ctx.address();
         actix_rt::spawn(async move {
             let taken = match order {
-                Order::Load => shared.engine.load(message).await,
-                Order::Switch => shared.engine.switch(message).await,
+                Order::Load => link.engine.load(message).await,
+                Order::Switch => link.engine.switch(message).await,
             };
             if let Err(e) = &taken {
                 warn!("engine did not take the order to {order:?}: {e}");
@@ -369,126 +341,6 @@
     Switch,
 }
 
-impl Shared {
-    fn wanted(&self, version: &str) -> bool {
-        self.context.versions().wanted.as_deref() == Some(version)
-    }
-
-    /// The manifest, from the origin if this host is to ask there, else from a peer.
-    async fn find_manifest(&self, version: &str, asked: u32) -> Option<Manifest> {
-        if let Some(manifest) = self.context.chunks.manifest(version) {
-            return Some(manifest);
-        }
-        let post = self.context.post()?;
-        let members = self.context.pool_members(&post);
-        let peer = &self.context.settings.peer;
-        let luck = rand::random();
-        match manifest_source(
-            version,
-            &peer.host,
-            &peer.data_centre,
-            &members,
-            asked,
-            luck,
-        ) {
-            Source::Origin => {
-                let manifest = self.origin.as_ref()?.manifest(version).await;
-                let missed = |e: &PlatformError| debug!("manifest of {version} did not come: {e}");
-                manifest.inspect_err(missed).ok()
-            }
-            Source::Peer { address, .. } => {
-                let url = format!("http://{address}{}/{version}", paths::MANIFEST);
-                let body = store_http::get(&self.client, url, MAX_CHUNK_BYTES, PROBE_TIMEOUT).await;
-                serde_json::from_slice(&body.ok()?).ok()
-            }
-        }
-    }
-
-    async fn have(&self, address: std::net::SocketAddr, version: &SmolStr) -> Option<HaveAnswer> {
-        let request = HaveRequest {
-            v: PROTOCOL_VERSION,
-            version: version.clone(),
-        };
-        let answer = client::call(&self.client, address, paths::HAVE, &request, PROBE_TIMEOUT);
-        answer.await.ok()
-    }
-
-    async fn fetch(
-        &self,
-        version: &str,
-        chunk: usize,
-        source: &Source,
-    ) -> Result<Arrival, PlatformError> {
-        let manifest = self.context.chunks.manifest(version);
-        let expected = manifest.map_or(0, |manifest| manifest.length_of(chunk));
-        let wait = self.pacing.receive(expected);
-        if wait > Duration::ZERO {
-            actix_rt::time::sleep(wait).await;
-        }
-        let arrival = match (source, &self.origin) {
-            (Source::Origin, Some(origin)) => Arrival {
-                buf: origin.chunk(version, chunk).await?,
-                sender_holds: None,
-            },
-            (Source::Origin, None) => return Err(PlatformError::Status { status: 404 }),
-            (Source::Peer { address, .. }, _) => {
-                self.fetch_from_peer(*address, version, chunk).await?
-            }
-        };
-        if arrival.buf.len() != expected {
-            let found = arrival.buf.len();
-            return Err(PlatformError::Length { found, expected });
-        }
-        Ok(arrival)
-    }
-
-    async fn fetch_from_peer(
-        &self,
-        address: std::net::SocketAddr,
-        version: &str,
-        chunk: usize,
-    ) -> Result<Arrival, PlatformError> {
-        let url = format!("http://{address}{}/{version}/{chunk}", paths::CHUNK);
-        let data_centre = self.context.settings.peer.data_centre.as_str();
-        let request = self.client.get(url).timeout(CHUNK_TIMEOUT);
-        let request = request.insert_header((DATA_CENTRE_HEADER, data_centre));
-        let mut response = request.send().await?.timeout(CHUNK_TIMEOUT);
-        if !response.status().is_success() {
-            let status = response.status().as_u16();
-            return Err(PlatformError::Status { status });
-        }
-        let held = response.headers().get(HELD_HEADER);
-        let sender_holds = held.and_then(|value| header::from_header(value.to_str().ok()?).ok());
-        let buf = response.body().limit(MAX_CHUNK_BYTES).await?;
-        Ok(Arrival { buf, sender_holds })
-    }
-}
-
-impl SidecarContext {
-    /// The live hosts of this sidecar's pool, this one included.
-    pub fn pool_members(&self, post: &Post) -> Vec<MemberDocument> {
-        let snapshot = self.state.snapshot();
-        let Some(pool) = post.fleet.pools.get(&post.pool) else {
-            return Vec::new();
-        };
-        let own = &self.settings.peer.host;
-        let live = |host: &SmolStr| {
-            let members = &snapshot.members.members;
-            let mut known = members.iter().filter(|m| m.host == *host);
-            host == own || known.any(|m| m.state == MemberState::Live)
-        };
-        let upstreams = pool.upstreams.iter().filter(|u| live(&u.host));
-        upstreams
-            .map(|upstream| MemberDocument {
-                host: upstream.host.clone(),
-                data_centre: upstream.data_centre.clone(),
-                address: format_smolstr!("{}", upstream.sidecar),
-                state: MemberState::Live,
-            })
-            .collect()
-    }
-}
-
 impl Actor for Weights {
     type Context = Context<Self>;
 
@@ -503,7 +355,7 @@
     type Result = ();
 
     fn handle(&mut self, _: FleetChanged, ctx: &mut Self::Context) {
-        self.shared.pacing.follow();
+        self.link.pacing.follow();
         let Some(post) = self.engine_post() else {
             return;
         };
@@ -514,7 +366,7 @@
         let pool = post.fleet.pools.get(&post.pool);
         let wanted = pool.and_then(|pool| pool.version.clone());
         // Published first: the search for a manifest ends when its version is not wanted.
-        self.shared.context.versions().wanted = wanted.clone();
+        self.link.context.versions().wanted = wanted.clone();
         self.handle_event(TurnoverEvent::Wanted(wanted), ctx);
     }
 }
@@ -540,7 +392,7 @@
                 if state.boot != self.boot {
                     // A restarted engine is cold, whatever it was before.
                     self.boot = state.boot;
-                    self.shared.context.gate.make_cold();
+                    self.link.context.gate.make_cold();
                 }
                 let event = TurnoverEvent::Engine {
                     serving: state.serving,
@@ -562,18 +414,18 @@
         let Some(post) = self.engine_post() else {
             return;
         };
-        if !self.shared.wanted(&version) {
+        if !self.link.wanted(&version) {
             return;
         }
         let chunks = manifest.chunks.len();
-        self.shared.context.chunks.open(manifest);
-        self.shared.context.versions().chunks_total = chunks as u32;
-        let held = self.shared.context.chunks.map(&version);
-        let distribution = match self.shared.context.settings.from_peers {
+        self.link.context.chunks.open(manifest);
+        self.link.context.versions().chunks_total = chunks as u32;
+        let held = self.link.context.chunks.map(&version);
+        let distribution = match self.link.context.settings.from_peers {
             true => Distribution::Owners,
             false => Distribution::Direct,
         };
-        let now = self.shared.context.clock.now();
+        let now = self.link.context.clock.now();
         let rng = Pcg64Mcg::from_rng(&mut rand::rng());
         let participants = self.participants(&post);
         let mut plan = FetchPlan::new(
@@ -599,7 +451,7 @@
     type Result = ();
 
     fn handle(&mut self, probed: Probed, _: &mut Self::Context) {
-        let now = self.shared.context.clock.now();
+        let now = self.link.context.clock.now();
         if let Some(plan) = &mut self.plan {
             plan.probed(now, &probed.host, probed.answer);
         }
@@ -616,7 +468,7 @@
         if *plan.version() != fetched.version {
             return;
         }
-        let context = &self.shared.context;
+        let context = &self.link.context;
         let now = context.clock.now();
         let chunk = fetched.chunk;
         match fetched.arrival {
@@ -647,20 +499,3 @@
         self.fetch_turn(ctx);
     }
 }
-
-impl SidecarContext {
-    fn count_bytes(&self, source: &Source, bytes: u64) {
-        let metrics = &self.state.metrics;
-        let mut versions = self.versions();
-        match source {
-            Source::Origin => {
-                versions.origin_bytes += bytes;
-                metrics.origin_bytes.inc_by(bytes);
-            }
-            Source::Peer { .. } => {
-                versions.peer_bytes += bytes;
-                metrics.peer_bytes.inc_by(bytes);
-            }
-        }
-    }
-}
--- a/crates/lab/src/experiment/config.rs
+++ b/crates/lab/src/experiment/config.rs
@@ -12,7 +12,11 @@
 use serde_json::json;
 use smol_str::SmolStr;
 
-use super::{fleet::pass, Outcome};
+use super::{
+    fleet::pass,
+    overhead::{cpu_seconds, peak_bytes},
+    Outcome,
+};
 use crate::{
     bench::{
         control::get_json,
@@ -45,6 +49,10 @@
     /// Calls a second to the service in quiet times, each waiting watch counted as one.
     service_calls_per_second: f64,
     waiting_watches: u64,
+    /// Processor time of a daemon in quiet times, in percent of a core, on average.
+    idle_core_percent: f64,
+    /// The most memory that any daemon has held.
+    daemon_peak_bytes: u64,
 }
 
 impl Outcome for Config {
@@ -80,7 +88,11 @@
         change(&mut bench, &mut rng).await?;
         watcher.wait(&bench, Instant::now()).await?;
     }
+    let cpu_before = daemon_cpu_seconds(&mut bench)?;
     let (calls, waiting) = quiet_calls(&bench).await?;
+    let idle = (daemon_cpu_seconds(&mut bench)? - cpu_before) / QUIET_SECONDS;
+    let daemons = (bench.upstreams.len() + bench.entries.len()) as f64;
+    let peak = daemon_peak_bytes(&mut bench)?;
 
     // During the outage, declarations pile up; processes restart and must learn from peers.
     let down = Misbehaviour {
@@ -118,9 +130,33 @@
         reverted: watcher.reverted,
         service_calls_per_second: calls,
         waiting_watches: waiting,
+        idle_core_percent: 100.0 * idle / daemons,
+        daemon_peak_bytes: peak,
     })
 }
 
+fn daemon_ids(bench: &mut Bench) -> Vec<Option<u32>> {
+    let hosts: Vec<Host> = bench
+        .upstreams
+        .iter()
+        .chain(&bench.entries)
+        .cloned()
+        .collect();
+    hosts
+        .iter()
+        .map(|host| bench.processes().id(&host.name))
+        .collect()
+}
+
+fn daemon_cpu_seconds(bench: &mut Bench) -> Result<f64, LabError> {
+    daemon_ids(bench).into_iter().map(cpu_seconds).sum()
+}
+
+fn daemon_peak_bytes(bench: &mut Bench) -> Result<u64, LabError> {
+    let peaks: Result<Vec<u64>, _> = daemon_ids(bench).into_iter().map(peak_bytes).collect();
+    Ok(peaks?.into_iter().max().unwrap_or(0))
+}
+
 async fn change(bench: &mut Bench, rng: &mut Pcg64Mcg) -> Result<u64, LabError> {
     let deadline = rng.random_range(1_000..60_000);
     bench.spec_mut().defaults = json!({"deadline_ms": deadline});
--- a/crates/lab/src/experiment/overhead.rs
+++ b/crates/lab/src/experiment/overhead.rs
@@ -25,6 +25,8 @@
 const PARTS: usize = 4;
 /// Streams that are open at once for the memory figure.
 const STREAMS: usize = 500;
+/// Tokens of each stream.
+const TOKENS: u32 = 100;
 /// The stated bound of the ratio between through and direct.
 const MAX_RATIO: f64 = 1.1;
 /// The stated bound of a daemon's memory.
@@ -43,6 +45,8 @@
     requests_per_second: f64,
     /// Requests a second of processor time of the entry.
     requests_per_entry_core_second: f64,
+    /// Processor time of the entry for each token that it passes on, in microseconds.
+    entry_us_per_token: f64,
     daemon_cpu_seconds: f64,
     daemon_peak_bytes: u64,
     failed: u64,
@@ -106,7 +110,9 @@
     let loaded = send(&callers, Way::Through(entry, "instant"), ROUNDS * 4).await;
     let elapsed = started.elapsed().as_secs_f64();
     let entry_cpu = cpu_seconds(entry_id)? - cpu_before;
+    let cpu_before = cpu_seconds(entry_id)?;
     let streams = open_streams(entry).await;
+    let stream_cpu = cpu_seconds(entry_id)? - cpu_before;
 
     let p = |seen: &[Seen], q| quantile(seen.iter().map(|one| one.total), q);
     let mut failed = 0;
@@ -128,6 +134,7 @@
         added_p50_at_zero: p(&loaded, 0.5) - p(&bare, 0.5),
         requests_per_second: loaded.len() as f64 / elapsed,
         requests_per_entry_core_second: loaded.len() as f64 / entry_cpu,
+        entry_us_per_token: stream_cpu * 1e6 / (STREAMS as f64 * f64::from(TOKENS)),
         daemon_cpu_seconds: cpu,
         daemon_peak_bytes: peak,
         failed,
@@ -171,7 +178,7 @@
                 pool: "streams".into(),
                 workspace: "streams".into(),
                 task: Task::Generate {
-                    tokens: 100,
+                    tokens: TOKENS,
                     crash: false,
                 },
                 deadline: Duration::from_secs(30),
--- a/crates/lab/src/experiment/slopes.rs
+++ b/crates/lab/src/experiment/slopes.rs
@@ -11,11 +11,11 @@
     once::{Kept, OnceConfig, OnceEnd, OnceTable},
     queue::Discipline,
     router::{Choice, Router, Wanted},
-    spread::push_targets,
+    spread::announce_targets,
     Moment,
 };
 use balsamjunction_protocol::{
-    header, FleetDocument, MemberDocument, MemberState, MembersDocument, Priority,
+    header, FleetDocument, MemberDocument, MemberState, MembersDocument, Priority, PullAnswer,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -39,10 +39,12 @@
     declaration_bytes: usize,
     declaration_accept_us: f64,
     members_bytes: usize,
+    /// An answer with both, as it travels.
+    pull_answer_bytes: usize,
     router_configure_us: f64,
     router_choose_us: f64,
     router_bytes: u64,
-    push_targets_us: f64,
+    announce_targets_us: f64,
     fetch_assign_us: f64,
     fetch_next_us: f64,
 }
@@ -151,6 +153,12 @@
         members: members.clone(),
     };
     let members_bytes = header::to_bytes(&list).map_or(0, |buf| buf.len());
+    let answer = PullAnswer {
+        fleet: acceptance.in_force().map(|f| f.document.as_ref().clone()),
+        members: Some(list),
+        ..PullAnswer::default()
+    };
+    let pull_answer_bytes = header::to_compressed(&answer).map_or(0, |buf| buf.len());
 
     let rng = Pcg64Mcg::seed_from_u64(1);
     let before = resident_bytes()?;
@@ -171,19 +179,20 @@
     let mut rng = Pcg64Mcg::seed_from_u64(2);
     let started = Instant::now();
     for _ in 0..100 {
-        push_targets(&members, "h0", "dc0", &mut rng);
+        announce_targets(&members, "h0", "dc0", &mut rng);
     }
-    let push_targets_us = micros(started.elapsed(), 100);
+    let announce_targets_us = micros(started.elapsed(), 100);
     let (fetch_assign_us, fetch_next_us) = fetch_costs(members);
     Ok(Slope {
         hosts,
         declaration_bytes,
         declaration_accept_us,
         members_bytes,
+        pull_answer_bytes,
         router_configure_us,
         router_choose_us,
         router_bytes,
-        push_targets_us,
+        announce_targets_us,
         fetch_assign_us,
         fetch_next_us,
     })
--- a/crates/lab/src/standin/fabric.rs
+++ b/crates/lab/src/standin/fabric/mod.rs
@@ -3,6 +3,9 @@
 //! One listener stands for each host's public address. The source address of a connection tells
 //! which host it comes from, so links and faults are per pair.
 
+mod link;
+mod pump;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::{IpAddr, SocketAddr},
@@ -21,21 +24,15 @@
 use serde::{Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpSocket},
     runtime::Handle,
     sync::{oneshot, watch},
 };
 
+use self::{link::Link, pump::accept};
 use super::IDLE_LIMIT;
 use crate::error::LabError;
 
-/// Bytes that pass at once; small, so that connections share a link evenly.
-const SEGMENT_BYTES: usize = 2 * 1024;
-/// Unused time that a link may catch up on, since timers wake late.
-const CATCH_UP: Duration = Duration::from_millis(5);
-/// How often held connections look whether their fault has ended.
-const FAULT_POLL: Duration = Duration::from_millis(10);
 /// How long a crossed answer waits for another one to be exchanged with.
 const CROSS_WAIT: Duration = Duration::from_millis(30);
 /// Connections that may wait to be accepted at one address.
@@ -105,30 +102,6 @@
     pub between_regions: BTreeMap<SmolStr, u64>,
 }
 
-struct Link {
-    rate: f64,
-    free: Mutex<Instant>,
-}
-
-impl Link {
-    fn new(rate: u64) -> Self {
-        Self {
-            rate: rate as f64,
-            free: Mutex::new(Instant::now()),
-        }
-    }
-
-    /// Books the link for some bytes and gives the time at which they are through.
-    fn book(&self, bytes: usize) -> Instant {
-        let now = Instant::now();
-        let mut free = lock(&self.free);
-        let earliest = now.checked_sub(CATCH_UP).unwrap_or(now);
-        let start = (*free).max(earliest);
-        *free = start + Duration::from_secs_f64(bytes as f64 / self.rate);
-        *free
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -315,136 +288,3 @@
             .collect(),
     })
 }
-
-async fn accept(fabric: Arc<Fabric>, listener: TcpListener, to: Place) {
-    loop {
-        let Ok((client, address)) = listener.accept().await else {
-            continue;
-        };
-        let from = fabric.by_ip.get(&address.ip()).copied();
-        tokio::spawn(carry(fabric.clone(), client, from, to.clone()));
-    }
-}
-
-async fn carry(fabric: Arc<Fabric>, client: TcpStream, from: Option<usize>, to: Place) {
-    let from_place = from.map(|n| fabric.network.places[n].clone());
-    if !clear(&fabric, from_place.as_ref(), &to).await {
-        return;
-    }
-    let Ok(server) = TcpStream::connect(to.private).await else {
-        return;
-    };
-    let _ = client.set_nodelay(true);
-    let _ = server.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    let bulk = Arc::new(AtomicU64::new(0));
-    let requests = Pump {
-        fabric: fabric.clone(),
-        from: from_place.clone(),
-        to: Some(to.clone()),
-        connecting: from_place.clone(),
-        connected: to.clone(),
-        answers: false,
-        bulk: bulk.clone(),
-    };
-    let answers = Pump {
-        fabric,
-        from: Some(to.clone()),
-        to: from_place.clone(),
-        connecting: from_place,
-        connected: to,
-        answers: true,
-        bulk,
-    };
-    // Either direction ending ends both, as a broken network does.
-    tokio::select! {
-        () = requests.run(client_read, server_write) => {}
-        () = answers.run(server_read, client_write) => {}
-    }
-}
-
-/// Waits while the pair is stalled; false if it is cut.
-async fn clear(fabric: &Fabric, from: Option<&Place>, to: &Place) -> bool {
-    loop {
-        match fabric.fault(from, to) {
-            Some(FaultKind::Cut) => return false,
-            Some(FaultKind::Stall) => tokio::time::sleep(FAULT_POLL).await,
-            _ => return true,
-        }
-    }
-}
-
-struct Pump {
-    fabric: Arc<Fabric>,
-    from: Option<Place>,
-    to: Option<Place>,
-    connecting: Option<Place>,
-    connected: Place,
-    answers: bool,
-    bulk: Arc<AtomicU64>,
-}
-
-impl Pump {
-    async fn run(
-        &self,
-        mut read: tokio::net::tcp::OwnedReadHalf,
-        mut write: tokio::net::tcp::OwnedWriteHalf,
-    ) {
-        let mut buf = vec![0; SEGMENT_BYTES];
-        loop {
-            let n = tokio::select! {
-                n = read.read(&mut buf) => n.unwrap_or(0),
-                () = self.cut() => 0,
-            };
-            if n == 0 {
-                return;
-            }
-            let mut segment = buf[..n].to_vec();
-            if !self.answers && segment.starts_with(b"GET /weights/chunk") {
-                self.bulk.store(1, Ordering::Relaxed);
-            }
-            if !clear(&self.fabric, self.connecting.as_ref(), &self.connected).await {
-                return;
-            }
-            segment = self.harm(segment).await;
-            let bulk = self.bulk.load(Ordering::Relaxed) == 1;
-            let (from, to) = (self.from.as_ref(), self.to.as_ref());
-            self.fabric.pass(from, to, n, bulk).await;
-            if write.write_all(&segment).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    async fn cut(&self) {
-        let mut changes = self.fabric.faults.subscribe();
-        // The sender lives as long as the network, so a change always comes or the process ends.
-        while changes.changed().await.is_ok() {
-            let fault = self.fabric.fault(self.connecting.as_ref(), &self.connected);
-            if fault == Some(FaultKind::Cut) {
-                return;
-            }
-        }
-    }
-
-    async fn harm(&self, mut segment: Vec<u8>) -> Vec<u8> {
-        let fault = self.fabric.fault(self.connecting.as_ref(), &self.connected);
-        match fault {
-            Some(FaultKind::Corrupt) if self.answers && !segment.starts_with(b"HTTP/") => {
-                let last = segment.len() - 1;
-                segment[last] ^= 1;
-                segment
-            }
-            Some(FaultKind::Cross) if self.answers && segment.starts_with(b"HTTP/") => {
-                self.fabric.cross(&self.connected, segment).await
-            }
-            Some(FaultKind::Slow) => {
-                let wait = Duration::from_millis(100);
-                tokio::time::sleep(wait).await;
-                segment
-            }
-            _ => segment,
-        }
-    }
-}
--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -5,6 +5,8 @@
 use balsamjunction_protocol::Crash;
 use smol_str::SmolStr;
 
+use crate::rendezvous::weight;
+
 /// Crash records that are remembered and spread; the oldest go first.
 const MAX_RECORDS: usize = 256;
 
@@ -62,6 +64,12 @@
         count.is_some_and(|count| u64::from(*count) >= crash_limit)
     }
 
+    /// Equal for lists with the same records, so that peers compare before they send.
+    pub fn digest(&self) -> u64 {
+        let hash = |crash: &Crash| weight(&crash.fingerprint.to_le_bytes(), &crash.upstream);
+        self.order.iter().map(hash).fold(0, |sum, one| sum ^ one)
+    }
+
     /// The records, oldest first, for peers.
     pub fn records(&self) -> Vec<Crash> {
         self.order.iter().cloned().collect()
--- a/crates/policy/src/fetch.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -3,6 +3,9 @@
 //! Each chunk has one owner per data centre, and among those one owner for the whole fleet, which
 //! alone draws it from the origin. See docs/DESIGN.md, "Weights".
 
+mod manifest;
+mod owners;
+
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -13,6 +16,8 @@
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 
+pub use self::manifest::manifest_source;
+use self::owners::Owners;
 use crate::{rendezvous, Moment};
 
 /// Chunks that one host fetches from peers at once.
@@ -77,47 +82,6 @@
     },
 }
 
-/// Questions to peers after which a host asks the origin itself.
-const PATIENT_QUESTIONS: u32 = 40;
-
-/// Whom to ask for a version's manifest, for the `asked`th time.
-///
-/// One host of the fleet asks the origin and one of each data centre asks that host; the others ask
-/// a peer nearby at random, so that the manifest doubles its holders with each round.
-pub fn manifest_source(
-    version: &str,
-    host: &str,
-    data_centre: &str,
-    members: &[MemberDocument],
-    asked: u32,
-    luck: u64,
-) -> Source {
-    let names = members.iter().map(|m| m.host.as_str());
-    let first = rendezvous::owner(version.as_bytes(), names);
-    let near: Vec<&MemberDocument> = members
-        .iter()
-        .filter(|m| m.data_centre == data_centre)
-        .collect();
-    let nearest = rendezvous::owner(version.as_bytes(), near.iter().map(|m| m.host.as_str()));
-    if first == Some(host) || asked > PATIENT_QUESTIONS {
-        return Source::Origin;
-    }
-    let target = if nearest == Some(host) {
-        members.iter().find(|m| Some(m.host.as_str()) == first)
-    } else {
-        let others: Vec<_> = near.into_iter().filter(|m| m.host != host).collect();
-        others
-            .get((luck % others.len().max(1) as u64) as usize)
-            .copied()
-    };
-    let peer = target.and_then(|m| {
-        let address = m.address.parse().ok()?;
-        let host = m.host.clone();
-        Some(Source::Peer { host, address })
-    });
-    peer.unwrap_or(Source::Origin)
-}
-
 /// How a fetch failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FetchFailure {
@@ -148,13 +112,6 @@
     avoid_until: Moment,
 }
 
-/// Owners of every chunk: the fleet's, and the own data centre's.
-#[derive(Clone, Debug, Default)]
-struct Owners {
-    fleet: Vec<SmolStr>,
-    local: Vec<SmolStr>,
-}
-
 /// The fetch plan of one version on one host.
 #[derive(Debug)]
 pub struct FetchPlan {
@@ -247,33 +204,10 @@
                 Some((m.host.clone(), (address, m.data_centre.clone())))
             })
             .collect();
-        self.owners = self.assign(&live);
+        self.owners = Owners::assign(&self.version, self.held.len(), &self.data_centre, &live);
         self.put_owned_first();
     }
 
-    /// The fleet's owner also owns the chunk in its own data centre, so it is sent there once.
-    fn assign(&self, live: &[&MemberDocument]) -> Owners {
-        let chunks = self.held.len();
-        let names: Vec<&str> = live.iter().map(|m| m.host.as_str()).collect();
-        let fleet = rendezvous::balanced_owners(&self.version, chunks, &names);
-        let local_names: Vec<&str> = live
-            .iter()
-            .filter(|m| m.data_centre == self.data_centre)
-            .map(|m| m.host.as_str())
-            .collect();
-        let scope = format!("{}@{}", self.version, self.data_centre);
-        let rest: Vec<usize> = (0..fleet.len())
-            .filter(|chunk| live[fleet[*chunk]].data_centre != self.data_centre)
-            .collect();
-        let spread = rendezvous::balanced_owners(&scope, rest.len(), &local_names);
-        let fleet: Vec<SmolStr> = fleet.iter().map(|n| live[*n].host.clone()).collect();
-        let mut local = fleet.clone();
-        for (chunk, owner) in rest.into_iter().zip(spread) {
-            local[chunk] = SmolStr::new(local_names[owner]);
-        }
-        Owners { fleet, local }
-    }
-
     /// Others wait for the chunks that this host owns, the fleet's before the data centre's.
     fn put_owned_first(&mut self) {
         let owners = &self.owners;
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -1,4 +1,4 @@
-//! To whom news is pushed and from whom it is pulled.
+//! To whom news is announced and from whom it is pulled.
 
 use balsamjunction_protocol::{MemberDocument, MemberState};
 use rand::{seq::IndexedRandom, Rng};
@@ -6,11 +6,11 @@
 
 use crate::Moment;
 
-/// Peers in the own data centre to which news is pushed.
-pub const PUSH_NEAR: usize = 4;
-/// Peers in other data centres to which news is pushed.
-pub const PUSH_FAR: usize = 2;
-/// Mean time between pulls, which repair what pushes missed.
+/// Peers in the own data centre to which news is announced.
+pub const ANNOUNCE_NEAR: usize = 4;
+/// Peers in other data centres to which news is announced.
+pub const ANNOUNCE_FAR: usize = 2;
+/// Mean time between pulls, which repair what announcements missed.
 pub const PULL_INTERVAL: Moment = Moment::from_secs(1);
 /// Pulls per hundred that go to another data centre.
 const FAR_PULL_PERCENT: u32 = 20;
@@ -24,8 +24,8 @@
     alive.filter(|m| m.host != host && keep(m)).collect()
 }
 
-/// The peers to which news is pushed: a few near, fewer far.
-pub fn push_targets<'m>(
+/// The peers to which news is announced: a few near, fewer far.
+pub fn announce_targets<'m>(
     members: &'m [MemberDocument],
     host: &str,
     data_centre: &str,
@@ -33,8 +33,8 @@
 ) -> Vec<&'m MemberDocument> {
     let near = others(members, host, |m| m.data_centre == data_centre);
     let far = others(members, host, |m| m.data_centre != data_centre);
-    let mut targets: Vec<_> = near.choose_multiple(rng, PUSH_NEAR).copied().collect();
-    targets.extend(far.choose_multiple(rng, PUSH_FAR).copied());
+    let mut targets: Vec<_> = near.choose_multiple(rng, ANNOUNCE_NEAR).copied().collect();
+    targets.extend(far.choose_multiple(rng, ANNOUNCE_FAR).copied());
     targets
 }
 
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -10,7 +10,7 @@
     pace::Pacer,
     pause::PauseWatch,
     rendezvous::{balanced_owners, owner},
-    spread::{pull_target, push_targets},
+    spread::{announce_targets, pull_target},
     turnover::predecessor,
     Moment,
 };
@@ -140,7 +140,7 @@
     let mut pushes = 0;
     while let Some(n) = fresh.pop() {
         let me = &members[n];
-        for target in push_targets(&members, &me.host, &me.data_centre, &mut rng) {
+        for target in announce_targets(&members, &me.host, &me.data_centre, &mut rng) {
             pushes += 1;
             if informed.insert(index(target)) {
                 fresh.push(index(target));
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -14,6 +14,9 @@
     /// The value cannot be written as MessagePack.
     #[display("message cannot be encoded: {_0}")]
     Encode(rmp_serde::encode::Error),
+    /// The body cannot be expanded.
+    #[display("compressed message cannot be expanded: {_0}")]
+    Compression(std::io::Error),
     /// The peer speaks another protocol version.
     #[display("peer speaks protocol version {theirs}, this process speaks {ours}; upgrade the older of the two")]
     #[from(ignore)]
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -1,6 +1,9 @@
 //! Encoding of messages, into HTTP headers and bodies.
 
+use std::io::{Read, Write};
+
 use base64::{engine::general_purpose::URL_SAFE_NO_PAD, Engine};
+use flate2::{read::DeflateDecoder, write::DeflateEncoder, Compression};
 use serde::{de::DeserializeOwned, Serialize};
 
 use crate::error::ProtocolError;
@@ -20,6 +23,21 @@
     Ok(rmp_serde::from_slice(buf)?)
 }
 
+/// Encodes a message as a compressed body; declarations and member lists shrink to about a tenth.
+pub fn to_compressed<T: Serialize>(message: &T) -> Result<Vec<u8>, ProtocolError> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&to_bytes(message)?)?;
+    Ok(encoder.finish()?)
+}
+
+/// Decodes a compressed body of at most `limit` bytes once it is expanded.
+pub fn from_compressed<T: DeserializeOwned>(buf: &[u8], limit: u64) -> Result<T, ProtocolError> {
+    let mut expanded = Vec::new();
+    let mut decoder = DeflateDecoder::new(buf).take(limit);
+    decoder.read_to_end(&mut expanded)?;
+    from_bytes(&expanded)
+}
+
 /// Encodes a message as a header value.
 pub fn to_header<T: Serialize>(message: &T) -> Result<String, ProtocolError> {
     Ok(URL_SAFE_NO_PAD.encode(to_bytes(message)?))
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,9 +14,9 @@
 pub use crate::{
     error::ProtocolError,
     peer::{
-        ChunkMap, CloseKeyAnswer, CloseKeyRequest, Crash, FleetDocument, HaveAnswer, HaveRequest,
-        MemberDocument, MemberState, MembersDocument, PeerStatus, PullAnswer, PullRequest,
-        PushRequest, VersionStatus,
+        Announcement, ChunkMap, CloseKeyAnswer, CloseKeyRequest, Crash, FleetDocument, HaveAnswer,
+        HaveRequest, MemberDocument, MemberState, MembersDocument, PeerStatus, PullAnswer,
+        PullRequest, VersionStatus,
     },
     request::{Envelope, LoadReport, OnceKey, Outcome, Priority, Refusal, Reply, RequestId},
 };
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -4,8 +4,8 @@
 pub const CARRY: &str = "/carry";
 /// Pull of the fleet declaration and the membership list from a peer.
 pub const PULL: &str = "/peer/pull";
-/// Push of a newer fleet declaration to a peer.
-pub const PUSH: &str = "/peer/push";
+/// Announcement of a newer declaration or list to a peer.
+pub const ANNOUNCE: &str = "/peer/announce";
 /// Report of a request that crashed an upstream.
 pub const CRASH: &str = "/peer/crash";
 /// Closing of an idempotency key at an earlier owner.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -73,9 +73,9 @@
     pub revision: u64,
     /// Highest membership generation of the sender.
     pub generation: u64,
-    /// Crashes that the sender knows, newest last.
+    /// Digest of the crashes that the sender knows.
     #[serde(default)]
-    pub crashes: Vec<Crash>,
+    pub crash_digest: u64,
 }
 
 /// What the peer has that is newer.
@@ -92,22 +92,25 @@
     /// The peer's own highest generation.
     #[serde(default)]
     pub generation: u64,
-    /// Crashes that the peer knows.
+    /// Crashes that the peer knows, if its digest is another.
     #[serde(default)]
     pub crashes: Vec<Crash>,
 }
 
-/// Hands a newer declaration or list to a peer.
+/// Tells a peer what the sender has; a peer that is behind pulls.
+///
+/// Only numbers travel here: a document of hundreds of kilobytes reaches a peer once, however many
+/// others tell it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PushRequest {
+pub struct Announcement {
     /// Protocol version of the sender.
     pub v: u16,
-    /// A newer declaration.
-    #[serde(default)]
-    pub fleet: Option<FleetDocument>,
-    /// A newer membership list.
-    #[serde(default)]
-    pub members: Option<MembersDocument>,
+    /// Highest declaration revision of the sender.
+    pub revision: u64,
+    /// Highest membership generation of the sender.
+    pub generation: u64,
+    /// Inner address of the sender.
+    pub from: SmolStr,
 }
 
 /// One bit per chunk of a version, least significant bit first.
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -109,9 +109,6 @@
     pub fingerprint: u64,
     /// Declaration revision by which the entry chose this sidecar.
     pub revision: u64,
-    /// The version that a resumed stream must continue on.
-    #[serde(default)]
-    pub version: Option<SmolStr>,
     /// How late the sidecar's answers are because of the links, 100 for not at all.
     #[serde(default)]
     pub lateness_percent: u32,
--- a/crates/settings/src/fleet_reader.rs
+++ b/crates/settings/src/fleet_reader.rs
@@ -1,6 +1,6 @@
 //! Reads and checks a fleet declaration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use jsonc_parser::common::Ranged;
 use smol_str::SmolStr;
@@ -102,7 +102,7 @@
     let Some(named) = root.required_object("pools") else {
         return pools;
     };
-    let mut hosts = Vec::new();
+    let mut hosts = HashSet::new();
     for prop in named.named() {
         let name = prop.name.as_str();
         if name.is_empty() || !name.bytes().all(is_name_byte) {
@@ -129,7 +129,7 @@
 fn read_pool(
     fields: &Fields<'_, '_>,
     fleet: &Fleet,
-    hosts: &mut Vec<SmolStr>,
+    hosts: &mut HashSet<SmolStr>,
     faults: &Faults<'_>,
 ) -> Pool {
     let kind_text = fields.required_text("kind");
@@ -182,21 +182,20 @@
 fn read_upstream(
     fields: &Fields<'_, '_>,
     fleet: &Fleet,
-    hosts: &mut Vec<SmolStr>,
+    hosts: &mut HashSet<SmolStr>,
     faults: &Faults<'_>,
 ) -> Option<Upstream> {
     let host = fields.required_text("host");
     let data_centre = fields.required_text("data_centre");
     let sidecar = fields.required_address("sidecar");
     fields.finish();
-    if hosts.contains(&host) {
+    if !hosts.insert(host.clone()) {
         let kind = FaultKind::Duplicate {
             what: "host",
             name: host.to_string(),
         };
         faults.add(fields.offset(), kind);
     }
-    hosts.push(host.clone());
     if !data_centre.is_empty() {
         check_declared(
             "data centre",
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -44,8 +44,6 @@
     pub host: u64,
     /// One pair of regions, each way.
     pub inter_region: u64,
-    /// The origin of weights, outgoing.
-    pub origin: u64,
 }
 
 /// Settings of `balsamjunctiond entry`.
@@ -57,8 +55,6 @@
     pub listen: SocketAddr,
     /// Threads that serve callers.
     pub workers: usize,
-    /// Longest request head in bytes.
-    pub max_header_bytes: usize,
     /// Time in which a caller must send its request head.
     pub header_timeout_ms: u64,
 }
@@ -87,13 +83,11 @@
     read(buf, overrides, |fields, faults| {
         let listen = fields.required_address("listen");
         let workers = fields.number("workers", (1, MAX_WORKERS), "threads");
-        let header = fields.number("max_header_bytes", (1024, 131_072), "bytes");
         let timeout = fields.number("header_timeout_ms", (100, 600_000), "milliseconds");
         Some(EntrySettings {
             peer: read_peer(fields, faults)?,
             listen: listen?,
             workers: workers.unwrap_or(2) as usize,
-            max_header_bytes: header.unwrap_or(16 * 1024) as usize,
             header_timeout_ms: timeout.unwrap_or(5_000),
         })
     })
@@ -211,7 +205,6 @@
     let mut links = LinkRates {
         host: 125_000_000,
         inter_region: 2_500_000,
-        origin: 250_000_000,
     };
     let Some(fields) = fields.object("links") else {
         return links;
@@ -223,9 +216,6 @@
     if let Some(rate) = fields.number("inter_region", range, unit) {
         links.inter_region = rate;
     }
-    if let Some(rate) = fields.number("origin", range, unit) {
-        links.origin = rate;
-    }
     fields.finish();
     links
 }
