Split the weights actor and the fetch plan; add the baseline of zone; count chunks from the origin

The lab's network counted only chunks between sidecars as bulk, so inter_region_copies left out what the origin sends to other regions and was too low; it now counts both.

--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -62,15 +62,10 @@
 
 impl EntryContext {
     /// A context without upstreams.
-    pub fn new(state: Arc<FleetState>, spread: Addr<Spread>, clock: Clock) -> Self {
+    pub fn new(state: Arc<FleetState>, spread: Addr<Spread>, clock: Clock, choice: Choice) -> Self {
         let rng = Pcg64Mcg::from_rng(&mut rand::rng());
         let peer = &state.peer;
-        let router = Router::new(
-            peer.host.clone(),
-            peer.data_centre.clone(),
-            Choice::TwoChoices,
-            rng,
-        );
+        let router = Router::new(peer.host.clone(), peer.data_centre.clone(), choice, rng);
         Self {
             state,
             clock,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -16,6 +16,7 @@
     web::{self, Data},
     App, HttpServer,
 };
+use balsamjunction_policy::router::Choice;
 use balsamjunction_settings::EntrySettings;
 use log::info;
 
@@ -43,7 +44,12 @@
         metrics.clone(),
     ));
     let spread = Spread::new(state.clone(), clock).start();
-    let context = Arc::new(EntryContext::new(state.clone(), spread.clone(), clock));
+    let choice = match settings.two_choices {
+        true => Choice::TwoChoices,
+        false => Choice::Random,
+    };
+    let context = EntryContext::new(state.clone(), spread.clone(), clock, choice);
+    let context = Arc::new(context);
     actix_rt::spawn(context::follow_fleet(context.clone()));
 
     let inner = Data::new(Inner {
--- a/crates/daemon/src/sidecar/mod.rs
+++ b/crates/daemon/src/sidecar/mod.rs
@@ -8,8 +8,6 @@
 mod pacing;
 mod upstream;
 mod weights;
-mod weights_http;
-mod weights_link;
 
 use std::{
     sync::{atomic::Ordering, Arc},
@@ -80,7 +78,7 @@
             .app_data(Data::from(pacing.clone()))
             .app_data(Data::new(balsamjunction_client::new(outbound_ip)))
             .configure(inner::routes)
-            .configure(weights_http::routes)
+            .configure(weights::http::routes)
             .route(paths::CLOSE_KEY, web::post().to(once_run::close_key))
             .default_service(web::to(carry::handle))
     })
--- a/crates/daemon/src/sidecar/weights_http.rs
+++ b/crates/daemon/src/sidecar/weights/http.rs
@@ -12,8 +12,10 @@
 use futures_util::stream;
 use smol_str::SmolStr;
 
-use super::{context::SidecarContext, pacing::Pacing};
-use crate::inner::{check_version, message, InnerError};
+use crate::{
+    inner::{check_version, message, InnerError},
+    sidecar::{context::SidecarContext, pacing::Pacing},
+};
 
 /// Tells a sender in which data centre a chunk is needed, so that it paces the link to there.
 pub const DATA_CENTRE_HEADER: &str = "balsam-data-centre";
--- a/crates/daemon/src/sidecar/weights_link.rs
+++ b/crates/daemon/src/sidecar/weights/link.rs
@@ -12,17 +12,17 @@
 use log::debug;
 use smol_str::{format_smolstr, SmolStr};
 
-use super::{
-    context::{Post, SidecarContext},
-    pacing::Pacing,
-    weights_http::{DATA_CENTRE_HEADER, HELD_HEADER},
-};
+use super::http::{DATA_CENTRE_HEADER, HELD_HEADER};
 use crate::{
     client,
     platform::{
         store_http::{self, MAX_CHUNK_BYTES},
         Engine, PlatformError, WeightStore,
     },
+    sidecar::{
+        context::{Post, SidecarContext},
+        pacing::Pacing,
+    },
 };
 
 /// A peer that does not say in this time what it holds is passed over.
--- a/crates/daemon/src/sidecar/weights.rs
+++ b/crates/daemon/src/sidecar/weights/mod.rs
@@ -1,28 +1,32 @@
 //! Brings wanted versions to this host and its engine.
 
+mod events;
+pub mod http;
+mod link;
+
+pub use self::events::FleetChanged;
+
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::{Actor, AsyncContext, Context, WrapFuture};
 use balsamjunction_policy::{
     fence::Fence,
-    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
+    fetch::{FetchAction, FetchPlan, Participants},
     turnover::{predecessor, Stage, Turnover, TurnoverAction, TurnoverEvent},
 };
-use balsamjunction_protocol::{
-    platform::{EngineOrder, EngineState, Manifest},
-    HaveAnswer,
-};
+use balsamjunction_protocol::platform::EngineOrder;
 use balsamjunction_settings::{PoolKind, ValueKey};
 use log::{debug, info, warn};
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use smol_str::{format_smolstr, SmolStr};
 
+use self::{
+    events::{EngineSeen, Event, Fetched, ManifestKnown, Probed},
+    link::Link,
+};
 use super::{
     context::{Post, SidecarContext},
     gatekeeper::VersionGate,
     pacing::Pacing,
-    weights_link::{Arrival, Link},
 };
 use crate::{
     audit::{Action, Record, Verdict},
@@ -51,39 +55,6 @@
     idle_turns: u32,
 }
 
-/// Declaration or membership changed.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct FleetChanged;
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Event(TurnoverEvent);
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct EngineSeen(Option<EngineState>);
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct ManifestKnown(Manifest);
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Probed {
-    host: SmolStr,
-    answer: Option<HaveAnswer>,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct Fetched {
-    version: SmolStr,
-    chunk: usize,
-    source: Source,
-    arrival: Option<Arrival>,
-}
-
 impl Weights {
     /// An actor that has not started.
     pub fn new(context: Arc<SidecarContext>, pacing: Arc<Pacing>) -> Self {
@@ -350,152 +321,3 @@
         ctx.notify(FleetChanged);
     }
 }
-
-impl Handler<FleetChanged> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, _: FleetChanged, ctx: &mut Self::Context) {
-        self.link.pacing.follow();
-        let Some(post) = self.engine_post() else {
-            return;
-        };
-        let participants = self.participants(&post);
-        if let Some(plan) = &mut self.plan {
-            plan.set_participants(participants);
-        }
-        let pool = post.fleet.pools.get(&post.pool);
-        let wanted = pool.and_then(|pool| pool.version.clone());
-        // Published first: the search for a manifest ends when its version is not wanted.
-        self.link.context.versions().wanted = wanted.clone();
-        self.handle_event(TurnoverEvent::Wanted(wanted), ctx);
-    }
-}
-
-impl Handler<Event> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, event: Event, ctx: &mut Self::Context) {
-        if matches!(event.0, TurnoverEvent::MayTurn(_)) {
-            self.asking_turn = false;
-        }
-        self.handle_event(event.0, ctx);
-    }
-}
-
-impl Handler<EngineSeen> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, seen: EngineSeen, ctx: &mut Self::Context) {
-        self.polling = false;
-        match seen.0 {
-            Some(state) => {
-                if state.boot != self.boot {
-                    // A restarted engine is cold, whatever it was before.
-                    self.boot = state.boot;
-                    self.link.context.gate.make_cold();
-                }
-                let event = TurnoverEvent::Engine {
-                    serving: state.serving,
-                    loaded: state.loaded,
-                };
-                self.handle_event(event, ctx);
-            }
-            None => self.handle_event(TurnoverEvent::EngineDown, ctx),
-        }
-    }
-}
-
-impl Handler<ManifestKnown> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, known: ManifestKnown, ctx: &mut Self::Context) {
-        let manifest = known.0;
-        let version = manifest.version.clone();
-        let Some(post) = self.engine_post() else {
-            return;
-        };
-        if !self.link.wanted(&version) {
-            return;
-        }
-        let chunks = manifest.chunks.len();
-        self.link.context.chunks.open(manifest);
-        self.link.context.versions().chunks_total = chunks as u32;
-        let held = self.link.context.chunks.map(&version);
-        let distribution = match self.link.context.settings.from_peers {
-            true => Distribution::Owners,
-            false => Distribution::Direct,
-        };
-        let now = self.link.context.clock.now();
-        let rng = Pcg64Mcg::from_rng(&mut rand::rng());
-        let participants = self.participants(&post);
-        let mut plan = FetchPlan::new(
-            now,
-            version.clone(),
-            chunks,
-            distribution,
-            participants,
-            rng,
-        );
-        for chunk in (0..chunks).filter(|chunk| held.has(*chunk)) {
-            plan.arrived(now, chunk, &Source::Origin);
-        }
-        let complete = plan.missing() == 0;
-        self.plan = Some(plan);
-        if complete {
-            self.handle_event(TurnoverEvent::Complete(version), ctx);
-        }
-    }
-}
-
-impl Handler<Probed> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, probed: Probed, _: &mut Self::Context) {
-        let now = self.link.context.clock.now();
-        if let Some(plan) = &mut self.plan {
-            plan.probed(now, &probed.host, probed.answer);
-        }
-    }
-}
-
-impl Handler<Fetched> for Weights {
-    type Result = ();
-
-    fn handle(&mut self, fetched: Fetched, ctx: &mut Self::Context) {
-        let Some(plan) = &mut self.plan else {
-            return;
-        };
-        if *plan.version() != fetched.version {
-            return;
-        }
-        let context = &self.link.context;
-        let now = context.clock.now();
-        let chunk = fetched.chunk;
-        match fetched.arrival {
-            Some(Arrival { buf, sender_holds }) => {
-                if let (Source::Peer { host, .. }, Some(held)) = (&fetched.source, sender_holds) {
-                    plan.learned(host, held);
-                }
-                let bytes = buf.len() as u64;
-                context.count_bytes(&fetched.source, bytes);
-                if context.chunks.put(&fetched.version, chunk, buf) {
-                    plan.arrived(now, chunk, &fetched.source);
-                } else {
-                    warn!(
-                        "chunk {chunk} of {:?} does not have its hash",
-                        fetched.source
-                    );
-                    context.state.metrics.corrupt_chunks.inc();
-                    plan.failed(now, chunk, &fetched.source, FetchFailure::Corrupt);
-                }
-            }
-            None => plan.failed(now, chunk, &fetched.source, FetchFailure::Unavailable),
-        }
-        if plan.missing() == 0 {
-            let version = fetched.version;
-            info!("version {version} is complete");
-            self.handle_event(TurnoverEvent::Complete(version), ctx);
-        }
-        self.fetch_turn(ctx);
-    }
-}
--- a/crates/lab/src/bench/launch.rs
+++ b/crates/lab/src/bench/launch.rs
@@ -184,6 +184,7 @@
     pub fn start_entry(&mut self, host: &Host) -> Result<(), LabError> {
         let mut settings = self.peer_settings(host);
         settings["listen"] = json!(host.service);
+        settings["two_choices"] = json!(self.spec.policy.two_choices);
         self.start_daemon(host, "entry", &settings)
     }
 
--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -6,12 +6,7 @@
 pub mod process;
 pub mod spec;
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    time::Duration,
-};
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use balsamjunction_policy::once::MAX_CLOCK_SKEW_MS;
 use balsamjunction_protocol::{
@@ -159,11 +154,6 @@
         })
     }
 
-    /// Where experiments keep files that belong to this run.
-    pub fn dir(&self) -> &Path {
-        &self.dir
-    }
-
     /// The file in which the upstream of a host notes its runs.
     pub fn ledger(&self, host: &Host) -> PathBuf {
         self.dir.join(format!("{}.ledger", host.name))
--- a/crates/lab/src/bench/spec.rs
+++ b/crates/lab/src/bench/spec.rs
@@ -143,6 +143,8 @@
 /// Which policies run; the others are baselines.
 #[derive(Clone, Copy, Debug)]
 pub struct PolicySpec {
+    /// Whether entries choose the less loaded of two.
+    pub two_choices: bool,
     /// Whether sidecars limit what runs.
     pub gate: bool,
     /// Whether workspaces take turns.
@@ -187,6 +189,7 @@
                 chunk_bytes: 16 * 1024,
             },
             policy: PolicySpec {
+                two_choices: true,
                 gate: true,
                 fair: true,
                 from_peers: true,
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -18,6 +18,7 @@
   weights --hosts N --seed S    a new version reaches N hosts
           [--policy owners|direct] [--fault none|kill|corrupt|stall|version-change]
   zone --seed S                 a data centre leaves and returns under load
+          [--policy gate|baseline]
   fairness --seed S             one workspace sends ten times the others' load
           [--policy drr|fifo]
   once --seed S                 resends of keyed requests under faults
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -32,7 +32,11 @@
             policy,
             fault,
         } => report(&weights::run(hosts, seed, policy, fault).await?, json),
-        Experiment::Zone { seed, seconds } => report(&zone::run(seed, seconds).await?, json),
+        Experiment::Zone {
+            policy,
+            seed,
+            seconds,
+        } => report(&zone::run(policy, seed, seconds).await?, json),
         Experiment::Fairness {
             seed,
             policy,
--- a/crates/lab/src/experiment/slopes.rs
+++ b/crates/lab/src/experiment/slopes.rs
@@ -39,11 +39,12 @@
     declaration_bytes: usize,
     declaration_accept_us: f64,
     members_bytes: usize,
-    /// An answer with both, as it travels.
-    pull_answer_bytes: usize,
+    /// A peer's answer with a newer declaration, as it travels.
+    declaration_travels_bytes: usize,
+    /// A peer's answer with a newer membership list, as it travels.
+    members_travel_bytes: usize,
     router_configure_us: f64,
     router_choose_us: f64,
-    router_bytes: u64,
     announce_targets_us: f64,
     fetch_assign_us: f64,
     fetch_next_us: f64,
@@ -126,6 +127,10 @@
         .collect()
 }
 
+fn travels(answer: PullAnswer) -> usize {
+    header::to_compressed(&answer).map_or(0, |buf| buf.len())
+}
+
 fn slope(hosts: usize) -> Result<Slope, LabError> {
     let text = declaration(hosts);
     let declaration_bytes = text.len();
@@ -153,20 +158,20 @@
         members: members.clone(),
     };
     let members_bytes = header::to_bytes(&list).map_or(0, |buf| buf.len());
-    let answer = PullAnswer {
-        fleet: acceptance.in_force().map(|f| f.document.as_ref().clone()),
+    let members_travel_bytes = travels(PullAnswer {
         members: Some(list),
         ..PullAnswer::default()
-    };
-    let pull_answer_bytes = header::to_compressed(&answer).map_or(0, |buf| buf.len());
+    });
+    let declaration_travels_bytes = travels(PullAnswer {
+        fleet: acceptance.in_force().map(|f| f.document.as_ref().clone()),
+        ..PullAnswer::default()
+    });
 
     let rng = Pcg64Mcg::seed_from_u64(1);
-    let before = resident_bytes()?;
     let mut router = Router::new("entry".into(), "dc0".into(), Choice::TwoChoices, rng);
     let started = Instant::now();
     router.configure(Moment::ZERO, &fleet, &[]);
     let router_configure_us = micros(started.elapsed(), 1);
-    let router_bytes = resident_bytes()?.saturating_sub(before);
     let started = Instant::now();
     for n in 0..REPEATS {
         let now = Moment::from_micros(u64::from(n));
@@ -188,10 +193,10 @@
         declaration_bytes,
         declaration_accept_us,
         members_bytes,
-        pull_answer_bytes,
+        declaration_travels_bytes,
+        members_travel_bytes,
         router_configure_us,
         router_choose_us,
-        router_bytes,
         announce_targets_us,
         fetch_assign_us,
         fetch_next_us,
--- a/crates/lab/src/experiment/zone.rs
+++ b/crates/lab/src/experiment/zone.rs
@@ -12,6 +12,7 @@
     bench::{control::get_json, spec::DATA_CENTRES, Bench},
     error::LabError,
     load::{summary::p99, Driver, Seen, Summary},
+    options::ZonePolicy,
     standin::engine::EngineCounts,
 };
 
@@ -50,8 +51,11 @@
 }
 
 /// Runs the experiment; each of its three parts takes `seconds`.
-pub async fn run(seed: u64, seconds: u64) -> Result<Zone, LabError> {
-    let mut bench = Bench::start(small_fleet()).await?;
+pub async fn run(policy: ZonePolicy, seed: u64, seconds: u64) -> Result<Zone, LabError> {
+    let mut spec = small_fleet();
+    spec.policy.two_choices = policy == ZonePolicy::Gate;
+    spec.policy.gate = policy == ZonePolicy::Gate;
+    let mut bench = Bench::start(spec).await?;
     let leaving = DATA_CENTRES[(seed % DATA_CENTRES.len() as u64) as usize];
     let part = seconds as f64;
     let driver = Driver::start(mixed_load(100.0, 30.0, 20), bench.caller_addresses(), seed);
--- a/crates/lab/src/load/driver.rs
+++ b/crates/lab/src/load/driver.rs
@@ -68,11 +68,6 @@
         self.seen.borrow().len()
     }
 
-    /// What was seen of the requests that have ended.
-    pub fn seen(&self) -> Vec<Seen> {
-        self.seen.borrow().clone()
-    }
-
     /// Sends no more, waits for open requests and gives what was seen.
     pub async fn finish(self) -> Vec<Seen> {
         self.stop.set(true);
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -63,6 +63,16 @@
     VersionChange,
 }
 
+/// Which decisions are made while a data centre leaves and returns.
+#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ZonePolicy {
+    /// Two choices and a gate before each upstream.
+    Gate,
+    /// Random choice, no gate.
+    Baseline,
+}
+
 /// The order of service at sidecars.
 #[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -94,6 +104,8 @@
     },
     /// A data centre leaves and returns.
     Zone {
+        /// Which decisions are made.
+        policy: ZonePolicy,
         /// Seed of everything random in the experiment.
         seed: u64,
         /// Length of each of the three parts.
@@ -225,6 +237,9 @@
                 .unwrap_or(WeightsFault::None),
         },
         "zone" => Experiment::Zone {
+            policy: options
+                .get("--policy", "gate or baseline")?
+                .unwrap_or(ZonePolicy::Gate),
             seed,
             seconds: options.number("--seconds", 8)?,
         },
--- a/crates/lab/src/standin/fabric/pump.rs
+++ b/crates/lab/src/standin/fabric/pump.rs
@@ -15,6 +15,8 @@
 
 use super::{Fabric, FaultKind, Place};
 
+/// How requests for chunks of weights start, to peers and to the origin.
+const BULK_REQUESTS: [&[u8]; 2] = [b"GET /weights/chunk", b"GET /v1/chunks"];
 /// Bytes that pass at once; small, so that connections share a link evenly.
 const SEGMENT_BYTES: usize = 2 * 1024;
 /// How often held connections look whether their fault has ended.
@@ -106,7 +108,7 @@
                 return;
             }
             let mut segment = buf[..n].to_vec();
-            if !self.answers && segment.starts_with(b"GET /weights/chunk") {
+            if !self.answers && BULK_REQUESTS.iter().any(|start| segment.starts_with(start)) {
                 self.bulk.store(1, Ordering::Relaxed);
             }
             if !clear(&self.fabric, self.connecting.as_ref(), &self.connected).await {
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -3,6 +3,7 @@
 //! Each chunk has one owner per data centre, and among those one owner for the whole fleet, which
 //! alone draws it from the origin. See docs/DESIGN.md, "Weights".
 
+mod holders;
 mod manifest;
 mod owners;
 
@@ -18,7 +19,7 @@
 
 pub use self::manifest::manifest_source;
 use self::owners::Owners;
-use crate::{rendezvous, Moment};
+use crate::Moment;
 
 /// Chunks that one host fetches from peers at once.
 const PARALLEL_FROM_PEERS: usize = 10;
@@ -270,141 +271,6 @@
         }
     }
 
-    /// From whom this host may fetch a chunk now; `luck` decides between even holders.
-    fn source_of(&self, now: Moment, chunk: usize, nearby: &ChunkMap, luck: u64) -> Option<Source> {
-        if self.distribution == Distribution::Direct {
-            return self.origin(now);
-        }
-        if self.owners.fleet[chunk] == self.host {
-            let holder = || self.any_holder(now, chunk, luck);
-            return self.origin(now).or_else(holder);
-        }
-        let expected = self.expected_holder(chunk);
-        if self.owners.local[chunk] == self.host {
-            if self.can_send(now, expected, chunk) {
-                return self.peer(expected);
-            }
-        } else if nearby.has(chunk) {
-            if let Some(source) = self.local_holder(now, chunk, luck) {
-                return Some(source);
-            }
-        }
-        if self.may_bypass(now, expected) {
-            let holder = self.any_holder(now, chunk, luck);
-            return holder.or_else(|| self.stand_in(now, chunk));
-        }
-        None
-    }
-
-    /// What the peers of the own data centre hold together; spares asking each for every chunk.
-    fn held_nearby(&self, now: Moment) -> ChunkMap {
-        let mut nearby = ChunkMap::empty(self.held.len());
-        for (host, view) in &self.views {
-            let peer = self.peers.get(host);
-            let local = peer.is_some_and(|(_, data_centre)| *data_centre == self.data_centre);
-            if local && view.fetching < PARALLEL_PER_SOURCE && now >= view.avoid_until {
-                nearby.add(&view.held);
-            }
-        }
-        nearby
-    }
-
-    /// Whom the plan names for a chunk that this host does not own fleet-wide.
-    fn expected_holder(&self, chunk: usize) -> &SmolStr {
-        if self.owners.local[chunk] == self.host {
-            return &self.owners.fleet[chunk];
-        }
-        &self.owners.local[chunk]
-    }
-
-    fn origin(&self, now: Moment) -> Option<Source> {
-        let most = match self.distribution {
-            Distribution::Owners => PARALLEL_FROM_ORIGIN,
-            Distribution::Direct => PARALLEL_DIRECT,
-        };
-        let free = self.from_origin < most && now >= self.origin_avoid_until;
-        free.then_some(Source::Origin)
-    }
-
-    fn peer(&self, host: &SmolStr) -> Option<Source> {
-        let (address, _) = self.peers.get(host)?;
-        Some(Source::Peer {
-            host: host.clone(),
-            address: *address,
-        })
-    }
-
-    fn can_send(&self, now: Moment, host: &SmolStr, chunk: usize) -> bool {
-        let Some(view) = self.views.get(host) else {
-            return false;
-        };
-        self.peers.contains_key(host)
-            && view.held.has(chunk)
-            && view.fetching < PARALLEL_PER_SOURCE
-            && now >= view.avoid_until
-    }
-
-    /// Whether the plan's holder had its chance: it failed, or nothing came for a while.
-    fn may_bypass(&self, now: Moment, expected: &SmolStr) -> bool {
-        let avoided = self
-            .views
-            .get(expected)
-            .is_some_and(|view| now < view.avoid_until);
-        let gone = !self.peers.contains_key(expected);
-        let stalled = now.saturating_sub(self.last_progress.max(self.started)) > OWNER_PATIENCE;
-        avoided || gone || stalled
-    }
-
-    /// A peer of the own data centre that is known to hold the chunk and not known to be busy.
-    ///
-    /// The owner is only the first to have it; were it the only sender, any time for which its link
-    /// stood idle would be lost to the burst.
-    fn local_holder(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
-        let local = self.peers.iter();
-        let local = local.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
-        self.least_busy(now, chunk, local.map(|(host, _)| host), luck)
-    }
-
-    /// Any peer known to hold the chunk, one in the own data centre first.
-    fn any_holder(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
-        let local = self.local_holder(now, chunk, luck);
-        local.or_else(|| self.least_busy(now, chunk, self.peers.keys(), luck))
-    }
-
-    /// The holder that was least busy when last heard of; luck decides between even ones, so that
-    /// hosts do not all choose the same.
-    fn least_busy<'h>(
-        &self,
-        now: Moment,
-        chunk: usize,
-        hosts: impl Iterator<Item = &'h SmolStr>,
-        luck: u64,
-    ) -> Option<Source> {
-        let holders = hosts.filter(|host| self.can_send(now, host, chunk));
-        let best = holders.min_by_key(|host| {
-            let view = self.views.get(*host);
-            let busy = view.map_or(0, |view| view.uploads as usize + 2 * view.fetching);
-            (busy, rendezvous::weight(&luck.to_le_bytes(), host))
-        });
-        self.peer(best?)
-    }
-
-    /// The origin, if this host is the first rank that is left to draw the chunk.
-    fn stand_in(&self, now: Moment, chunk: usize) -> Option<Source> {
-        let key = format!("{}/{chunk}/next", self.version);
-        let usable = |host: &&SmolStr| {
-            let view = self.views.get(*host);
-            view.is_none_or(|view| now >= view.avoid_until)
-        };
-        let hosts = self.peers.keys().filter(usable).map(SmolStr::as_str);
-        let everyone = hosts.chain([self.host.as_str()]);
-        let first = rendezvous::owner(key.as_bytes(), everyone)?;
-        if first == self.host.as_str() {
-            return self.origin(now);
-        }
-        None
-    }
-
     fn probe(&mut self, now: Moment, blocked: &[usize], actions: &mut Vec<FetchAction>) {
         let mut wanted: Vec<SmolStr> = Vec::new();
         for chunk in blocked {
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -136,8 +136,6 @@
     },
     /// The sidecar did not answer, or its upstream broke.
     Failed,
-    /// The caller went away; says nothing.
-    Abandoned,
 }
 
 /// What a choice must respect.
@@ -333,7 +331,6 @@
                 false
             }
             Feedback::Failed => view.fail(now),
-            Feedback::Abandoned => false,
         }
     }
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -57,6 +57,8 @@
     pub workers: usize,
     /// Time in which a caller must send its request head.
     pub header_timeout_ms: u64,
+    /// Whether the less loaded of two is chosen, or any as a baseline for measurements.
+    pub two_choices: bool,
 }
 
 /// Settings of `balsamjunctiond sidecar`.
@@ -89,6 +91,7 @@
             listen: listen?,
             workers: workers.unwrap_or(2) as usize,
             header_timeout_ms: timeout.unwrap_or(5_000),
+            two_choices: fields.boolean("two_choices").unwrap_or(true),
         })
     })
 }
