--- a/crates/daemon/src/entry/context.rs
+++ b/crates/daemon/src/entry/context.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
     },
 };
 
@@ -28,6 +28,7 @@
     fleet::{FleetState, Spread, Suspect},
     inner::Report,
     process::Lifecycle,
+    sync::lock,
 };
 
 /// What all threads of an entry share.
@@ -56,10 +57,6 @@
     pub sidecar: std::net::SocketAddr,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl EntryContext {
     /// A context without upstreams.
     pub fn new(state: Arc<FleetState>, spread: Addr<Spread>, clock: Clock, choice: Choice) -> Self {
--- a/crates/daemon/src/fleet/state.rs
+++ b/crates/daemon/src/fleet/state.rs
@@ -1,6 +1,6 @@
 //! What this process believes about the fleet, shared by its threads.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use balsamjunction_policy::{
     acceptance::{Acceptance, InForce, Offer},
@@ -17,6 +17,7 @@
 use crate::{
     audit::{Action, Audit, Record, Verdict},
     metrics::Metrics,
+    sync::lock,
 };
 
 /// One consistent view of declaration and members.
@@ -48,11 +49,6 @@
     changes: watch::Sender<u64>,
 }
 
-/// The state stays usable after a panic elsewhere: every update leaves it whole.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl FleetState {
     /// Knows nothing yet.
     pub fn new(peer: PeerSettings, audit: Arc<Audit>, metrics: Arc<Metrics>) -> Self {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod problem;
 pub mod process;
 pub mod sidecar;
+pub mod sync;
 
 use std::ffi::OsString;
 
--- a/crates/daemon/src/sidecar/carry.rs
+++ b/crates/daemon/src/sidecar/carry.rs
@@ -182,8 +182,13 @@
     }
 
     async fn run(&self, req: &HttpRequest, payload: Payload) -> HttpResponse {
-        let body = stream_body(req, payload);
-        match self.run_on_upstream(req, body).await {
+        let outgoing = Outgoing {
+            method: req.method().clone(),
+            path: upstream_path(req),
+            headers: req.headers(),
+            body: stream_body(req, payload),
+        };
+        match self.run_on_upstream(outgoing).await {
             Ok(running) => self.answer(running),
             Err(Ended::Refused(r)) => {
                 self.refuse(Outcome::NotRun, Some(r.refusal), Some(r.retry_after))
@@ -193,22 +198,7 @@
     }
 
     /// Waits for a place and runs the request.
-    pub async fn run_on_upstream(
-        &self,
-        req: &HttpRequest,
-        body: BoxBody,
-    ) -> Result<Running, Ended> {
-        let outgoing = Outgoing {
-            method: req.method().clone(),
-            path: upstream_path(req),
-            headers: req.headers(),
-            body,
-        };
-        self.run_outgoing(outgoing).await
-    }
-
-    /// Waits for a place and runs the request.
-    pub async fn run_outgoing(&self, outgoing: Outgoing<'_>) -> Result<Running, Ended> {
+    pub async fn run_on_upstream(&self, outgoing: Outgoing<'_>) -> Result<Running, Ended> {
         let permit = self.context.gate.admit(self.arrival()).await?;
         if self.context.beliefs_stale() {
             // The process stood still after the grant; what it granted by may no longer hold.
--- a/crates/daemon/src/sidecar/chunks.rs
+++ b/crates/daemon/src/sidecar/chunks.rs
@@ -2,13 +2,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use balsamjunction_protocol::{platform::Manifest, ChunkMap};
 use bytes::Bytes;
 use smol_str::SmolStr;
 
+use crate::sync::lock;
+
 #[derive(Debug)]
 struct Held {
     manifest: Manifest,
@@ -23,7 +25,7 @@
 
 impl ChunkStore {
     fn lock(&self) -> MutexGuard<'_, HashMap<SmolStr, Held>> {
-        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.versions)
     }
 
     /// Starts holding a version; nothing changes if it is held.
--- a/crates/daemon/src/sidecar/context.rs
+++ b/crates/daemon/src/sidecar/context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard,
 };
 
 use balsamjunction_policy::{
@@ -26,7 +26,7 @@
     gatekeeper::{Gatekeeper, VersionGate},
     once_run::KeptAnswer,
 };
-use crate::{clock::Clock, fleet::FleetState, inner::Report, process::Lifecycle};
+use crate::{clock::Clock, fleet::FleetState, inner::Report, process::Lifecycle, sync::lock};
 
 /// After a gap of this length nothing that was believed before it is acted on.
 const BELIEF_LEASE: Moment = Moment::from_secs(2);
@@ -80,10 +80,6 @@
     crashes: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl SidecarContext {
     /// A context that knows no declaration yet.
     pub fn new(settings: SidecarSettings, state: Arc<FleetState>, clock: Clock) -> Self {
--- a/crates/daemon/src/sidecar/gatekeeper.rs
+++ b/crates/daemon/src/sidecar/gatekeeper.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -12,7 +12,7 @@
 use balsamjunction_protocol::{LoadReport, Refusal};
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, sync::lock};
 
 /// A request that did not run.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +69,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inside> {
-        self.inside.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inside)
     }
 
     /// The load as entries learn it.
--- a/crates/daemon/src/sidecar/once_run.rs
+++ b/crates/daemon/src/sidecar/once_run.rs
@@ -231,7 +231,7 @@
             headers: &self.headers,
             body: actix_web::body::BoxBody::new(self.body),
         };
-        let running = match visit.run_outgoing(outgoing).await {
+        let running = match visit.run_on_upstream(outgoing).await {
             Ok(running) => running,
             Err(ended) => {
                 let end = match &ended {
--- a/crates/daemon/src/sidecar/pacing.rs
+++ b/crates/daemon/src/sidecar/pacing.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         atomic::{AtomicU32, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
     },
     time::Duration,
 };
@@ -13,6 +13,7 @@
 use balsamjunction_settings::{Fleet, ValueKey};
 
 use super::context::SidecarContext;
+use crate::sync::lock;
 
 struct Pacers {
     sending: Pacer,
@@ -58,7 +59,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Pacers> {
-        self.pacers.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.pacers)
     }
 
     /// Takes over the declared share and the number of hosts that share the link between regions.
--- a/crates/lab/src/standin/fabric/mod.rs
+++ b/crates/lab/src/standin/fabric/mod.rs
@@ -74,7 +74,7 @@
     Stall,
     /// Lets a hundredth of the rate through.
     Slow,
-    /// Flips a bit in answers.
+    /// Flips a bit in chunks of weights.
     Corrupt,
     /// Exchanges answers of connections to the same host.
     Cross,
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -25,7 +25,7 @@
 
 /// Encodes a message as a compressed body; declarations and member lists shrink to about a tenth.
 pub fn to_compressed<T: Serialize>(message: &T) -> Result<Vec<u8>, ProtocolError> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
     encoder.write_all(&to_bytes(message)?)?;
     Ok(encoder.finish()?)
 }
