--- a/crates/lab/tests/system/requests.rs
+++ b/crates/lab/tests/system/requests.rs
@@ -436,3 +436,75 @@
         assert!(all.iter().all(|run| run.request != id));
     }
 }
+
+#[actix_rt::test]
+async fn a_caller_that_never_finishes_its_head_is_let_go() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let bench = start(engines(1)).await;
+    let entry = bench.entries[0].service;
+    let mut stream = tokio::net::TcpStream::connect(entry)
+        .await
+        .expect("it listens");
+    let head = b"GET /deck-model/v1/generate HTTP/1.1\r\nhost: e";
+    stream.write_all(head).await.expect("the entry reads");
+
+    let mut answer = Vec::new();
+    // Ends only if the entry gives up on the connection.
+    let _ = stream.read_to_end(&mut answer).await;
+
+    assert!(!answer.starts_with(b"HTTP/1.1 200"));
+    assert_ran(&send(&bench, 0, &generate("after", 1)).await);
+}
+
+#[actix_rt::test]
+async fn an_oversized_head_is_refused_and_disturbs_nobody() {
+    let bench = start(engines(1)).await;
+    let entry = bench.entries[0].service;
+
+    let answer = awc::Client::default()
+        .get(format!("http://{entry}/deck-model/v1/generate"))
+        .insert_header(("x-filler", "x".repeat(300_000)))
+        .send()
+        .await;
+
+    assert!(answer.is_err() || answer.is_ok_and(|a| a.status().is_client_error()));
+    assert_ran(&send(&bench, 0, &generate("after", 1)).await);
+}
+
+#[actix_rt::test]
+async fn a_peer_of_another_protocol_version_gets_a_typed_refusal() {
+    use balsamjunction_protocol::{header, Envelope, Priority, RequestId, PROTOCOL_VERSION};
+    let bench = start(engines(1)).await;
+    let sidecar = bench.upstreams[0].private;
+    let envelope = Envelope {
+        v: PROTOCOL_VERSION + 1,
+        request: RequestId::new(),
+        attempt: 1,
+        workspace: "selam".into(),
+        priority: Priority::Normal,
+        remaining_ms: 1_000,
+        cost: 1,
+        once: None,
+        fingerprint: 1,
+        revision: 1,
+        lateness_percent: 100,
+    };
+
+    let mut answer = awc::Client::default()
+        .get(format!("http://{sidecar}/carry/v1/generate"))
+        .insert_header((
+            header::ENVELOPE,
+            header::to_header(&envelope).expect("an envelope is encodable"),
+        ))
+        .send()
+        .await
+        .expect("the sidecar answers");
+    let body = answer.body().await.expect("the answer is whole");
+
+    assert_eq!(answer.status(), 400);
+    let text = String::from_utf8_lossy(&body).into_owned();
+    assert!(text.contains("upgrade the older of the two"), "{text}");
+    assert!(pool_runs(&bench, "deck-model")
+        .expect("the ledger can be read")
+        .is_empty());
+}
