--- a/crates/lab/tests/system/common.rs
+++ b/crates/lab/tests/system/common.rs
@@ -5,7 +5,7 @@
 use balsamjunction_lab::{
     bench::{
         spec::{BenchSpec, EngineSpec, PoolSpec, FAST},
-        Bench,
+        Bench, Host,
     },
     experiment::fleet::{pool_runs, Run},
     load::{caller::Fate, Caller, Request, Seen, Task},
@@ -101,7 +101,12 @@
 }
 
 pub async fn in_force(bench: &Bench, revision: u64) {
-    for host in bench.upstreams.iter().chain(&bench.entries) {
+    let hosts = bench.upstreams.iter().chain(&bench.entries);
+    in_force_on(bench, hosts, revision).await;
+}
+
+pub async fn in_force_on(bench: &Bench, hosts: impl Iterator<Item = &Host>, revision: u64) {
+    for host in hosts {
         let reached = || async {
             bench
                 .status(host)
--- a/crates/lab/tests/system/requests.rs
+++ b/crates/lab/tests/system/requests.rs
@@ -1,8 +1,8 @@
 //! Requests through real processes under failures: whole answers, true outcomes, once at most.
 
 use super::common::{
-    assert_ran, booking, crash, engines, fresh_key, generate, in_force, pause, runs_of, send,
-    send_soon, services, start,
+    assert_ran, booking, crash, engines, fresh_key, generate, in_force, in_force_on, pause,
+    runs_of, send, send_soon, services, start,
 };
 use balsamjunction_lab::{
     bench::{control::get_json, spec::DATA_CENTRES},
@@ -203,18 +203,7 @@
     bench.spec_mut().out.insert(out.name);
     let revision = bench.publish().await.expect("it is published");
     let hosts = bench.upstreams.clone();
-    for host in &hosts {
-        let reached = || async {
-            bench
-                .status(host)
-                .await
-                .is_ok_and(|s| s.revision >= revision)
-        };
-        bench
-            .wait_for("the declaration in force", reached)
-            .await
-            .expect("it comes into force");
-    }
+    in_force_on(&bench, hosts.iter(), revision).await;
     let from_ms = unix_ms();
 
     bench
