--- a/crates/settings/tests/fleet.rs
+++ b/crates/settings/tests/fleet.rs
@@ -77,6 +77,15 @@
     assert_eq!(fleet.exceptions.len(), 2);
 }
 
+#[test]
+fn the_example_of_the_readme_is_valid() {
+    let example = include_str!("../../../examples/fleet.jsonc");
+
+    let fleet = read_fleet(example.as_bytes()).expect("the example is valid");
+
+    assert_eq!(fleet.pools.len(), 2);
+}
+
 #[test]
 fn the_longest_prefix_decides_whether_a_route_may_be_repeated() {
     let fleet = valid();
