One reading of content-length, one idle limit; drop a reply field that nobody reads

Three places parsed the length of a body, the lab repeated the client's idle limit, and each reply of a sidecar locked and copied the serving version for a field that no entry read. Behaviour stays.

--- a/crates/daemon/src/entry/body.rs
+++ b/crates/daemon/src/entry/body.rs
@@ -9,6 +9,8 @@
 use futures_util::{stream, StreamExt, TryStreamExt};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::http::content_length;
+
 /// Bodies up to this length are kept until the request has its answer, so that it can be retried.
 pub const MAX_KEPT_BYTES: usize = 64 * 1024;
 
@@ -32,7 +34,7 @@
 impl Body {
     /// Reads a short body whole, or the first piece of a long one.
     pub async fn read(req: &HttpRequest, mut payload: Payload) -> Result<Self, PayloadError> {
-        let length = content_length(req);
+        let length = content_length(req.headers());
         let chunked = req.headers().contains_key("transfer-encoding");
         if length.unwrap_or(0) == 0 && !chunked {
             return Ok(Self::Kept(Bytes::new()));
@@ -95,8 +97,3 @@
         None => BoxBody::new(actix_web::body::BodyStream::new(whole)),
     }
 }
-
-fn content_length(req: &HttpRequest) -> Option<u64> {
-    let value = req.headers().get("content-length")?;
-    value.to_str().ok()?.parse().ok()
-}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -49,6 +49,11 @@
     to
 }
 
+/// The length that a message gives for its body.
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get("content-length")?.to_str().ok()?.parse().ok()
+}
+
 /// How long an answer's body is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLength {
@@ -67,8 +72,6 @@
         if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
             return Self::None;
         }
-        let length = answer.headers().get("content-length");
-        let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
-        length.map_or(Self::Unknown, Self::Known)
+        content_length(answer.headers()).map_or(Self::Unknown, Self::Known)
     }
 }
--- a/crates/daemon/src/sidecar/carry.rs
+++ b/crates/daemon/src/sidecar/carry.rs
@@ -26,7 +26,7 @@
     upstream::{self, Failure, Outgoing, Run, Running},
 };
 use crate::{
-    http::{copy_headers, BodyLength},
+    http::{content_length, copy_headers, BodyLength},
     inner::InnerError,
     problem::{self, Given},
 };
@@ -105,7 +105,6 @@
         load: context.gate.load(),
         held_us: 0,
         revision: context.state.revision(),
-        version: None,
     };
     answer_reply(&reply)
 }
@@ -149,7 +148,6 @@
             load: self.context.gate.load(),
             held_us: held.as_micros() as u64,
             revision: self.context.state.revision(),
-            version: self.context.versions().serving.clone(),
         }
     }
 
@@ -256,8 +254,7 @@
 }
 
 fn stream_body(req: &HttpRequest, payload: Payload) -> BoxBody {
-    let length = req.headers().get("content-length");
-    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let length = content_length(req.headers());
     let chunked = req.headers().contains_key("transfer-encoding");
     let payload = payload.map_err(actix_web::Error::from);
     match length {
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -9,14 +9,14 @@
 pub mod origin;
 pub mod service;
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use actix_web::dev::Server;
 
-use crate::error::LabError;
-
 /// Idle connections stay open longer than any client keeps them.
-pub const IDLE_LIMIT: Duration = Duration::from_secs(75);
+pub use balsamjunction_client::SERVER_IDLE_LIMIT as IDLE_LIMIT;
+
+use crate::error::LabError;
 
 /// Opens a port for a stand-in.
 pub fn listen(address: SocketAddr) -> Result<std::net::TcpListener, LabError> {
--- a/crates/lab/tests/system/fleet.rs
+++ b/crates/lab/tests/system/fleet.rs
@@ -17,6 +17,11 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
+fn replace(bench: &mut Bench, name: &str) {
+    bench.processes().kill(name).expect("it runs");
+    bench.processes().start_again(name).expect("it starts");
+}
+
 async fn audit(bench: &Bench) -> Vec<Value> {
     let entry = bench.entries[0].private;
     get_json(entry, "/audit").await.expect("the entry answers")
@@ -82,11 +87,7 @@
     };
     bench.config_misbehaves(down).await.expect("it can be told");
 
-    bench.processes().kill("deck-model-0").expect("it runs");
-    bench
-        .processes()
-        .start_again("deck-model-0")
-        .expect("it starts");
+    replace(&mut bench, "deck-model-0");
 
     in_force(&bench, revision).await;
 }
@@ -105,11 +106,7 @@
         .await
         .expect("it can be told");
 
-    bench.processes().kill("deck-model-0").expect("it runs");
-    bench
-        .processes()
-        .start_again("deck-model-0")
-        .expect("it starts");
+    replace(&mut bench, "deck-model-0");
     in_force(&bench, revision).await;
     pause(2_000).await;
 
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -217,7 +217,4 @@
     /// The sidecar's declaration revision.
     #[serde(default)]
     pub revision: u64,
-    /// The version that the request is pinned to.
-    #[serde(default)]
-    pub version: Option<SmolStr>,
 }
