--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -11,7 +11,7 @@
 pub const HELP: &str = "\
 Carries requests to upstreams and weights to hosts.
 
-Usage: balsamjunctiond <entry|sidecar> --settings FILE [--set FIELD=VALUE]... [--log LEVEL]
+Usage: balsamjunctiond <entry|sidecar|gateway|stager> --settings FILE [--set FIELD=VALUE]... [--log LEVEL]
 
 Options:
   --settings FILE    settings of this process, JSON with comments
@@ -28,7 +28,7 @@
 /// What was written on the command line, unchecked.
 #[derive(Debug, Default)]
 pub struct Args {
-    /// `entry` or `sidecar`.
+    /// `entry`, `sidecar`, `gateway` or `stager`.
     pub role: Option<SmolStr>,
     /// The settings file.
     pub settings: Option<PathBuf>,
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,29 +1,43 @@
 //! The process's clock.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use balsamjunction_policy::Moment;
+use nix::{
+    sys::time::TimeValLike,
+    time::{clock_gettime, ClockId},
+};
 
 /// Gives the time since the process started, which never goes back.
+///
+/// Time for which the host is suspended counts, since beliefs age in it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    started: Duration,
     started_unix: Duration,
 }
 
+/// Time since the host started, suspension included.
+fn since_boot() -> Duration {
+    // The call fails only where the kernel lacks the clock, which every Linux since 2.6.39 has.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, |time| {
+        Duration::from_nanos(time.num_nanoseconds().max(0) as u64)
+    })
+}
+
 impl Clock {
     /// Starts at zero.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
-            started: Instant::now(),
+            started: since_boot(),
             started_unix: unix.unwrap_or_default(),
         }
     }
 
     /// Time since the start.
     pub fn now(&self) -> Moment {
-        self.started.elapsed()
+        since_boot().saturating_sub(self.started)
     }
 
     /// Start of the process in milliseconds since the Unix epoch.
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,182 @@
+//! Structured log lines on standard output, one for each decision.
+//!
+//! Lines go through a bounded queue to a thread of their own, so that a slow reader never holds up a
+//! request; lines that find the queue full are counted and the count is told. See
+//! docs/OPERATIONS.md, "Explaining a request".
+
+use std::{
+    io::Write,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc::{sync_channel, Receiver, SyncSender, TrySendError},
+    },
+    time::Duration,
+};
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::clock::Clock;
+
+/// Lines that may wait to be written; about 500 KB.
+const MAX_QUEUED: usize = 2_048;
+/// How long lines are gathered before they are written together.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// A decision or a change of belief.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub enum Event {
+    /// The process started, reads its settings again, or stops.
+    Process {
+        /// What happens.
+        change: &'static str,
+        /// Its host.
+        host: SmolStr,
+        /// Why, or with which settings.
+        detail: String,
+    },
+    /// A belief about the fleet changed.
+    Belief {
+        /// Where the news came from.
+        source: String,
+        /// The revision up to which facts are known.
+        revision: u64,
+        /// The version of the configuration in force.
+        configuration: u64,
+        /// How many facts are new, other or gone.
+        changed: usize,
+    },
+    /// A dependency was lost or regained.
+    Dependency {
+        /// Which.
+        name: String,
+        /// `lost` or `regained`.
+        change: &'static str,
+        /// What was seen.
+        detail: String,
+    },
+    /// A request was sent to an upstream.
+    Sent {
+        /// The request.
+        id: SmolStr,
+        /// The upstream.
+        upstream: SmolStr,
+        /// Which send of the request it is, from one.
+        attempt: u32,
+        /// When the first event was expected, in milliseconds.
+        expected_ms: u64,
+    },
+    /// An attempt at an upstream failed.
+    AttemptFailed {
+        /// The request.
+        id: SmolStr,
+        /// The upstream.
+        upstream: SmolStr,
+        /// What came of it.
+        ending: &'static str,
+        /// What was seen.
+        detail: String,
+    },
+    /// A request got its final answer.
+    Answered {
+        /// The request.
+        id: SmolStr,
+        /// The route.
+        route: SmolStr,
+        /// The HTTP status.
+        status: u16,
+        /// Why, where the system itself answers.
+        reason: &'static str,
+        /// Time since the request came, in milliseconds.
+        took_ms: u64,
+        /// The age of the belief about the configuration, in milliseconds.
+        belief_age_ms: u64,
+        /// The version of the configuration that decided.
+        configuration: u64,
+    },
+    /// A stream ended before its last event.
+    StreamBroken {
+        /// The request.
+        id: SmolStr,
+        /// The upstream.
+        upstream: SmolStr,
+        /// The id of the last event that was passed on.
+        last_event: SmolStr,
+        /// Whether it goes on at another upstream.
+        resumed: bool,
+        /// What was seen.
+        detail: String,
+    },
+    /// Weights of an engine moved on.
+    Weights {
+        /// The model.
+        model: SmolStr,
+        /// The version.
+        version: u64,
+        /// What was done.
+        step: &'static str,
+        /// How, or why not.
+        detail: String,
+    },
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_ms: u64,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+/// Takes events of the whole process.
+#[derive(Debug)]
+pub struct Events {
+    clock: Clock,
+    queue: SyncSender<String>,
+    dropped: AtomicU64,
+}
+
+impl Events {
+    /// Starts the thread that writes.
+    pub fn start(clock: Clock) -> Self {
+        let (queue, lines) = sync_channel(MAX_QUEUED);
+        std::thread::spawn(move || write_lines(&lines));
+        Self {
+            clock,
+            queue,
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Queues one line, or counts it as dropped.
+    pub fn emit(&self, event: &Event) {
+        let at_ms = self.clock.unix_ms();
+        let Ok(mut line) = serde_json::to_string(&Line { at_ms, event }) else {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.push_str(&format!(
+                "\n{{\"at_ms\":{at_ms},\"event\":\"lines-dropped\",\"count\":{dropped}}}"
+            ));
+        }
+        line.push('\n');
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(line) {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(lines: &Receiver<String>) {
+    let mut stdout = std::io::stdout();
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER);
+        let mut buf = first;
+        buf.extend(lines.try_iter());
+        // Standard output is the only place to complain to, so a failure ends the logging.
+        if stdout.write_all(buf.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/call.rs
@@ -0,0 +1,148 @@
+//! A caller's request, decoded once.
+
+use std::{sync::Arc, time::Duration};
+
+use actix_web::HttpRequest;
+use balsamjunction_directory::{KeyHolder, Route, RouteTable};
+use balsamjunction_platform::headers;
+use balsamjunction_policy::{dispatch::Demand, Moment};
+use bytes::Bytes;
+use hyper::{
+    header::{HeaderName, HeaderValue},
+    HeaderMap, Method,
+};
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const ONE_CONNECTION: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+/// Headers that only the system sets.
+const OURS: [&str; 6] = [
+    headers::KEY,
+    headers::WORKSPACE,
+    headers::EXPECT_UPSTREAM,
+    headers::EXPECT_VERSION,
+    headers::PRIORITY,
+    headers::DEADLINE_MS,
+];
+
+/// Whether a header is passed on as it is.
+pub fn passed_on(name: &str) -> bool {
+    !ONE_CONNECTION.contains(&name)
+}
+
+/// A caller's request with what was decided about it on arrival.
+pub struct Call {
+    /// The caller's id of this attempt.
+    pub id: SmolStr,
+    /// The configuration that it is served by.
+    pub table: Arc<RouteTable>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Whose key it carries, unless the route is public.
+    pub holder: Option<Arc<KeyHolder>>,
+    /// The service that it goes to.
+    pub service: SmolStr,
+    /// The method.
+    pub method: Method,
+    /// Path and query as the caller wrote them.
+    pub target: String,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it came.
+    pub came: Moment,
+    /// How long the caller waits, bounded by the route.
+    pub patience: Duration,
+    /// How long the caller says that it waits, if it says so.
+    pub stated_patience: Option<Duration>,
+    /// Tells requests that are the same apart from others.
+    pub fingerprint: u64,
+}
+
+fn text<'r>(req: &'r HttpRequest, name: &str) -> Option<&'r str> {
+    req.headers().get(name)?.to_str().ok()
+}
+
+/// The time that a caller states.
+pub fn stated_patience(req: &HttpRequest) -> Option<Duration> {
+    let value = text(req, headers::DEADLINE_MS)?;
+    value.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// The key that a request carries.
+pub fn key(req: &HttpRequest) -> Option<&str> {
+    headers::parse_key(text(req, headers::KEY)?)
+}
+
+/// The caller's id of this attempt; empty if it sent none.
+pub fn attempt_id(req: &HttpRequest) -> SmolStr {
+    text(req, headers::ATTEMPT_ID).unwrap_or_default().into()
+}
+
+/// Copies the headers that are passed on; names and values are of the same form on both sides.
+pub fn passed_headers(req: &HttpRequest) -> HeaderMap {
+    let mut copied = HeaderMap::with_capacity(req.headers().len() + 4);
+    for (name, value) in req.headers() {
+        let name = name.as_str();
+        if !passed_on(name) || OURS.contains(&name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            copied.append(name, value);
+        }
+    }
+    copied
+}
+
+impl Call {
+    /// When nobody waits for the answer any more.
+    pub fn deadline(&self) -> Moment {
+        self.came + self.patience
+    }
+
+    /// What the request needs of an upstream.
+    pub fn demand(&self) -> Demand {
+        let header = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
+        let tokens = header(headers::TOKENS).and_then(headers::parse_tokens);
+        let holder = self.holder.as_deref();
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        Demand {
+            service: self.service.clone(),
+            model: header(headers::MODEL).map(SmolStr::new),
+            prompt_tokens: tokens.map_or(0.0, |(prompt, _)| f64::from(prompt)),
+            priority: holder
+                .and_then(|holder| holder.priority)
+                .unwrap_or(self.route.priority),
+            route_homes: self.route.homes.clone(),
+            workspace_homes: holder.map(|h| h.homes.clone()).unwrap_or_default(),
+            wanted_by: self.came + target,
+            deadline: self.deadline(),
+            tried: Vec::new(),
+        }
+    }
+}
+
+/// Equal for requests of the same caller with the same path and body.
+pub fn fingerprint(caller: &str, target: &str, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [caller.as_bytes(), target.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/context.rs
@@ -0,0 +1,332 @@
+//! What all threads of a gateway share.
+
+use std::{
+    collections::HashMap,
+    sync::{atomic::AtomicUsize, Arc, Mutex},
+    time::Duration,
+};
+
+use balsamjunction_policy::{
+    allowance::{RetryAllowance, RetryBound},
+    dispatch::{Chosen, Demand, Dispatcher, Ending, Refused, UpstreamKey, Verdict, WaitKey},
+    Moment,
+};
+use balsamjunction_protocol::mesh::ProcessRole;
+use balsamjunction_settings::GatewaySettings;
+use smol_str::SmolStr;
+use tokio::sync::{oneshot, Notify};
+
+use crate::{mesh::Beliefs, metrics::Metrics, process::Lifecycle, sync::lock};
+
+/// How often requests that wait are looked at.
+const GRANT_TICK: Duration = Duration::from_millis(8);
+/// How often time-dependent beliefs are taken over though nothing changed.
+const FOLLOW_TICK: Duration = Duration::from_millis(400);
+/// Part of the time for a revocation after which a belief is too old to admit a key. What is left
+/// covers the way of the request and a late wake-up.
+const REVOCATION_PART: f64 = 0.86;
+/// Part of the time for a revocation after which the balancer is told to send callers elsewhere.
+const READY_PART: f64 = 0.7;
+
+/// What all threads of a gateway share.
+pub struct GatewayContext {
+    /// This host's name.
+    pub host: SmolStr,
+    /// What this process believes about the fleet.
+    pub beliefs: Arc<Beliefs>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Whether a stop was asked for.
+    pub lifecycle: Lifecycle,
+    /// Requests whose answer is not complete.
+    pub in_progress: AtomicUsize,
+    revoke_within: Option<Duration>,
+    dispatch: Mutex<Dispatch>,
+    allowances: Mutex<HashMap<SmolStr, RetryAllowance>>,
+    retry_bound: RetryBound,
+    wake: Notify,
+}
+
+struct Dispatch {
+    dispatcher: Dispatcher,
+    waiting: HashMap<WaitKey, oneshot::Sender<Result<Chosen, Refused>>>,
+}
+
+impl GatewayContext {
+    /// A context that knows no upstream yet.
+    pub fn new(
+        settings: &GatewaySettings,
+        beliefs: Arc<Beliefs>,
+        metrics: Arc<Metrics>,
+        dispatcher: Dispatcher,
+        retry_bound: RetryBound,
+    ) -> Self {
+        Self {
+            host: settings.mesh.host.clone(),
+            beliefs,
+            metrics,
+            lifecycle: Lifecycle::default(),
+            in_progress: AtomicUsize::new(0),
+            revoke_within: settings.revoke_within,
+            dispatch: Mutex::new(Dispatch {
+                dispatcher,
+                waiting: HashMap::new(),
+            }),
+            allowances: Mutex::default(),
+            retry_bound,
+            wake: Notify::new(),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Moment {
+        self.beliefs.clock.now()
+    }
+
+    /// Whether the facts are fresh enough that a key in them has surely not been taken away longer
+    /// ago than may be.
+    pub fn keys_are_current(&self) -> bool {
+        self.fresher_than(REVOCATION_PART)
+    }
+
+    fn fresher_than(&self, part: f64) -> bool {
+        let Some(age) = self.beliefs.age() else {
+            return false;
+        };
+        let bound = self.revoke_within.map(|bound| bound.mul_f64(part));
+        bound.is_none_or(|bound| age < bound)
+    }
+
+    /// Whether the balancer should send callers here.
+    pub fn ready(&self) -> bool {
+        !self.lifecycle.stopping()
+            && self.beliefs.directory().table.is_some()
+            && self.fresher_than(READY_PART)
+    }
+
+    fn entries(&self) -> usize {
+        self.beliefs
+            .members(|members, now| members.sharers(now, ProcessRole::Entry))
+    }
+
+    /// Finds an upstream for a request, waiting for one if need be.
+    pub async fn place(self: &Arc<Self>, demand: Demand) -> Result<Flight, Refused> {
+        let prompt = demand.prompt_tokens;
+        let waiting = {
+            let mut dispatch = lock(&self.dispatch);
+            match dispatch.dispatcher.offer(self.now(), demand) {
+                Verdict::Send(chosen) => {
+                    return Ok(Flight::new(self.clone(), chosen, prompt));
+                }
+                Verdict::Refuse(refused) => return Err(refused),
+                Verdict::Wait(key) => {
+                    let (tx, rx) = oneshot::channel();
+                    dispatch.waiting.insert(key, tx);
+                    Waiter {
+                        context: self.clone(),
+                        key,
+                        prompt,
+                        rx,
+                    }
+                }
+            }
+        };
+        self.wake.notify_one();
+        waiting.verdict().await
+    }
+
+    /// Gives requests that wait their verdicts, if there are any.
+    fn grant(&self) {
+        let mut dispatch = lock(&self.dispatch);
+        let now = self.now();
+        for (key, verdict) in dispatch.dispatcher.poll(now) {
+            let Some(tx) = dispatch.waiting.remove(&key) else {
+                continue;
+            };
+            let sent = match verdict {
+                Verdict::Send(chosen) => tx.send(Ok(chosen)),
+                Verdict::Refuse(refused) => tx.send(Err(refused)),
+                Verdict::Wait(_) => continue,
+            };
+            // The caller has left since; its place goes to the next one.
+            if let Err(Ok(chosen)) = sent {
+                dispatch
+                    .dispatcher
+                    .end(now, chosen.upstream, 0.0, Ending::Abandoned);
+            }
+        }
+    }
+
+    fn any_waiting(&self) -> bool {
+        lock(&self.dispatch).dispatcher.any_waiting()
+    }
+
+    /// Notes a caller's request for a service.
+    pub fn count_request(&self, service: &SmolStr) {
+        let now = self.now();
+        let mut allowances = lock(&self.allowances);
+        allowances
+            .entry(service.clone())
+            .or_insert_with(|| RetryAllowance::new(self.retry_bound))
+            .request(now);
+    }
+
+    /// Takes one retry for a service, if one is left.
+    pub fn spend_retry(&self, service: &SmolStr) -> bool {
+        let entries = self.entries();
+        let now = self.now();
+        let mut allowances = lock(&self.allowances);
+        let allowance = allowances.get_mut(service);
+        allowance.is_some_and(|allowance| allowance.spend(now, entries))
+    }
+
+    fn configure(&self) {
+        let directory = self.beliefs.directory();
+        let engines = self.beliefs.engines();
+        let entries = self.entries();
+        let now = self.now();
+        lock(&self.dispatch)
+            .dispatcher
+            .configure(now, &directory, &engines, entries);
+        self.grant();
+    }
+}
+
+/// Keeps the dispatcher in step with beliefs.
+pub async fn follow_beliefs(context: Arc<GatewayContext>) {
+    let mut changes = context.beliefs.subscribe();
+    loop {
+        context.configure();
+        // The timeout is no failure: some beliefs change with time alone.
+        let changed = actix_rt::time::timeout(FOLLOW_TICK, changes.changed()).await;
+        if matches!(changed, Ok(Err(_))) {
+            return;
+        }
+    }
+}
+
+/// Looks at requests that wait for as long as any does.
+pub async fn grant_loop(context: Arc<GatewayContext>) {
+    loop {
+        context.wake.notified().await;
+        while context.any_waiting() {
+            actix_rt::time::sleep(GRANT_TICK).await;
+            context.grant();
+        }
+    }
+}
+
+struct Waiter {
+    context: Arc<GatewayContext>,
+    key: WaitKey,
+    prompt: f64,
+    rx: oneshot::Receiver<Result<Chosen, Refused>>,
+}
+
+impl Waiter {
+    async fn verdict(mut self) -> Result<Flight, Refused> {
+        let verdict = (&mut self.rx).await;
+        let none = Refused {
+            reason: balsamjunction_policy::dispatch::RefusalReason::NoUpstream,
+            retry_after: Duration::from_secs(1),
+        };
+        let chosen = verdict.unwrap_or(Err(none))?;
+        Ok(Flight::new(self.context.clone(), chosen, self.prompt))
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let mut dispatch = lock(&self.context.dispatch);
+        dispatch.dispatcher.withdraw(self.key);
+        dispatch.waiting.remove(&self.key);
+        // A verdict that came while the caller left would otherwise hold its place for ever.
+        if let Ok(Ok(chosen)) = self.rx.try_recv() {
+            let now = self.context.now();
+            let prompt = self.prompt;
+            dispatch
+                .dispatcher
+                .end(now, chosen.upstream, prompt, Ending::Abandoned);
+        }
+    }
+}
+
+/// A request's place at an upstream, given back when it is dropped.
+pub struct Flight {
+    context: Arc<GatewayContext>,
+    chosen: Chosen,
+    unread: f64,
+    began: Moment,
+    ending: Ending,
+}
+
+impl Flight {
+    fn new(context: Arc<GatewayContext>, chosen: Chosen, prompt: f64) -> Self {
+        let began = context.now();
+        Self {
+            context,
+            chosen,
+            unread: prompt,
+            began,
+            ending: Ending::Abandoned,
+        }
+    }
+
+    /// The upstream.
+    pub fn upstream(&self) -> UpstreamKey {
+        self.chosen.upstream
+    }
+
+    /// When the first event was expected, in milliseconds after the send.
+    pub fn expected_ms(&self) -> f64 {
+        self.chosen.expected_ms
+    }
+
+    /// The upstream's address and id, unless it is gone.
+    pub fn target(&self) -> Option<balsamjunction_directory::UpstreamRecord> {
+        let dispatch = lock(&self.context.dispatch);
+        let view = dispatch.dispatcher.view(self.chosen.upstream)?;
+        Some(view.record)
+    }
+
+    /// Notes the load that an answer shows.
+    pub fn load(&self, running: u32, waiting: u32) {
+        let now = self.context.now();
+        let key = self.chosen.upstream;
+        lock(&self.context.dispatch)
+            .dispatcher
+            .load(now, key, running, waiting);
+    }
+
+    /// Notes that the first event has come.
+    pub fn first_event(&mut self) {
+        let took = self.context.now().saturating_sub(self.began);
+        let unread = std::mem::take(&mut self.unread);
+        lock(&self.context.dispatch).dispatcher.first_event(
+            self.chosen.upstream,
+            unread,
+            took.as_secs_f64() * 1e3,
+            self.chosen.expected_ms,
+        );
+    }
+
+    /// Says what came of the request; counts when the flight is dropped.
+    pub fn end_as(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.context.now();
+        lock(&self.context.dispatch).dispatcher.end(
+            now,
+            self.chosen.upstream,
+            self.unread,
+            self.ending,
+        );
+        if self.context.any_waiting() {
+            self.context.grant();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/lifecycle.rs
@@ -0,0 +1,54 @@
+//! The end of a gateway: out of the balancer first, then the last answers, then the process.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use tokio::signal::unix::{signal, SignalKind};
+
+use super::context::GatewayContext;
+use crate::{error::DaemonError, events::Event};
+
+/// The balancer asks once a second and takes a process out after two refusals.
+const LEAST_DRAIN: Duration = Duration::from_millis(3_200);
+/// How long before the end of the grace the process ends by itself.
+const MARGIN: Duration = Duration::from_millis(300);
+/// How often the drain looks whether requests are left.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Serves until the process is told to stop, and then until nothing is left to serve.
+pub async fn run_until_stopped(
+    context: &GatewayContext,
+    grace: Duration,
+) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => context.beliefs.events.emit(&Event::Process {
+                change: "reloaded",
+                host: context.host.clone(),
+                detail: "SIGHUP".to_owned(),
+            }),
+        }
+    }
+    context.lifecycle.stop();
+    context.beliefs.members(|members, _| members.leave());
+    context.beliefs.events.emit(&Event::Process {
+        change: "draining",
+        host: context.host.clone(),
+        detail: format!("{} requests", context.in_progress.load(Ordering::Acquire)),
+    });
+    let most = grace.saturating_sub(MARGIN);
+    let mut waited = Duration::ZERO;
+    while waited < most {
+        let idle = context.in_progress.load(Ordering::Acquire) == 0;
+        if idle && waited >= LEAST_DRAIN {
+            break;
+        }
+        actix_rt::time::sleep(POLL).await;
+        waited += POLL;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/mod.rs
@@ -0,0 +1,149 @@
+//! The gateway: takes callers' requests and sends them straight to the upstreams that a store
+//! publishes. See docs/DESIGN.md, "Gateway".
+
+mod admission;
+mod answer;
+mod call;
+mod context;
+mod events_stream;
+mod lifecycle;
+mod run;
+mod send;
+
+use std::{collections::HashMap, sync::Arc};
+
+use actix_web::{
+    web::{self, Data},
+    App, HttpResponse, HttpServer,
+};
+use balsamjunction_platform::Store;
+use balsamjunction_policy::{
+    allowance::RetryBound,
+    dispatch::{DispatchSettings, Dispatcher},
+};
+use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
+use balsamjunction_settings::GatewaySettings;
+use smol_str::SmolStr;
+
+use self::context::GatewayContext;
+use crate::{
+    clock::Clock,
+    error::DaemonError,
+    events::{Event, Events},
+    mesh::{self, Beliefs},
+    metrics::Metrics,
+    process::{self, BACKLOG},
+};
+
+/// Part of the time for a change of version for which requests may still find the version before.
+/// The rest is for the news to travel and for requests that wait at the engine.
+const OLD_VERSION_PART: f64 = 0.8;
+
+/// Runs a gateway until it is told to stop.
+pub async fn serve(settings: GatewaySettings) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let callers = process::listen(settings.listen)?;
+    let readiness = process::listen(settings.readiness_listen)?;
+    let inner = process::listen(settings.mesh.inner_listen)?;
+    let events = Arc::new(Events::start(clock));
+    let metrics = Arc::new(Metrics::default());
+    let beliefs = Arc::new(Beliefs::new(
+        clock,
+        events.clone(),
+        member_record(&settings, clock),
+    ));
+    let client = balsamjunction_client::new(None);
+    let context = Arc::new(GatewayContext::new(
+        &settings,
+        beliefs.clone(),
+        metrics.clone(),
+        dispatcher(&settings),
+        RetryBound {
+            window: settings.retry_window,
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+        },
+    ));
+    events.emit(&Event::Process {
+        change: "started",
+        host: settings.mesh.host.clone(),
+        detail: format!("gateway on {}", settings.listen),
+    });
+
+    let store = Store::new(client.clone(), settings.mesh.store);
+    actix_rt::spawn(mesh::read_loop(beliefs.clone(), store));
+    let seeds = settings.mesh.seeds.clone();
+    actix_rt::spawn(mesh::exchange_loop(beliefs.clone(), client, move || {
+        seeds.clone()
+    }));
+    actix_rt::spawn(context::follow_beliefs(context.clone()));
+    actix_rt::spawn(context::grant_loop(context.clone()));
+
+    let inner_data = (Data::from(beliefs), Data::new(metrics));
+    let inner_server = HttpServer::new(move || {
+        App::new()
+            .app_data(inner_data.0.clone())
+            .app_data(inner_data.1.clone())
+            .configure(mesh::http::routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(inner)?
+    .run();
+    let asked = context.clone();
+    let readiness_server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::from(asked.clone()))
+            .default_service(web::to(ready))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(readiness)?
+    .run();
+    let served = context.clone();
+    let caller_server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::from(served.clone()))
+            .default_service(web::to(admission::handle))
+    })
+    .workers(1)
+    .backlog(BACKLOG as u32)
+    .disable_signals()
+    .keep_alive(balsamjunction_client::SERVER_IDLE_LIMIT)
+    .h1_allow_half_closed(false)
+    .listen(callers)?
+    .run();
+    for server in [inner_server, readiness_server, caller_server] {
+        actix_rt::spawn(server);
+    }
+    lifecycle::run_until_stopped(&context, settings.grace).await
+}
+
+async fn ready(context: Data<GatewayContext>) -> HttpResponse {
+    match context.ready() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn member_record(settings: &GatewaySettings, clock: Clock) -> MemberRecord {
+    MemberRecord {
+        host: settings.mesh.host.clone(),
+        role: ProcessRole::Entry,
+        data_centre: settings.mesh.data_centre.clone(),
+        address: settings.mesh.inner_listen,
+        incarnation: clock.started_ms(),
+        beat: 0,
+        leaving: false,
+        engine: None,
+    }
+}
+
+fn dispatcher(settings: &GatewaySettings) -> Dispatcher {
+    let regions: HashMap<SmolStr, SmolStr> = settings.regions.clone();
+    Dispatcher::new(DispatchSettings {
+        data_centre: settings.mesh.data_centre.clone(),
+        regions,
+        old_version_for: settings.version_within.mul_f64(OLD_VERSION_PART),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/run.rs
@@ -0,0 +1,373 @@
+//! A request's way to an answer: upstreams one after the other, until one answers or no other may.
+
+use std::{sync::Arc, time::Duration};
+
+use actix_web::{http::StatusCode, HttpResponse};
+use balsamjunction_directory::{RouteKind, UpstreamRecord};
+use balsamjunction_platform::headers;
+use balsamjunction_policy::{
+    dispatch::{Demand, Ending, Refused},
+    Moment,
+};
+use balsamjunction_protocol::Crash;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    header::{HeaderName, HeaderValue},
+    Request,
+};
+use smol_str::SmolStr;
+
+use super::{
+    admission::InProgress,
+    answer::{self, Given, Reason, Relay},
+    call::Call,
+    context::{Flight, GatewayContext},
+    send::{self, SendError, Sent},
+};
+use crate::{
+    events::Event,
+    mesh,
+};
+
+/// Upstreams that are asked for one request, those included that never had it.
+const MAX_ASKED: u32 = 5;
+/// An upstream that is silent for this long, while it streams or before, is given up for another
+/// one; engines pause for a few hundred milliseconds at most.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+/// Shortest time after which a silent plain service is given up for another upstream.
+const LEAST_SILENCE: Duration = Duration::from_millis(300);
+/// Multiple of the wanted time after which a silent plain service is given up.
+const SILENCE_FACTOR: u32 = 3;
+/// Pause before a caller comes back whose request found no upstream to try.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What became of one attempt.
+enum Attempted {
+    /// An answer that may be passed on; a failure among them.
+    Answer(Box<Sent>, Flight),
+    /// It surely did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// One request and the upstreams that have had it.
+pub struct Run {
+    /// What all requests share.
+    pub context: Arc<GatewayContext>,
+    /// The request.
+    pub call: Arc<Call>,
+    demand: Demand,
+    asked: u32,
+    ran: u32,
+}
+
+/// Serves a request that was admitted.
+pub async fn serve(
+    context: Arc<GatewayContext>,
+    call: Call,
+    in_progress: InProgress,
+) -> HttpResponse {
+    context.count_request(&call.service);
+    let mut run = Run::new(context, Arc::new(call));
+    let left = run.left();
+    // A timeout drops the attempt, which closes its connection.
+    let found = actix_rt::time::timeout(left, run.find_answer(None)).await;
+    let given = match found {
+        Ok(Ok((sent, flight))) => {
+            return answer::relay(Relay::new(run, *sent, flight, in_progress)).await;
+        }
+        Ok(Err(given_up)) => given_up,
+        Err(_) => run.out_of_time(),
+    };
+    answer::own(
+        &run.context,
+        &Given {
+            id: &run.call.id,
+            route: &run.call.route.name,
+            status: given.status,
+            reason: given.reason,
+            retry_after: given.retry_after,
+            came: run.call.came,
+        },
+    )
+}
+
+/// Why no upstream's answer is passed on.
+pub struct GivenUp {
+    status: StatusCode,
+    reason: Reason,
+    retry_after: Option<Duration>,
+}
+
+impl Run {
+    fn new(context: Arc<GatewayContext>, call: Arc<Call>) -> Self {
+        let demand = call.demand();
+        Self {
+            context,
+            call,
+            demand,
+            asked: 0,
+            ran: 0,
+        }
+    }
+
+    /// Time until nobody waits any more.
+    pub fn left(&self) -> Duration {
+        self.call.deadline().saturating_sub(self.context.now())
+    }
+
+    fn out_of_time(&self) -> GivenUp {
+        if self.ran == 0 && self.asked == 0 {
+            return not_run(Reason::Overload, RETRY_AFTER);
+        }
+        GivenUp {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            reason: Reason::OutOfTime,
+            retry_after: None,
+        }
+    }
+
+    /// Sends the request until an answer comes, or no further upstream may have it.
+    ///
+    /// `resume_after` is the id of the last event that the caller has, where a stream goes on.
+    pub async fn find_answer(
+        &mut self,
+        resume_after: Option<&SmolStr>,
+    ) -> Result<(Box<Sent>, Flight), GivenUp> {
+        loop {
+            if self.context.beliefs.crashes_upstreams(self.call.fingerprint) {
+                return Err(self.give_up(Reason::CrashesUpstreams, RETRY_AFTER));
+            }
+            if self.call.holder.is_some() && !self.context.keys_are_current() {
+                return Err(self.give_up(Reason::StaleFacts, RETRY_AFTER));
+            }
+            let flight = match self.context.place(self.demand.clone()).await {
+                Ok(flight) => flight,
+                Err(refused) => return Err(self.refused(&refused)),
+            };
+            self.demand.tried.push(flight.upstream());
+            self.asked += 1;
+            let first = self.asked == 1;
+            match self.attempt(flight, resume_after).await {
+                Attempted::Answer(sent, flight) => {
+                    self.ran += 1;
+                    let failed = sent.response.status().is_server_error();
+                    if failed && self.may_repeat() {
+                        drop(sent);
+                        continue;
+                    }
+                    return Ok((sent, flight));
+                }
+                Attempted::NotRun => {
+                    if self.asked >= MAX_ASKED {
+                        return Err(self.give_up(Reason::TurnedAway, RETRY_AFTER));
+                    }
+                    // The first send is no retry if it never reached an upstream, but whether it
+                    // did is only surely known where no connection was made.
+                    let _ = first;
+                }
+                Attempted::Unknown => {
+                    self.ran += 1;
+                    if !self.may_repeat() {
+                        return Err(self.give_up(Reason::BrokenAnswer, RETRY_AFTER));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a retry for a request that may have run, if its kind, its route and the allowance let
+    /// it run again.
+    pub fn may_repeat(&self) -> bool {
+        self.call.route.repeatable()
+            && self.ran < self.call.route.max_attempts
+            && self.context.spend_retry(&self.call.service)
+    }
+
+    fn refused(&self, refused: &Refused) -> GivenUp {
+        let reason = match refused.reason {
+            balsamjunction_policy::dispatch::RefusalReason::NoUpstream => Reason::NoUpstream,
+            balsamjunction_policy::dispatch::RefusalReason::Overload => Reason::Overload,
+        };
+        self.give_up(reason, refused.retry_after)
+    }
+
+    fn give_up(&self, reason: Reason, retry_after: Duration) -> GivenUp {
+        if self.ran == 0 {
+            return not_run(reason, retry_after);
+        }
+        GivenUp {
+            status: StatusCode::BAD_GATEWAY,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    async fn attempt(&mut self, mut flight: Flight, resume_after: Option<&SmolStr>) -> Attempted {
+        let Some(target) = flight.target() else {
+            return Attempted::NotRun;
+        };
+        self.context.beliefs.events.emit(&Event::Sent {
+            id: self.call.id.clone(),
+            upstream: target.id.clone(),
+            attempt: self.asked,
+            expected_ms: flight.expected_ms() as u64,
+        });
+        let tcp = match send::connect(target.address).await {
+            Ok(tcp) => tcp,
+            Err(e) => {
+                flight.end_as(Ending::Unreachable);
+                self.failed(&target, "unreachable", e.to_string());
+                return Attempted::NotRun;
+            }
+        };
+        if self.asked > 1 && self.ran == 0 && !self.context.spend_retry(&self.call.service) {
+            // Another upstream has turned the request away, and no retry is left.
+            self.asked = MAX_ASKED;
+            return Attempted::NotRun;
+        }
+        let req = self.request(&target, resume_after);
+        let silence = self.silence();
+        let sent = actix_rt::time::timeout(silence, send::send(tcp, req)).await;
+        let detail = match sent {
+            Ok(Ok(sent)) => return self.judge(sent, flight, &target),
+            Ok(Err(e)) => {
+                if matches!(e, SendError::Broken(_)) {
+                    self.note_crash(&target);
+                }
+                e.to_string()
+            }
+            Err(_) => format!("silent for {} ms", silence.as_millis()),
+        };
+        flight.end_as(Ending::Failed);
+        self.failed(&target, "unknown", detail);
+        Attempted::Unknown
+    }
+
+    /// How long an upstream may be silent before the request goes elsewhere.
+    pub fn silence(&self) -> Duration {
+        let another = self.call.route.repeatable() && self.ran + 1 < self.call.route.max_attempts;
+        if !another {
+            return self.left();
+        }
+        let target = Duration::from_millis(self.call.route.target_latency_ms);
+        match self.call.route.kind {
+            RouteKind::Streaming => STREAM_SILENCE,
+            _ => LEAST_SILENCE.max(target * SILENCE_FACTOR),
+        }
+    }
+
+    /// Tells an answer of this upstream to this request from everything else.
+    fn judge(&mut self, sent: Sent, mut flight: Flight, target: &UpstreamRecord) -> Attempted {
+        let response = &sent.response;
+        let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+        if header(headers::ATTEMPT_ID).is_some_and(|id| id != self.call.id.as_str()) {
+            flight.end_as(Ending::Failed);
+            self.failed(target, "unknown", "answer to another request".to_owned());
+            return Attempted::Unknown;
+        }
+        if let Some((running, waiting, _)) = header(headers::LOAD).and_then(headers::parse_load) {
+            flight.load(running, waiting);
+        }
+        let status = response.status();
+        let misdirected = status == hyper::StatusCode::MISDIRECTED_REQUEST;
+        if misdirected || header(headers::NOT_RUN).is_some() {
+            flight.end_as(match misdirected {
+                true => Ending::Misdirected,
+                false => Ending::TurnedAway,
+            });
+            self.failed(target, "not-run", format!("status {status}"));
+            return Attempted::NotRun;
+        }
+        if header(headers::SIGNATURE).is_none() {
+            flight.end_as(Ending::Failed);
+            self.failed(target, "unknown", format!("unsigned status {status}"));
+            return Attempted::Unknown;
+        }
+        flight.end_as(match status.is_server_error() {
+            true => Ending::Failed,
+            false => Ending::Abandoned,
+        });
+        if status.is_server_error() {
+            self.failed(target, "failed", format!("status {status}"));
+        }
+        Attempted::Answer(Box::new(sent), flight)
+    }
+
+    fn request(&self, target: &UpstreamRecord, resume_after: Option<&SmolStr>) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let mut req = Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = call.method.clone();
+        if let Ok(uri) = call.target.parse() {
+            *req.uri_mut() = uri;
+        }
+        *req.headers_mut() = call.headers.clone();
+        let mut set = |name: &'static str, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                req.headers_mut()
+                    .insert(HeaderName::from_static(name), value);
+            }
+        };
+        set("connection", "close");
+        set(headers::EXPECT_UPSTREAM, &target.id);
+        let left = self.left();
+        let stated = call.stated_patience.unwrap_or(call.patience);
+        set(
+            headers::DEADLINE_MS,
+            &left.min(stated).as_millis().max(1).to_string(),
+        );
+        if let Some(holder) = &call.holder {
+            set(headers::WORKSPACE, &holder.workspace);
+        }
+        if call.route.kind == RouteKind::Streaming {
+            let priority = self.demand.priority.min(9);
+            set(headers::PRIORITY, &priority.to_string());
+        }
+        if let Some(id) = resume_after {
+            set(headers::LAST_EVENT_ID, id);
+        }
+        req
+    }
+
+    /// Tells the other entries of a request whose upstream broke under it.
+    pub fn note_crash(&self, target: &UpstreamRecord) {
+        let crash = Crash {
+            fingerprint: self.call.fingerprint,
+            upstream: target.id.clone(),
+        };
+        let news = self.context.beliefs.note_crashes(vec![crash]);
+        if news.is_empty() {
+            return;
+        }
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            let client = balsamjunction_client::new(None);
+            mesh::tell_broken(&context.beliefs, &client, news).await;
+        });
+    }
+
+    /// Writes a line about an attempt that failed.
+    pub fn failed(&self, target: &UpstreamRecord, ending: &'static str, detail: String) {
+        self.context.beliefs.events.emit(&Event::AttemptFailed {
+            id: self.call.id.clone(),
+            upstream: target.id.clone(),
+            ending,
+            detail,
+        });
+    }
+
+    /// The time.
+    pub fn now(&self) -> Moment {
+        self.context.now()
+    }
+}
+
+fn not_run(reason: Reason, retry_after: Duration) -> GivenUp {
+    GivenUp {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason,
+        retry_after: Some(retry_after),
+    }
+}
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -21,11 +21,11 @@
 };
 
 /// The longest message of a peer.
-const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 /// The media type of messages between processes.
 const MESSAGE_TYPE: &str = "application/msgpack";
 /// The media type of OpenMetrics.
-const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+pub(crate) const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// What the process says of itself; each role has its own.
 pub trait Report: Send + Sync {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,15 +9,19 @@
 pub mod clock;
 pub mod entry;
 pub mod error;
+pub mod events;
 pub mod fleet;
+pub mod gateway;
 pub mod http;
 pub mod inner;
+pub mod mesh;
 pub mod metrics;
 pub mod options;
 pub mod platform;
 pub mod problem;
 pub mod process;
 pub mod sidecar;
+pub mod stager;
 pub mod sync;
 
 use std::ffi::OsString;
@@ -34,5 +38,7 @@
     match options.role {
         Role::Entry(settings) => actix_rt::System::new().block_on(entry::serve(*settings)),
         Role::Sidecar(settings) => actix_rt::System::new().block_on(sidecar::serve(*settings)),
+        Role::Gateway(settings) => actix_rt::System::new().block_on(gateway::serve(*settings)),
+        Role::Stager(settings) => actix_rt::System::new().block_on(stager::serve(*settings)),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -0,0 +1,202 @@
+//! The facts and the members that a process knows.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use balsamjunction_directory::{Absorbed, Change, Directory, Proof, Replica, ReplicaUpdate};
+use balsamjunction_policy::{crash::CrashList, membership::Membership, Moment};
+use balsamjunction_protocol::{
+    mesh::{EngineStatus, MemberRecord, ProcessRole, WeightsNews},
+    Crash,
+};
+use tokio::sync::watch;
+
+use crate::{
+    clock::Clock,
+    events::{Event, Events},
+    sync::lock,
+};
+
+/// Crashes after which a request is not run any more.
+const CRASH_LIMIT: u64 = 3;
+
+/// What this process believes, shared by its threads.
+pub struct Beliefs {
+    /// The clock on which ages are counted.
+    pub clock: Clock,
+    /// Where changes of belief are told.
+    pub events: Arc<Events>,
+    replica: Mutex<Replica>,
+    directory: Mutex<Arc<Directory>>,
+    members: Mutex<Membership>,
+    crashes: Mutex<CrashList>,
+    changes: watch::Sender<u64>,
+}
+
+impl Beliefs {
+    /// Knows nothing but this process itself.
+    pub fn new(clock: Clock, events: Arc<Events>, own: MemberRecord) -> Self {
+        Self {
+            clock,
+            events,
+            replica: Mutex::default(),
+            directory: Mutex::default(),
+            members: Mutex::new(Membership::new(own)),
+            crashes: Mutex::default(),
+            changes: watch::channel(0).0,
+        }
+    }
+
+    /// The facts in lookup form.
+    pub fn directory(&self) -> Arc<Directory> {
+        lock(&self.directory).clone()
+    }
+
+    /// Gives every change of facts or of what sidecars say.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// The revision up to which facts are known.
+    pub fn at(&self) -> u64 {
+        lock(&self.replica).at()
+    }
+
+    /// How long ago the facts were proved; nothing if they never were.
+    pub fn age(&self) -> Option<Duration> {
+        let proved = lock(&self.replica).proved()?;
+        Some(self.clock.now().saturating_sub(proved))
+    }
+
+    /// The version of the configuration in force; zero if none is known.
+    pub fn configuration(&self) -> u64 {
+        let directory = self.directory();
+        let table = directory.table.as_ref();
+        table.map_or(0, |table| table.declaration.version)
+    }
+
+    /// Takes changes that follow what is known.
+    pub fn apply(&self, changes: Vec<Change>, proof: Proof, source: &str) {
+        self.update(source, |replica, now| replica.apply(now, changes, proof));
+    }
+
+    /// Takes a whole listing, of which the first page was complete at `proof.at`.
+    pub fn replace(&self, changes: Vec<Change>, proof: Proof, source: &str) {
+        self.update(source, |replica, now| {
+            replica.replace(now, changes, proof.at, proof)
+        });
+    }
+
+    /// Takes a peer's answer to a question that was sent at `asked`.
+    pub fn absorb(&self, asked: Moment, update: ReplicaUpdate, source: &str) {
+        self.update(source, |replica, now| replica.absorb(now, asked, update));
+    }
+
+    /// Notes that nothing beyond what is known existed when the question was sent.
+    pub fn prove(&self, proof: Proof) {
+        lock(&self.replica).prove(proof);
+    }
+
+    fn update(&self, source: &str, change: impl FnOnce(&mut Replica, Moment) -> Absorbed) {
+        let now = self.clock.now();
+        let (absorbed, revision) = {
+            let mut replica = lock(&self.replica);
+            let absorbed = change(&mut replica, now);
+            if absorbed.changed == 0 {
+                return;
+            }
+            let mut directory = lock(&self.directory);
+            *directory = Arc::new(Directory::of(&replica, &directory));
+            (absorbed, replica.at())
+        };
+        self.events.emit(&Event::Belief {
+            source: source.to_owned(),
+            revision,
+            configuration: self.configuration(),
+            changed: absorbed.changed,
+        });
+        self.notify();
+    }
+
+    /// What a peer lacks that is complete up to its own revision.
+    pub fn answer_pull(
+        &self,
+        pull: &balsamjunction_directory::ReplicaPull,
+    ) -> Option<ReplicaUpdate> {
+        lock(&self.replica).answer(self.clock.now(), pull)
+    }
+
+    /// What sidecars need to know.
+    pub fn weights_news(&self) -> Option<WeightsNews> {
+        let age = self.age()?;
+        let directory = self.directory();
+        let declaration = &directory.table.as_ref()?.declaration;
+        let mut models = Vec::new();
+        for service in &declaration.services {
+            let engine = service.engine.iter();
+            let served = engine.flat_map(|engine| &engine.models);
+            models.extend(served.map(|m| (service.name.clone(), m.name.clone())));
+        }
+        let mut wanted: Vec<_> = directory
+            .wanted
+            .iter()
+            .map(|(model, (version, _))| (model.clone(), *version))
+            .collect();
+        wanted.sort();
+        Some(WeightsNews {
+            age_ms: age.as_millis() as u64,
+            wanted,
+            origin: declaration.origin().map(|origin| origin.address.clone()),
+            models,
+        })
+    }
+
+    /// Uses the view of the other processes.
+    pub fn members<T>(&self, f: impl FnOnce(&mut Membership, Moment) -> T) -> T {
+        f(&mut lock(&self.members), self.clock.now())
+    }
+
+    /// Takes what another process tells of members.
+    pub fn merge_members(&self, records: Vec<MemberRecord>) {
+        let engines = self.engines();
+        self.members(|members, now| members.merge(now, records));
+        if self.engines() != engines {
+            self.notify();
+        }
+    }
+
+    /// What sidecars say of their engines.
+    pub fn engines(&self) -> Vec<EngineStatus> {
+        let mut engines = self.members(|members, now| {
+            let sidecars = members.live(now, ProcessRole::Sidecar);
+            sidecars
+                .filter_map(|record| record.engine.clone())
+                .collect::<Vec<_>>()
+        });
+        engines.sort_by_key(|status| status.address);
+        engines
+    }
+
+    /// Notes crashes; gives those that are news.
+    pub fn note_crashes(&self, crashes: Vec<Crash>) -> Vec<Crash> {
+        let mut list = lock(&self.crashes);
+        let news = crashes.into_iter().filter(|crash| list.add(crash.clone()));
+        news.collect()
+    }
+
+    /// Clears a request that was served after all.
+    pub fn served(&self, fingerprint: u64) {
+        lock(&self.crashes).served(fingerprint, CRASH_LIMIT);
+    }
+
+    /// Whether a request has crashed so many upstreams that it must not run again.
+    pub fn crashes_upstreams(&self, fingerprint: u64) -> bool {
+        lock(&self.crashes).refuses(fingerprint, CRASH_LIMIT)
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|n| *n += 1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/mesh/peers.rs
@@ -0,0 +1,111 @@
+//! Exchanges views with other processes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use awc::Client;
+use balsamjunction_directory::ReplicaPull;
+use balsamjunction_protocol::{
+    mesh::{CrashNews, ProcessRole, SyncAnswer, SyncRequest},
+    paths, Crash, PROTOCOL_VERSION,
+};
+use log::debug;
+use rand::Rng;
+
+use super::Beliefs;
+use crate::{
+    client::{self, PeerError},
+    fleet::spread::Done,
+};
+
+/// Mean time between exchanges, spread by half to both sides.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
+/// The same while this process cannot prove its facts at the store.
+const URGENT_INTERVAL: Duration = Duration::from_millis(150);
+/// A belief that is older than this is asked for at peers, too.
+const ASK_PEERS_AFTER: Duration = Duration::from_millis(1_000);
+/// A peer that does not answer in this time is passed over.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Exchanges views for as long as the process runs; `seeds` gives the seeds of the moment.
+pub async fn exchange_loop(
+    beliefs: Arc<Beliefs>,
+    client: Client,
+    seeds: impl Fn() -> Vec<SocketAddr>,
+) {
+    loop {
+        let stale = beliefs.age().is_none_or(|age| age >= ASK_PEERS_AFTER);
+        let target = beliefs.members(|members, now| {
+            members.beat();
+            members.expire(now);
+            members.exchange_target(now, ProcessRole::Entry, &seeds(), &mut rand::rng())
+        });
+        if let Some(address) = target {
+            let pull = stale.then(|| ReplicaPull { at: beliefs.at() });
+            if let Err(e) = exchange_once(&beliefs, &client, address, pull, false).await {
+                debug!("no exchange with {address}: {e}");
+            }
+        }
+        let mean = match stale {
+            true => URGENT_INTERVAL,
+            false => EXCHANGE_INTERVAL,
+        };
+        let part = rand::rng().random_range(0.5..1.5);
+        actix_rt::time::sleep(mean.mul_f64(part)).await;
+    }
+}
+
+/// Exchanges views with one peer, and takes over what it knows better.
+pub async fn exchange_once(
+    beliefs: &Beliefs,
+    client: &Client,
+    address: SocketAddr,
+    pull: Option<ReplicaPull>,
+    weights: bool,
+) -> Result<SyncAnswer, PeerError> {
+    let (members, member_digest) = beliefs.members(|members, now| {
+        let all = match weights {
+            // A sidecar only tells of itself; entries know the others.
+            true => vec![members.own().clone()],
+            false => members.records(now),
+        };
+        (all, members.digest(now))
+    });
+    let request = SyncRequest {
+        v: PROTOCOL_VERSION,
+        members,
+        member_digest,
+        pull,
+        weights,
+    };
+    let asked = beliefs.clock.now();
+    let mut answer: SyncAnswer =
+        client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
+    beliefs.merge_members(std::mem::take(&mut answer.members));
+    if let Some(update) = answer.update.take() {
+        beliefs.absorb(asked, update, &format!("peer {address}"));
+    }
+    Ok(answer)
+}
+
+/// Tells all entries of requests that broke upstreams, since their callers may come straight back.
+pub async fn tell_broken(beliefs: &Beliefs, client: &Client, crashes: Vec<Crash>) {
+    let entries: Vec<SocketAddr> = beliefs.members(|members, now| {
+        let entries = members.live(now, ProcessRole::Entry);
+        entries.map(|record| record.address).collect()
+    });
+    let news = CrashNews {
+        v: PROTOCOL_VERSION,
+        crashes,
+    };
+    let calls = entries.into_iter().map(|address| {
+        let news = &news;
+        async move {
+            let told: Result<Done, _> =
+                client::call(client, address, paths::BROKEN, news, PEER_TIMEOUT).await;
+            if let Err(e) = told {
+                debug!("{address} was not told of a crash: {e}");
+            }
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -3,7 +3,9 @@
 use std::{fs, path::PathBuf};
 
 use balsamjunction_settings::{
-    process::nearest_role, read_entry, read_sidecar, EntrySettings, Report, SidecarSettings,
+    process::{nearest_role, ROLES},
+    read_entry, read_gateway, read_sidecar, read_stager, EntrySettings, GatewaySettings, Report,
+    SidecarSettings, StagerSettings,
 };
 use log::LevelFilter;
 use smol_str::SmolStr;
@@ -17,6 +19,10 @@
     Entry(Box<EntrySettings>),
     /// Stands before one upstream.
     Sidecar(Box<SidecarSettings>),
+    /// Takes callers' requests where a store publishes upstreams, and sends straight to them.
+    Gateway(Box<GatewaySettings>),
+    /// Brings weights to one engine where a store publishes versions.
+    Stager(Box<StagerSettings>),
 }
 
 /// Everything that the daemon runs with.
@@ -32,9 +38,9 @@
     /// Checks the command line and reads the settings.
     pub fn from_args(args: Args) -> Result<Self, DaemonError> {
         let role = args.role.ok_or(DaemonError::MissingOption {
-            option: "entry or sidecar",
+            option: "entry, sidecar, gateway or stager",
         })?;
-        if !["entry", "sidecar"].contains(&role.as_str()) {
+        if !ROLES.contains(&role.as_str()) {
             let suggestion = nearest_role(&role);
             return Err(DaemonError::Role { role, suggestion });
         }
@@ -49,6 +55,8 @@
         })?;
         let role = match role.as_str() {
             "entry" => Role::Entry(Box::new(located(path, read_entry(&buf, &overrides))?)),
+            "gateway" => Role::Gateway(Box::new(located(path, read_gateway(&buf, &overrides))?)),
+            "stager" => Role::Stager(Box::new(located(path, read_stager(&buf, &overrides))?)),
             _ => Role::Sidecar(Box::new(located(path, read_sidecar(&buf, &overrides))?)),
         };
         Ok(Self { role, log_level })
--- /dev/null
+++ b/crates/directory/src/lib.rs
@@ -0,0 +1,21 @@
+//! What the platform publishes, in the product's own terms.
+//!
+//! [`Replica`] holds one process's copy of the published facts, with the revision up to which it is
+//! complete and the age of the proof. [`Directory`] is the lookup form that requests are served from.
+//! Both are free of I/O and of the platform's names; `platform/` translates. See docs/DESIGN.md,
+//! "Beliefs".
+
+mod declaration;
+mod fact;
+mod lookup;
+mod replica;
+
+pub use crate::{
+    declaration::{
+        CallerLimits, Declaration, EngineModel, Origin, Route, RouteKind, ServedModel, Service,
+        Target, Workspace,
+    },
+    fact::{Fact, HeldModel, Subject, UpstreamRecord, UpstreamState},
+    lookup::{Directory, KeyHolder, RouteTable},
+    replica::{Absorbed, Change, Proof, Replica, ReplicaPull, ReplicaUpdate},
+};
--- /dev/null
+++ b/crates/directory/src/replica.rs
@@ -0,0 +1,249 @@
+//! One process's copy of the published facts.
+//!
+//! The source has a single revision counter. A replica knows every change up to [`Replica::at`], and
+//! since when that is proved: a later change cannot have been acknowledged before the proof.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::fact::{Fact, Subject};
+
+/// Removals that are remembered, so that peers which are a little behind need no whole copy.
+const MAX_REMOVALS: usize = 1_024;
+
+/// One change, in the order of the source's revisions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// What changed.
+    pub subject: Subject,
+    /// The source's revision of the change.
+    pub revision: u64,
+    /// The fact; nothing if it was removed or cannot be read.
+    pub fact: Option<Fact>,
+}
+
+/// That a copy was complete up to a revision at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// The revision.
+    pub at: u64,
+    /// When the proving question was sent, on the clock of this process.
+    pub asked: Duration,
+}
+
+/// Asks a peer for what is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaPull {
+    /// The revision up to which the asking process is complete.
+    pub at: u64,
+}
+
+/// What a peer knows beyond the asked revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaUpdate {
+    /// The revision up to which the peer is complete.
+    pub at: u64,
+    /// How long ago the peer's copy was proved, in milliseconds.
+    pub age_ms: u64,
+    /// Whether `changes` are the whole copy instead of what is newer.
+    pub whole: bool,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// What a process learned from changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Absorbed {
+    /// Facts that are new, other or gone.
+    pub changed: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    revision: u64,
+    fact: Fact,
+    learned: Duration,
+}
+
+/// The facts that a process knows.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    at: u64,
+    proved: Option<Duration>,
+    entries: BTreeMap<Subject, Entry>,
+    removed: VecDeque<(Subject, u64)>,
+    forgotten: u64,
+}
+
+impl Replica {
+    /// The revision up to which every change is known; zero if nothing is known.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// When the newest proof was asked for.
+    pub fn proved(&self) -> Option<Duration> {
+        self.proved
+    }
+
+    /// Every fact with its revision and the time at which it was learned.
+    pub fn facts(&self) -> impl Iterator<Item = (&Subject, &Fact, u64, Duration)> {
+        let all = self.entries.iter();
+        all.map(|(subject, e)| (subject, &e.fact, e.revision, e.learned))
+    }
+
+    /// Takes changes that followed the known revision, and the proof that comes with them.
+    ///
+    /// Changes that are older than what is known are passed over, so answers may cross.
+    pub fn apply(&mut self, now: Duration, changes: Vec<Change>, proof: Proof) -> Absorbed {
+        let mut absorbed = Absorbed::default();
+        for change in changes {
+            absorbed.changed += usize::from(self.put(now, change));
+        }
+        self.prove(proof);
+        absorbed
+    }
+
+    /// Takes a whole copy that was complete when `proof` was asked for.
+    ///
+    /// `least` is the lowest revision of the copy's parts; facts that are absent from it and not
+    /// newer are gone.
+    pub fn replace(
+        &mut self,
+        now: Duration,
+        changes: Vec<Change>,
+        least: u64,
+        proof: Proof,
+    ) -> Absorbed {
+        let mut absorbed = Absorbed::default();
+        let listed: Vec<Subject> = changes.iter().map(|c| c.subject.clone()).collect();
+        let gone: Vec<Subject> = self
+            .entries
+            .iter()
+            .filter(|(subject, e)| e.revision <= least && !listed.contains(subject))
+            .map(|(subject, _)| subject.clone())
+            .collect();
+        for subject in gone {
+            let change = Change {
+                subject,
+                revision: least,
+                fact: None,
+            };
+            absorbed.changed += usize::from(self.put(now, change));
+        }
+        for change in changes {
+            absorbed.changed += usize::from(self.put(now, change));
+        }
+        self.prove(proof);
+        absorbed
+    }
+
+    /// Notes that the copy was complete; a proof of a lower revision says nothing new.
+    pub fn prove(&mut self, proof: Proof) {
+        if proof.at < self.at {
+            return;
+        }
+        self.at = proof.at;
+        self.proved = self.proved.max(Some(proof.asked));
+    }
+
+    fn put(&mut self, now: Duration, change: Change) -> bool {
+        let known = self.entries.get(&change.subject);
+        if known.is_some_and(|e| e.revision >= change.revision) {
+            return false;
+        }
+        let removed = self.removed.iter().rev();
+        let mut removed = removed.filter(|(subject, _)| *subject == change.subject);
+        if removed.next().is_some_and(|(_, at)| *at >= change.revision) {
+            return false;
+        }
+        let Some(fact) = change.fact else {
+            let existed = self.entries.remove(&change.subject).is_some();
+            if existed {
+                self.forget(change.subject, change.revision);
+            }
+            return existed;
+        };
+        if let (Some(known), Fact::Declaration(new)) = (known, &fact) {
+            // A configuration never goes back, whatever revision its source gives it.
+            if matches!(&known.fact, Fact::Declaration(old) if old.version > new.version) {
+                return false;
+            }
+        }
+        let same = known.is_some_and(|e| e.fact == fact);
+        let learned = match known {
+            Some(e) if same => e.learned,
+            _ => now,
+        };
+        let entry = Entry {
+            revision: change.revision,
+            fact,
+            learned,
+        };
+        self.entries.insert(change.subject, entry);
+        !same
+    }
+
+    fn forget(&mut self, subject: Subject, revision: u64) {
+        self.removed.push_back((subject, revision));
+        if self.removed.len() > MAX_REMOVALS {
+            if let Some((_, revision)) = self.removed.pop_front() {
+                self.forgotten = self.forgotten.max(revision);
+            }
+        }
+    }
+
+    /// What a peer that is complete up to `pull.at` lacks.
+    pub fn answer(&self, now: Duration, pull: &ReplicaPull) -> Option<ReplicaUpdate> {
+        let proved = self.proved?;
+        let whole = pull.at == 0 || pull.at < self.forgotten;
+        let newer = |revision: u64| whole || revision > pull.at;
+        let mut changes: Vec<Change> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| newer(e.revision))
+            .map(|(subject, e)| Change {
+                subject: subject.clone(),
+                revision: e.revision,
+                fact: Some(e.fact.clone()),
+            })
+            .collect();
+        if !whole {
+            let removed = self.removed.iter().filter(|(_, at)| newer(*at));
+            changes.extend(removed.map(|(subject, revision)| Change {
+                subject: subject.clone(),
+                revision: *revision,
+                fact: None,
+            }));
+        }
+        changes.sort_by_key(|change| change.revision);
+        Some(ReplicaUpdate {
+            at: self.at,
+            age_ms: now.saturating_sub(proved).as_millis() as u64,
+            whole,
+            changes,
+        })
+    }
+
+    /// Takes a peer's answer to a question that was sent at `asked`.
+    ///
+    /// The proof is as old as the peer says, counted from before the question was sent.
+    pub fn absorb(&mut self, now: Duration, asked: Duration, update: ReplicaUpdate) -> Absorbed {
+        let age = Duration::from_millis(update.age_ms);
+        let proof = Proof {
+            at: update.at,
+            asked: asked.saturating_sub(age),
+        };
+        if update.at < self.at {
+            return Absorbed::default();
+        }
+        match update.whole {
+            true => self.replace(now, update.changes, update.at, proof),
+            false => self.apply(now, update.changes, proof),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/allowance.rs
@@ -0,0 +1,61 @@
+//! The retries that all entries may send together, of which each takes its share.
+
+use crate::{sliding::SlidingCount, Moment};
+
+/// Part of the bound that is used; the rest covers requests that cross the edge of a window.
+const USED_PART: f64 = 0.8;
+
+/// The bound on arrivals beyond the first of each request, summed over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBound {
+    /// The window, on which the bound holds at any time.
+    pub window: Moment,
+    /// Retries for each request in the window.
+    pub ratio: f64,
+    /// Retries in a window beside those.
+    pub slack: f64,
+}
+
+/// One entry's share of the retries to one service.
+///
+/// Each entry adds its own requests to what it may retry, and an even part of the slack. The shares
+/// never add up to more than the bound, so entries need not agree on each retry.
+#[derive(Clone, Debug)]
+pub struct RetryAllowance {
+    bound: RetryBound,
+    requests: SlidingCount,
+    retries: SlidingCount,
+}
+
+impl RetryAllowance {
+    /// A share of `bound`.
+    pub fn new(bound: RetryBound) -> Self {
+        Self {
+            bound,
+            requests: SlidingCount::new(bound.window),
+            retries: SlidingCount::new(bound.window),
+        }
+    }
+
+    /// Notes a request of a caller.
+    pub fn request(&mut self, now: Moment) {
+        self.requests.add(now);
+    }
+
+    /// Retries that are left, with `entries` to share the slack.
+    pub fn left(&mut self, now: Moment, entries: usize) -> usize {
+        let earned = self.bound.ratio * self.requests.count(now) as f64;
+        let slack = self.bound.slack / entries.max(1) as f64;
+        let bound = (USED_PART * (earned + slack)) as usize;
+        bound.saturating_sub(self.retries.count(now))
+    }
+
+    /// Takes one retry, if one is left.
+    pub fn spend(&mut self, now: Moment, entries: usize) -> bool {
+        if self.left(now, entries) == 0 {
+            return false;
+        }
+        self.retries.add(now);
+        true
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/mod.rs
@@ -0,0 +1,382 @@
+//! Which upstream serves a request, which requests wait, and which are refused.
+//!
+//! An entry sends requests straight to upstreams. [`Dispatcher`] keeps what it knows of each of them:
+//! its own requests there, what answers say of the load by others, failures, and how cold it is. See
+//! docs/ROUTING.md.
+
+mod pool;
+mod upstream;
+
+use std::collections::HashMap;
+
+use balsamjunction_directory::{Directory, EngineModel, Service, UpstreamRecord, UpstreamState};
+use balsamjunction_protocol::mesh::EngineStatus;
+use slotmap::{new_key_type, SlotMap};
+use smol_str::SmolStr;
+
+use self::{pool::Pool, upstream::Upstream};
+use crate::Moment;
+
+new_key_type! {
+    /// An upstream in the dispatcher's arena.
+    pub struct UpstreamKey;
+    /// A request that waits in the dispatcher.
+    pub struct WaitKey;
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// The service that it goes to.
+    pub service: SmolStr,
+    /// The model that it asks for, if it is for an engine.
+    pub model: Option<SmolStr>,
+    /// Length of its prompt in tokens.
+    pub prompt_tokens: f64,
+    /// Rank; zero is the most urgent.
+    pub priority: u8,
+    /// Regions to which the route confines it; empty for all.
+    pub route_homes: Vec<SmolStr>,
+    /// Regions to which its workspace confines it; empty for all.
+    pub workspace_homes: Vec<SmolStr>,
+    /// When its first event is wanted.
+    pub wanted_by: Moment,
+    /// When nobody waits for it any more.
+    pub deadline: Moment,
+    /// Upstreams that have had it.
+    pub tried: Vec<UpstreamKey>,
+}
+
+impl Demand {
+    fn allows(&self, region: &SmolStr) -> bool {
+        let allowed = |homes: &[SmolStr]| homes.is_empty() || homes.contains(region);
+        allowed(&self.route_homes) && allowed(&self.workspace_homes)
+    }
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is sent to the upstream, on which it already counts.
+    Send(Chosen),
+    /// It waits; [`Dispatcher::poll`] gives its verdict.
+    Wait(WaitKey),
+    /// It is not served.
+    Refuse(Refused),
+}
+
+/// Where a request is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// When its first event is expected, from now, in milliseconds.
+    pub expected_ms: f64,
+}
+
+/// Why a request is not served, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refused {
+    /// Why.
+    pub reason: RefusalReason,
+    /// After this time there will be room, as far as can be told.
+    pub retry_after: Moment,
+}
+
+/// Why a request is not served.
+#[derive(Clone, Copy, Debug, strum::Display, strum::IntoStaticStr, PartialEq, Eq, Hash)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RefusalReason {
+    /// No upstream of the service may take it.
+    NoUpstream,
+    /// Every upstream is too busy for the wanted time.
+    Overload,
+}
+
+/// What came of a request at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered.
+    Served,
+    /// The upstream says that it did not run it, being full or about to leave.
+    TurnedAway,
+    /// Another upstream has the address, or it has other weights.
+    Misdirected,
+    /// No connection could be made.
+    Unreachable,
+    /// The answer was a failure, broke off, or did not come in time.
+    Failed,
+    /// The caller left.
+    Abandoned,
+}
+
+/// How this process stands to the others and to time.
+#[derive(Clone, Debug)]
+pub struct DispatchSettings {
+    /// The data centre of this process.
+    pub data_centre: SmolStr,
+    /// The region of each data centre.
+    pub regions: HashMap<SmolStr, SmolStr>,
+    /// How long after a version was named its predecessor may still be asked for.
+    pub old_version_for: Moment,
+}
+
+/// A view of an upstream, for senders and for status pages.
+#[derive(Clone, Debug)]
+pub struct UpstreamView {
+    /// What it registered.
+    pub record: UpstreamRecord,
+    /// The requests of this entry there.
+    pub own_requests: usize,
+}
+
+/// What an entry knows of all upstreams.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    by_id: HashMap<(SmolStr, u64), UpstreamKey>,
+    pools: HashMap<SmolStr, Pool>,
+    waiting: SlotMap<WaitKey, Waiting>,
+    entries: usize,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    demand: Demand,
+    since: Moment,
+}
+
+/// Longest time for which a request waits for room before it is refused; callers that are refused
+/// at once can be served elsewhere or come back.
+const MAX_WAIT: Moment = Moment::from_millis(45);
+/// Shortest time after which a refused caller is asked to come back.
+const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
+/// A refusal for want of any upstream: about the time in which one is registered anew.
+const NO_UPSTREAM_RETRY_AFTER: Moment = Moment::from_millis(700);
+
+impl Dispatcher {
+    /// Knows no upstream.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            settings,
+            upstreams: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            pools: HashMap::new(),
+            waiting: SlotMap::with_key(),
+            entries: 1,
+        }
+    }
+
+    /// Takes over what is published, and what sidecars say of their engines.
+    ///
+    /// `entries` is the number of entries that share each upstream's bounds.
+    pub fn configure(
+        &mut self,
+        now: Moment,
+        directory: &Directory,
+        engines: &[EngineStatus],
+        entries: usize,
+    ) {
+        self.entries = entries.max(1);
+        let Some(table) = &directory.table else {
+            return;
+        };
+        let mut found = HashMap::new();
+        let mut members: HashMap<SmolStr, Vec<UpstreamKey>> = HashMap::new();
+        for (record, learned) in &directory.upstreams {
+            let Some(service) = table.declaration.service(&record.service) else {
+                continue;
+            };
+            let id = (record.id.clone(), record.born_ms);
+            let key = self.by_id.get(&id).copied();
+            let key = key.unwrap_or_else(|| self.upstreams.insert(Upstream::new(record.clone())));
+            let status = engines
+                .iter()
+                .find(|s| s.address == record.address && s.born_ms == record.born_ms);
+            let evacuated = directory.evacuated.contains(&record.data_centre);
+            if let Some(upstream) = self.upstreams.get_mut(key) {
+                upstream.update(record, *learned, service, status);
+                upstream.open = record.state == UpstreamState::Ready && !evacuated;
+            }
+            found.insert(id, key);
+            members
+                .entry(record.service.clone())
+                .or_default()
+                .push(key);
+        }
+        for (id, key) in std::mem::take(&mut self.by_id) {
+            if !found.contains_key(&id) {
+                self.upstreams.remove(key);
+            }
+        }
+        self.by_id = found;
+        self.pools = table
+            .declaration
+            .services
+            .iter()
+            .map(|service| {
+                let mut pool = Pool::new(service, members.remove(&service.name));
+                pool.wanted = wanted_versions(now, &self.settings, service, directory);
+                (service.name.clone(), pool)
+            })
+            .collect();
+    }
+
+    /// An upstream, unless it is gone.
+    pub fn view(&self, key: UpstreamKey) -> Option<UpstreamView> {
+        let upstream = self.upstreams.get(key)?;
+        Some(UpstreamView {
+            record: upstream.record.clone(),
+            own_requests: upstream.own_requests,
+        })
+    }
+
+    /// Decides about a request that has just come, or is to be sent again.
+    pub fn offer(&mut self, now: Moment, demand: Demand) -> Verdict {
+        match self.decide(now, &demand, now) {
+            Decision::Send(chosen) => {
+                self.begin(now, &demand, &chosen);
+                Verdict::Send(chosen)
+            }
+            Decision::Wait => {
+                let since = now;
+                Verdict::Wait(self.waiting.insert(Waiting { demand, since }))
+            }
+            Decision::Refuse(refused) => Verdict::Refuse(refused),
+        }
+    }
+
+    /// Forgets a request that waits; its caller has left.
+    pub fn withdraw(&mut self, key: WaitKey) {
+        self.waiting.remove(key);
+    }
+
+    /// Whether any request waits, so that [`Self::poll`] must be called again soon.
+    pub fn any_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Gives the verdicts of requests that waited; call after every change and every few
+    /// milliseconds while any request waits.
+    pub fn poll(&mut self, now: Moment) -> Vec<(WaitKey, Verdict)> {
+        let mut order: Vec<(u8, Moment, WaitKey)> = self
+            .waiting
+            .iter()
+            .map(|(key, w)| (w.demand.priority, w.since, key))
+            .collect();
+        order.sort();
+        let mut verdicts = Vec::new();
+        for (_, since, key) in order {
+            let Some(waiting) = self.waiting.get(key) else {
+                continue;
+            };
+            let demand = waiting.demand.clone();
+            let verdict = match self.decide(now, &demand, since) {
+                Decision::Send(chosen) => {
+                    self.begin(now, &demand, &chosen);
+                    Verdict::Send(chosen)
+                }
+                Decision::Wait => continue,
+                Decision::Refuse(refused) => Verdict::Refuse(refused),
+            };
+            self.waiting.remove(key);
+            verdicts.push((key, verdict));
+        }
+        verdicts
+    }
+
+    fn decide(&mut self, now: Moment, demand: &Demand, since: Moment) -> Decision {
+        let none = Refused {
+            reason: RefusalReason::NoUpstream,
+            retry_after: NO_UPSTREAM_RETRY_AFTER,
+        };
+        let Some(pool) = self.pools.get(&demand.service) else {
+            return Decision::Refuse(none);
+        };
+        let cx = pool::Context {
+            now,
+            settings: &self.settings,
+            entries: self.entries,
+        };
+        let Some(best) = pool.best(&cx, &mut self.upstreams, demand) else {
+            return Decision::Refuse(none);
+        };
+        if best.fits {
+            return Decision::Send(Chosen {
+                upstream: best.upstream,
+                expected_ms: best.expected_ms,
+            });
+        }
+        let waited = now.saturating_sub(since);
+        if waited < MAX_WAIT {
+            return Decision::Wait;
+        }
+        let excess = Moment::from_secs_f64(best.excess_ms.max(0.0) / 1e3);
+        Decision::Refuse(Refused {
+            reason: RefusalReason::Overload,
+            retry_after: excess.max(LEAST_RETRY_AFTER),
+        })
+    }
+
+    fn begin(&mut self, now: Moment, demand: &Demand, chosen: &Chosen) {
+        if let Some(upstream) = self.upstreams.get_mut(chosen.upstream) {
+            upstream.begin(now, demand.prompt_tokens);
+        }
+    }
+
+    /// Notes the load that an answer shows: requests that run and wait at the upstream.
+    pub fn load(&mut self, now: Moment, key: UpstreamKey, running: u32, waiting: u32) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.load(now, running + waiting);
+        }
+    }
+
+    /// Notes that a request's prompt was read: its first event came after `took_ms`, where
+    /// `expected_ms` was expected.
+    pub fn first_event(
+        &mut self,
+        key: UpstreamKey,
+        prompt_tokens: f64,
+        took_ms: f64,
+        expected_ms: f64,
+    ) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.prompt_read(prompt_tokens);
+            upstream.calibrate(took_ms, expected_ms);
+        }
+    }
+
+    /// Notes that a request no longer occupies the upstream. `unread` is its prompt, if no event
+    /// has come.
+    pub fn end(&mut self, now: Moment, key: UpstreamKey, unread: f64, ending: Ending) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.end(now, unread, ending);
+        }
+    }
+}
+
+enum Decision {
+    Send(Chosen),
+    Wait,
+    Refuse(Refused),
+}
+
+/// The versions that requests to a service may find: the wanted one, and for a while after it was
+/// named the one before.
+fn wanted_versions(
+    now: Moment,
+    settings: &DispatchSettings,
+    service: &Service,
+    directory: &Directory,
+) -> HashMap<SmolStr, u64> {
+    let models = service.engine.as_ref().map(|e: &EngineModel| &e.models);
+    let models = models.into_iter().flatten();
+    models
+        .filter_map(|model| {
+            let (version, learned) = directory.wanted.get(&model.name)?;
+            let strict = now.saturating_sub(*learned) >= settings.old_version_for;
+            strict.then(|| (model.name.clone(), *version))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/pool.rs
@@ -0,0 +1,151 @@
+//! The upstreams of one service, and the choice among them.
+
+use std::collections::HashMap;
+
+use balsamjunction_directory::{EngineModel, Service};
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use super::{Demand, DispatchSettings, Upstream, UpstreamKey};
+use crate::{estimate, Moment};
+
+/// What an upstream in another data centre costs more than one nearby, in milliseconds of waiting.
+/// Bytes between data centres are dear, and links between regions narrow.
+const FAR_PENALTY_MS: f64 = 15.0;
+/// What an upstream costs more that must not be chosen while any other can serve.
+const LAST_RESORT_PENALTY_MS: f64 = 10_000.0;
+/// Time from an entry to a caller and back, by which an event is later there than here.
+const WAY_BACK_MS: f64 = 10.0;
+/// A request that is late already is still sent to an engine of which this part of slots is free.
+const FREE_PART_FOR_LATE: f64 = 0.35;
+/// Work of a usual request at a plain service, in milliseconds, until answers tell.
+const PLAIN_WORK_MS: f64 = 20.0;
+
+/// The upstreams of one service.
+#[derive(Debug)]
+pub struct Pool {
+    /// Versions that engines must have by now.
+    pub wanted: HashMap<SmolStr, u64>,
+    model: Option<EngineModel>,
+    max_connections: u32,
+    members: Vec<UpstreamKey>,
+}
+
+/// What a choice depends on beside the pool.
+pub struct Context<'a> {
+    /// The time.
+    pub now: Moment,
+    /// Where this process stands.
+    pub settings: &'a DispatchSettings,
+    /// Entries that share each upstream's bounds.
+    pub entries: usize,
+}
+
+/// The best upstream for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Best {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Expected time to the first event in milliseconds.
+    pub expected_ms: f64,
+    /// Whether the request should be sent there now.
+    pub fits: bool,
+    /// By how much the expected time exceeds the wanted one, in milliseconds.
+    pub excess_ms: f64,
+}
+
+impl Pool {
+    /// The pool of a service with its members.
+    pub fn new(service: &Service, members: Option<Vec<UpstreamKey>>) -> Self {
+        Self {
+            wanted: HashMap::new(),
+            model: service.engine.clone(),
+            max_connections: service.max_connections,
+            members: members.unwrap_or_default(),
+        }
+    }
+
+    /// The member that would serve a request best, if any may.
+    pub fn best(
+        &self,
+        cx: &Context<'_>,
+        upstreams: &mut SlotMap<UpstreamKey, Upstream>,
+        demand: &Demand,
+    ) -> Option<Best> {
+        let mut best: Option<(f64, Best)> = None;
+        for key in &self.members {
+            let Some(upstream) = upstreams.get_mut(*key) else {
+                continue;
+            };
+            if demand.tried.contains(key) || !self.may_serve(cx, upstream, demand) {
+                continue;
+            }
+            let candidate = self.rate(cx, *key, upstream, demand);
+            let mut cost = candidate.expected_ms;
+            if upstream.record.data_centre != cx.settings.data_centre {
+                cost += FAR_PENALTY_MS;
+            }
+            if upstream.suspended(cx.now) {
+                cost += LAST_RESORT_PENALTY_MS;
+            }
+            if !candidate.fits {
+                cost += LAST_RESORT_PENALTY_MS;
+            }
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, candidate));
+            }
+        }
+        best.map(|(_, candidate)| candidate)
+    }
+
+    fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
+        let region = cx.settings.regions.get(&upstream.record.data_centre);
+        let home = region.is_none_or(|region| demand.allows(region));
+        upstream.open && home && self.holds(upstream, demand)
+    }
+
+    fn holds(&self, upstream: &Upstream, demand: &Demand) -> bool {
+        let Some(model) = &demand.model else {
+            return true;
+        };
+        let Some(version) = upstream.version_of(model) else {
+            // A service that names no models may serve any.
+            return upstream.record.models.is_none();
+        };
+        let wanted = self.wanted.get(model);
+        !upstream.turning && wanted.is_none_or(|wanted| version >= *wanted)
+    }
+
+    fn rate(
+        &self,
+        cx: &Context<'_>,
+        key: UpstreamKey,
+        upstream: &mut Upstream,
+        demand: &Demand,
+    ) -> Best {
+        let occupancy = upstream.occupancy(cx.now);
+        let slots = f64::from(upstream.record.slots.max(1));
+        let expected_ms = match &self.model {
+            Some(model) => estimate::first_event_ms(model, &occupancy, demand.prompt_tokens),
+            None => {
+                let beyond = (occupancy.requests - slots + 1.0).max(0.0);
+                occupancy.slowdown * PLAIN_WORK_MS * (1.0 + beyond / slots)
+            }
+        };
+        let left_ms = demand.wanted_by.saturating_sub(cx.now).as_secs_f64() * 1e3;
+        let in_time = expected_ms + WAY_BACK_MS <= left_ms;
+        let idle = occupancy.requests + 1.0 <= slots * (1.0 - FREE_PART_FOR_LATE);
+        let room = match self.model {
+            Some(_) => in_time || idle,
+            None => occupancy.requests < slots,
+        };
+        let share = (self.max_connections as usize / cx.entries).max(1);
+        let allowed = upstream.own_requests < share && upstream.may_send(cx.now, cx.entries);
+        Best {
+            upstream: key,
+            expected_ms,
+            fits: room && allowed,
+            excess_ms: expected_ms + WAY_BACK_MS - left_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -0,0 +1,193 @@
+//! What an entry knows of one upstream.
+
+use balsamjunction_directory::{Service, UpstreamRecord};
+use balsamjunction_protocol::mesh::EngineStatus;
+use smol_str::SmolStr;
+
+use super::Ending;
+use crate::{estimate::Occupancy, sliding::SlidingCount, Moment};
+
+/// What others have at an upstream loses half of its weight in this time, since it was seen.
+const OTHERS_HALF_LIFE_S: f64 = 0.6;
+/// An upstream that turned a request away is taken to be full for a while.
+const FULL_MARK: f64 = 1.0;
+/// Part of its rate of failures that an upstream keeps with each outcome.
+const FAILURE_MEMORY: f64 = 0.75;
+/// Rate of failures above which an upstream is left out.
+const FAILURE_BOUND: f64 = 0.4;
+/// First time for which an upstream is left out; it doubles with each further one.
+const FIRST_SUSPENSION: Moment = Moment::from_millis(500);
+/// Longest time for which an upstream is left out.
+const LONGEST_SUSPENSION: Moment = Moment::from_secs(4);
+/// Part of what is known of an upstream's pace that it keeps with each first event.
+const PACE_MEMORY: f64 = 0.85;
+/// Bounds of how much slower than published an engine is taken to be.
+const SLOWDOWN_RANGE: (f64, f64) = (0.7, 12.0);
+/// Expected times below this say nothing about the pace, in milliseconds.
+const LEAST_CALIBRATION_MS: f64 = 20.0;
+/// Part of the cold rate that one entry may send to an upstream that is not known to be cold, which
+/// may become cold at any moment.
+const WARM_PART: f64 = 0.7;
+/// Window of the bound on cold upstreams.
+const COLD_WINDOW: Moment = Moment::from_secs(1);
+
+/// One upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What it registered.
+    pub record: UpstreamRecord,
+    /// Whether it takes new work at all.
+    pub open: bool,
+    /// Whether it takes other weights now.
+    pub turning: bool,
+    /// Requests of this entry that run or wait there.
+    pub own_requests: usize,
+    own_unread: f64,
+    others: f64,
+    others_seen: Moment,
+    cold_until: Moment,
+    cold_per_s: f64,
+    sends: SlidingCount,
+    failures: f64,
+    suspended_until: Moment,
+    suspension: Moment,
+    slowdown: f64,
+    serving: Option<(SmolStr, u64)>,
+}
+
+impl Upstream {
+    /// An upstream that nothing is known of.
+    pub fn new(record: UpstreamRecord) -> Self {
+        Self {
+            record,
+            open: false,
+            turning: false,
+            own_requests: 0,
+            own_unread: 0.0,
+            others: 0.0,
+            others_seen: Moment::ZERO,
+            cold_until: Moment::ZERO,
+            cold_per_s: 0.0,
+            sends: SlidingCount::new(COLD_WINDOW),
+            failures: 0.0,
+            suspended_until: Moment::ZERO,
+            suspension: FIRST_SUSPENSION,
+            slowdown: 1.0,
+            serving: None,
+        }
+    }
+
+    /// Takes over a record that was learned at `learned`, and what the sidecar says.
+    pub fn update(
+        &mut self,
+        record: &UpstreamRecord,
+        learned: Moment,
+        service: &Service,
+        status: Option<&EngineStatus>,
+    ) {
+        let cold = Moment::from_millis(record.cold_remaining_ms);
+        self.cold_until = self.cold_until.max(learned + cold);
+        self.cold_per_s = service.cold_per_s;
+        self.record = record.clone();
+        self.turning = status.is_some_and(|status| status.turning);
+        self.serving = status.and_then(|status| status.serving.clone());
+    }
+
+    /// The version of a model that it holds, by the newer of what it and its sidecar say.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        let held = self.record.models.iter().flatten();
+        let held = held.filter(|m| m.name == model).map(|m| m.version).max();
+        let serving = self.serving.as_ref().filter(|(name, _)| name == model);
+        held.max(serving.map(|(_, version)| *version))
+    }
+
+    /// Whether it is left out unless no other is there.
+    pub fn suspended(&self, now: Moment) -> bool {
+        now < self.suspended_until
+    }
+
+    /// Whether the bound on cold upstreams lets this entry send another request.
+    pub fn may_send(&mut self, now: Moment, entries: usize) -> bool {
+        if self.cold_per_s <= 0.0 {
+            return true;
+        }
+        let share = match now < self.cold_until {
+            true => self.cold_per_s / entries as f64,
+            false => self.cold_per_s * WARM_PART,
+        };
+        (self.sends.count(now) as f64) + 1.0 <= share.max(1.0)
+    }
+
+    /// What runs and waits there, as far as is known.
+    pub fn occupancy(&self, now: Moment) -> Occupancy {
+        let age = now.saturating_sub(self.others_seen).as_secs_f64();
+        let others = self.others * 0.5_f64.powf(age / OTHERS_HALF_LIFE_S);
+        Occupancy {
+            requests: self.own_requests as f64 + others,
+            unread_tokens: self.own_unread,
+            slowdown: self.slowdown,
+        }
+    }
+
+    /// Counts a request as sent.
+    pub fn begin(&mut self, now: Moment, prompt_tokens: f64) {
+        self.own_requests += 1;
+        self.own_unread += prompt_tokens;
+        self.sends.add(now);
+    }
+
+    /// Takes over how many requests run and wait there, of all entries.
+    pub fn load(&mut self, now: Moment, requests: u32) {
+        self.others = (f64::from(requests) - self.own_requests as f64).max(0.0);
+        self.others_seen = now;
+    }
+
+    /// Notes that a prompt was read.
+    pub fn prompt_read(&mut self, prompt_tokens: f64) {
+        self.own_unread = (self.own_unread - prompt_tokens).max(0.0);
+    }
+
+    /// Learns how slow the engine is from a first event.
+    pub fn calibrate(&mut self, took_ms: f64, expected_ms: f64) {
+        let published = expected_ms / self.slowdown;
+        if published < LEAST_CALIBRATION_MS {
+            return;
+        }
+        let (least, most) = SLOWDOWN_RANGE;
+        let seen = (took_ms / published).clamp(least, most);
+        self.slowdown = PACE_MEMORY * self.slowdown + (1.0 - PACE_MEMORY) * seen;
+    }
+
+    /// Notes what came of a request.
+    pub fn end(&mut self, now: Moment, unread: f64, ending: Ending) {
+        self.own_requests = self.own_requests.saturating_sub(1);
+        self.prompt_read(unread);
+        match ending {
+            Ending::Served => {
+                self.failures *= FAILURE_MEMORY;
+                self.suspension = FIRST_SUSPENSION;
+            }
+            Ending::Abandoned => {}
+            Ending::TurnedAway => {
+                let slots = f64::from(self.record.slots) * FULL_MARK;
+                self.others = self.others.max(slots - self.own_requests as f64);
+                self.others_seen = now;
+            }
+            Ending::Misdirected | Ending::Unreachable => self.suspend(now),
+            Ending::Failed => {
+                self.failures = FAILURE_MEMORY * self.failures + (1.0 - FAILURE_MEMORY);
+                if self.failures > FAILURE_BOUND {
+                    self.suspend(now);
+                }
+            }
+        }
+    }
+
+    fn suspend(&mut self, now: Moment) {
+        if self.suspended(now) {
+            return;
+        }
+        self.suspended_until = now + self.suspension;
+        self.suspension = (self.suspension * 2).min(LONGEST_SUSPENSION);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,12 +5,16 @@
 //! the same code that the daemon runs. See docs/DESIGN.md, "Decisions".
 
 pub mod acceptance;
+pub mod allowance;
 pub mod crash;
+pub mod dispatch;
 pub mod election;
+pub mod estimate;
 pub mod fence;
 pub mod fetch;
 pub mod gate;
 pub mod limit;
+pub mod membership;
 pub mod once;
 pub mod owner;
 pub mod pace;
@@ -19,6 +23,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod router;
+pub mod sliding;
 pub mod spread;
 pub mod turnover;
 
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,148 @@
+//! Which processes of the system are up, as each process believes it.
+//!
+//! Every process counts its own beats; the counts travel by pairwise exchange. A process whose beat
+//! stands still is suspected and then removed. See docs/DESIGN.md, "Membership".
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
+use rand::{seq::IteratorRandom, Rng};
+use smol_str::SmolStr;
+
+use crate::{rendezvous::weight, Moment};
+
+/// A process whose beat is not heard of for this long gets no calls.
+const SUSPECT_AFTER: Moment = Moment::from_millis(2_500);
+/// A suspected process still counts in shares of a common bound for this long, since it may work on.
+const COUNT_FOR: Moment = Moment::from_secs(6);
+/// A process that is silent for this long is forgotten.
+const FORGET_AFTER: Moment = Moment::from_secs(30);
+
+#[derive(Clone, Debug)]
+struct Known {
+    record: MemberRecord,
+    heard: Moment,
+}
+
+/// One process's view of the others.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: MemberRecord,
+    known: HashMap<SmolStr, Known>,
+}
+
+impl Membership {
+    /// A view in which only this process exists.
+    pub fn new(own: MemberRecord) -> Self {
+        Self {
+            own,
+            known: HashMap::new(),
+        }
+    }
+
+    /// This process as it shows itself to others.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Counts a beat of this process.
+    pub fn beat(&mut self) {
+        self.own.beat += 1;
+    }
+
+    /// Says that this process is about to stop.
+    pub fn leave(&mut self) {
+        self.own.leaving = true;
+        self.own.beat += 1;
+    }
+
+    /// Takes what another process told.
+    ///
+    /// A higher incarnation goes before a lower one, then the higher beat. What others say of this
+    /// process itself is not taken.
+    pub fn merge(&mut self, now: Moment, records: Vec<MemberRecord>) {
+        for record in records {
+            if record.host == self.own.host {
+                continue;
+            }
+            let known = self.known.get(&record.host);
+            let newer = known.is_none_or(|known| {
+                let old = (known.record.incarnation, known.record.beat);
+                (record.incarnation, record.beat) > old
+            });
+            if newer {
+                let host = record.host.clone();
+                self.known.insert(host, Known { record, heard: now });
+            }
+        }
+    }
+
+    /// Forgets processes that have been silent for long.
+    pub fn expire(&mut self, now: Moment) {
+        self.known
+            .retain(|_, known| now.saturating_sub(known.heard) < FORGET_AFTER);
+    }
+
+    /// What others are told: this process and all that are not silent.
+    pub fn records(&self, now: Moment) -> Vec<MemberRecord> {
+        let heard = self
+            .known
+            .values()
+            .filter(|known| now.saturating_sub(known.heard) < SUSPECT_AFTER);
+        let heard = heard.map(|known| known.record.clone());
+        std::iter::once(self.own.clone()).chain(heard).collect()
+    }
+
+    /// Other processes of a role that are believed to be up.
+    pub fn live(&self, now: Moment, role: ProcessRole) -> impl Iterator<Item = &MemberRecord> {
+        self.known
+            .values()
+            .filter(move |known| {
+                known.record.role == role
+                    && !known.record.leaving
+                    && now.saturating_sub(known.heard) < SUSPECT_AFTER
+            })
+            .map(|known| &known.record)
+    }
+
+    /// Processes of a role, this one included, that may be at work; at least one.
+    ///
+    /// Shares of a common bound are divided by this number, so a process counts until it is surely
+    /// gone.
+    pub fn sharers(&self, now: Moment, role: ProcessRole) -> usize {
+        let others = self.known.values().filter(|known| {
+            known.record.role == role && now.saturating_sub(known.heard) < COUNT_FOR
+        });
+        let own = usize::from(self.own.role == role);
+        (others.count() + own).max(1)
+    }
+
+    /// A process to exchange views with: mostly a live one, at times a seed, so that two halves of
+    /// the system which lost each other meet again.
+    pub fn exchange_target(
+        &self,
+        now: Moment,
+        role: ProcessRole,
+        seeds: &[SocketAddr],
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        let own = self.own.address;
+        let live = self.live(now, role).map(|record| record.address).choose(rng);
+        let seed = seeds.iter().copied().filter(|s| *s != own).choose(rng);
+        match live {
+            Some(_) if rng.random_ratio(1, 8) => seed.or(live),
+            Some(_) => live,
+            None => seed,
+        }
+    }
+
+    /// Equal for equal sets of live processes, whatever their beats.
+    pub fn digest(&self, now: Moment) -> u64 {
+        let records = self.records(now);
+        let hash = |r: &MemberRecord| {
+            let state = (r.incarnation << 1) | u64::from(r.leaving);
+            weight(&state.to_le_bytes(), &r.host)
+        };
+        records.iter().map(hash).fold(0, |sum, one| sum ^ one)
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod error;
 pub mod header;
+pub mod mesh;
 pub mod paths;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/protocol/src/mesh.rs
@@ -0,0 +1,111 @@
+//! What processes that find each other through seeds tell each other.
+
+use std::net::SocketAddr;
+
+use balsamjunction_directory::{ReplicaPull, ReplicaUpdate};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use strum::Display;
+
+use crate::Crash;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum ProcessRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Brings weights to one engine.
+    Sidecar,
+}
+
+/// One process of the system.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its host.
+    pub host: SmolStr,
+    /// What it does.
+    pub role: ProcessRole,
+    /// The data centre in which it stands.
+    pub data_centre: SmolStr,
+    /// Its inner address.
+    pub address: SocketAddr,
+    /// Grows with every start of the process.
+    pub incarnation: u64,
+    /// Grows while the process runs.
+    pub beat: u64,
+    /// Whether it is about to stop.
+    #[serde(default)]
+    pub leaving: bool,
+    /// For a sidecar: what it knows of its engine.
+    #[serde(default)]
+    pub engine: Option<EngineStatus>,
+}
+
+/// What a sidecar knows of its engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// Where the engine listens.
+    pub address: SocketAddr,
+    /// The service that it belongs to.
+    pub service: SmolStr,
+    /// Start of the engine, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// The model and version that it serves, if it serves one.
+    pub serving: Option<(SmolStr, u64)>,
+    /// Whether it takes other weights now.
+    pub turning: bool,
+}
+
+/// Exchanges views with a peer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// The sender, and whom else it believes to be up.
+    pub members: Vec<MemberRecord>,
+    /// Equal for equal sets of live members; the answer leaves members out if it has the same.
+    pub member_digest: u64,
+    /// Asks for newer facts, if the sender's own are not fresh.
+    #[serde(default)]
+    pub pull: Option<ReplicaPull>,
+    /// Asks for what a sidecar needs to know.
+    #[serde(default)]
+    pub weights: bool,
+}
+
+/// A peer's view.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SyncAnswer {
+    /// Whom the peer believes to be up, itself included.
+    pub members: Vec<MemberRecord>,
+    /// Newer facts, if they were asked for and the peer has any.
+    #[serde(default)]
+    pub update: Option<ReplicaUpdate>,
+    /// What a sidecar needs to know, if it was asked for and the peer knows it.
+    #[serde(default)]
+    pub weights: Option<WeightsNews>,
+}
+
+/// What a sidecar needs to know of the facts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsNews {
+    /// How long ago the peer's facts were proved, in milliseconds.
+    pub age_ms: u64,
+    /// Wanted versions by model.
+    pub wanted: Vec<(SmolStr, u64)>,
+    /// The origin of weights.
+    pub origin: Option<SmolStr>,
+    /// The model of each service of engines.
+    pub models: Vec<(SmolStr, SmolStr)>,
+}
+
+/// Tells a peer at once of requests that broke upstreams.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// The crashes.
+    pub crashes: Vec<Crash>,
+}
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -8,6 +8,14 @@
 pub const ANNOUNCE: &str = "/peer/announce";
 /// Report of a request that crashed an upstream.
 pub const CRASH: &str = "/peer/crash";
+/// Exchange of views between processes that find each other through seeds.
+pub const SYNC: &str = "/mesh/sync";
+/// Report of requests that broke upstreams, among entries.
+pub const BROKEN: &str = "/mesh/broken";
+/// Prefix of one chunk: `/mesh/chunk/{model}/{version}/{chunk}`.
+pub const MODEL_CHUNK: &str = "/mesh/chunk";
+/// Prefix of what a sidecar holds: `/mesh/have/{model}/{version}`.
+pub const MODEL_HAVE: &str = "/mesh/have";
 /// Closing of an idempotency key at an earlier owner.
 pub const CLOSE_KEY: &str = "/once/close";
 /// Which chunks of a version a sidecar holds.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod diff;
 pub mod fleet;
+pub mod mesh;
 pub mod process;
 pub mod reader;
 pub mod report;
@@ -18,6 +19,9 @@
         DataCentre, Exception, Explained, Fleet, Pool, PoolKind, Route, Scope, Source, Upstream,
     },
     fleet_reader::read_fleet,
+    mesh::{
+        read_gateway, read_stager, GatewaySettings, MeshSettings, StagerSettings,
+    },
     process::{read_entry, read_sidecar, EntrySettings, LinkRates, PeerSettings, SidecarSettings},
     report::{Fault, Position, Report},
     value::{ValueKey, ValueUnit, Values},
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     reader::{decode, parse, suggestion, Faults, Fields},
-    report::{FaultKind, Report},
+    report::Report,
 };
 
 /// Bytes a second of a link may not be less; a chunk would take minutes.
@@ -120,7 +120,8 @@
     })
 }
 
-fn read<T>(
+/// Parses settings, replaces fields by overrides, and reports every fault that `build` finds.
+pub(crate) fn read<T>(
     buf: &[u8],
     overrides: &[(SmolStr, SmolStr)],
     build: impl FnOnce(&Fields<'_, '_>, &Faults<'_>) -> Option<T>,
@@ -177,20 +178,7 @@
     let outbound_ip = outbound_ip.and_then(|ip| fields.parsed("outbound_ip", &ip, "an IP number"));
     let config_service = fields.required_address("config_service");
     let membership = fields.required_address("membership");
-    let mut seeds = Vec::new();
-    for (offset, seed) in fields.texts("seeds") {
-        match seed.parse() {
-            Ok(address) => seeds.push(address),
-            Err(_) => {
-                let kind = FaultKind::Form {
-                    field: "seeds".to_owned(),
-                    value: seed.to_string(),
-                    expected: "IP numbers and ports such as 10.0.0.7:7000",
-                };
-                faults.add(offset, kind);
-            }
-        }
-    }
+    let seeds = fields.addresses("seeds", faults);
     Some(PeerSettings {
         host,
         data_centre,
@@ -224,7 +212,7 @@
 }
 
 /// The names of the daemon's roles, for suggestions.
-pub const ROLES: [&str; 2] = ["entry", "sidecar"];
+pub const ROLES: [&str; 4] = ["entry", "sidecar", "gateway", "stager"];
 
 /// The role nearest to a mistyped one.
 pub fn nearest_role(name: &str) -> Option<String> {
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -245,6 +245,34 @@
         number_in(prop, (least, most), unit, self.faults)
     }
 
+    /// An optional number within a range that may have a fraction.
+    pub fn decimal(
+        &self,
+        name: &'static str,
+        (least, most): (u32, u32),
+        unit: &'static str,
+    ) -> Option<f64> {
+        let prop = self.get(name)?;
+        let Value::NumberLit(lit) = &prop.value else {
+            self.type_fault(name, &prop.value, "a number");
+            return None;
+        };
+        match lit.value.parse::<f64>() {
+            Ok(value) if (f64::from(least)..=f64::from(most)).contains(&value) => Some(value),
+            _ => {
+                let kind = FaultKind::Range {
+                    field: name.to_owned(),
+                    value: lit.value.to_string(),
+                    least: least.into(),
+                    most: most.into(),
+                    unit,
+                };
+                self.faults.add(prop.value.start(), kind);
+                None
+            }
+        }
+    }
+
     /// An IP number with a port that must be present.
     pub fn required_address(&self, name: &'static str) -> Option<SocketAddr> {
         if !self.present(name) {
@@ -331,6 +359,25 @@
         texts
     }
 
+    /// The IP numbers with ports of a list; other elements are faults.
+    pub fn addresses(&self, name: &'static str, faults: &Faults<'_>) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for (offset, text) in self.texts(name) {
+            match text.parse() {
+                Ok(address) => addresses.push(address),
+                Err(_) => {
+                    let kind = FaultKind::Form {
+                        field: name.to_owned(),
+                        value: text.to_string(),
+                        expected: "IP numbers and ports such as 10.0.0.7:7000",
+                    };
+                    faults.add(offset, kind);
+                }
+            }
+        }
+        addresses
+    }
+
     /// Reports the fields that were never asked for.
     pub fn finish(&self) {
         if self.any_name.get() {
