--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -133,24 +133,19 @@
         let age = self.age()?;
         let directory = self.directory();
         let declaration = &directory.table.as_ref()?.declaration;
-        let mut models = Vec::new();
-        for service in &declaration.services {
-            let engine = service.engine.iter();
-            let served = engine.flat_map(|engine| &engine.models);
-            models.extend(served.map(|m| (service.name.clone(), m.name.clone())));
-        }
         let mut wanted: Vec<_> = directory
             .wanted
             .iter()
             .map(|(model, (version, _))| (model.clone(), *version))
             .collect();
         wanted.sort();
-        Some(WeightsNews {
+        let mut news = WeightsNews {
             age_ms: age.as_millis() as u64,
             wanted,
-            origin: declaration.origin().map(|origin| origin.address.clone()),
-            models,
-        })
+            ..WeightsNews::default()
+        };
+        news.add_services(declaration);
+        Some(news)
     }
 
     /// Uses the view of the other processes.
--- /dev/null
+++ b/crates/daemon/src/stager/fetch.rs
@@ -0,0 +1,252 @@
+//! Fetches the chunks of a version from other hosts and from the origin.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use awc::Client;
+use balsamjunction_platform::{Manifest, PlatformError};
+use balsamjunction_policy::fetch::{
+    manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
+};
+use balsamjunction_protocol::{header, paths, HaveAnswer};
+use bytes::Bytes;
+use log::debug;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::{format_smolstr, SmolStr};
+use tokio::sync::mpsc;
+
+use super::{
+    holdings::VersionId,
+    http::HELD_HEADER,
+    state::{Goal, Stager},
+};
+
+/// How often the plan is asked for more to do though nothing arrived.
+const TURN: Duration = Duration::from_millis(20);
+/// A peer that does not say in this time what it holds is passed over.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// A peer that has not sent a chunk after this time is stalled. A chunk takes 35 ms on an idle link
+/// of 7.6 Mbit/s, and up to three share a sender's link.
+const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest answer of a peer.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Pause after nobody had the manifest.
+const MANIFEST_RETRY: Duration = Duration::from_millis(60);
+
+enum Outcome {
+    Chunk {
+        chunk: usize,
+        source: Source,
+        buf: Result<Bytes, PlatformError>,
+        held: Option<HaveAnswer>,
+    },
+    Probed {
+        host: SmolStr,
+        answer: Option<HaveAnswer>,
+    },
+}
+
+/// Finds the manifest of a goal's version, and holds it.
+pub async fn find_manifest(stager: &Stager, goal: &Goal) -> Option<Manifest> {
+    let id = &goal.id;
+    let mut asked = 0;
+    loop {
+        if let Some(manifest) = stager.holdings.manifest(id) {
+            return Some(manifest);
+        }
+        if stager.goal().is_none_or(|(now, _)| now != *goal) {
+            return None;
+        }
+        let found = ask_for_manifest(stager, id, asked).await;
+        match found {
+            Ok(manifest) if manifest.version == id.version && manifest.model == id.model => {
+                stager.holdings.open(id, manifest);
+            }
+            Ok(manifest) => debug!("manifest of version {} came instead", manifest.version),
+            Err(e) => debug!("manifest of {id:?} did not come: {e}"),
+        }
+        asked += 1;
+        if stager.holdings.manifest(id).is_none() {
+            actix_rt::time::sleep(MANIFEST_RETRY).await;
+        }
+    }
+}
+
+async fn ask_for_manifest(
+    stager: &Stager,
+    id: &VersionId,
+    asked: u32,
+) -> Result<Manifest, PlatformError> {
+    let settings = &stager.settings;
+    let name = format_smolstr!("{}@{}", id.model, id.version);
+    let fellows = stager.fellows();
+    let luck = rand::random();
+    let host = &settings.host;
+    // Many questions stand for few here: a peer answers within milliseconds.
+    let source = manifest_source(&name, host, &settings.data_centre, &fellows, asked * 8, luck);
+    match (source, stager.origin()) {
+        (Source::Peer { address, .. }, _) => {
+            let path = paths::MANIFEST;
+            let url = format!("http://{address}{path}/{}/{}", id.model, id.version);
+            let (buf, _) = get(&stager.client, url, PROBE_TIMEOUT).await?;
+            Ok(serde_json::from_slice(&buf)?)
+        }
+        (Source::Origin, Some(origin)) => origin.manifest(&id.model, id.version).await,
+        (Source::Origin, None) => Err(PlatformError::Status { status: 404 }),
+    }
+}
+
+/// Fetches until every chunk is held; gives up once the goal is another.
+pub async fn fetch_all(stager: &Rc<Stager>, goal: &Goal, manifest: &Manifest) -> bool {
+    let id = &goal.id;
+    let chunks = manifest.digests.len();
+    let mut plan = FetchPlan::new(
+        stager.now(),
+        format_smolstr!("{}@{}", id.model, id.version),
+        chunks,
+        Distribution::Owners,
+        participants(stager),
+        Pcg64Mcg::from_rng(&mut rand::rng()),
+    );
+    let held = stager.holdings.map(id);
+    for chunk in (0..chunks).filter(|chunk| held.has(*chunk)) {
+        plan.arrived(stager.now(), chunk, &Source::Origin);
+    }
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    while plan.missing() > 0 {
+        if stager.goal().is_none_or(|(now, _)| now.id != *id) {
+            return false;
+        }
+        plan.set_participants(participants(stager));
+        for action in plan.next(stager.now()) {
+            actix_rt::spawn(act(stager.clone(), id.clone(), action, tx.clone()));
+        }
+        let first = actix_rt::time::timeout(TURN, rx.recv()).await;
+        let mut outcome = first.ok().flatten();
+        while let Some(arrived) = outcome {
+            take(stager, id, &mut plan, arrived);
+            outcome = rx.try_recv().ok();
+        }
+    }
+    true
+}
+
+fn participants(stager: &Stager) -> Participants {
+    Participants {
+        host: stager.settings.host.clone(),
+        data_centre: stager.settings.data_centre.clone(),
+        members: stager.fellows(),
+    }
+}
+
+fn take(stager: &Stager, id: &VersionId, plan: &mut FetchPlan, outcome: Outcome) {
+    let now = stager.now();
+    match outcome {
+        Outcome::Probed { host, answer } => plan.probed(now, &host, answer),
+        Outcome::Chunk {
+            chunk,
+            source,
+            buf,
+            held,
+        } => {
+            if let (Some(held), Source::Peer { host, .. }) = (held, &source) {
+                plan.learned(host, held);
+            }
+            match buf {
+                Ok(buf) => {
+                    let bytes = buf.len() as u64;
+                    if stager.holdings.put(id, chunk, buf) {
+                        count(stager, &source, bytes);
+                        plan.arrived(now, chunk, &source);
+                    } else {
+                        stager.metrics.corrupt_chunks.inc();
+                        plan.failed(now, chunk, &source, FetchFailure::Corrupt);
+                    }
+                }
+                Err(e) => {
+                    debug!("chunk {chunk} of {id:?} did not come: {e}");
+                    plan.failed(now, chunk, &source, FetchFailure::Unavailable);
+                }
+            }
+        }
+    }
+}
+
+fn count(stager: &Stager, source: &Source, bytes: u64) {
+    match source {
+        Source::Origin => stager.metrics.origin_bytes.inc_by(bytes),
+        Source::Peer { .. } => stager.metrics.peer_bytes.inc_by(bytes),
+    };
+}
+
+async fn act(
+    stager: Rc<Stager>,
+    id: VersionId,
+    action: FetchAction,
+    tx: mpsc::UnboundedSender<Outcome>,
+) {
+    let outcome = match action {
+        FetchAction::Probe { host, address } => {
+            let path = paths::MODEL_HAVE;
+            let url = format!("http://{address}{path}/{}/{}", id.model, id.version);
+            let answer = get(&stager.client, url, PROBE_TIMEOUT).await.ok();
+            let answer = answer.and_then(|(buf, _)| header::from_bytes(&buf).ok());
+            Outcome::Probed { host, answer }
+        }
+        FetchAction::Fetch { chunk, source } => {
+            let fetched = fetch(&stager, &id, chunk, &source).await;
+            let (buf, held) = match fetched {
+                Ok((buf, held)) => (Ok(buf), held),
+                Err(e) => (Err(e), None),
+            };
+            Outcome::Chunk {
+                chunk,
+                source,
+                buf,
+                held,
+            }
+        }
+    };
+    // The plan may have been given up meanwhile.
+    if tx.send(outcome).is_err() {
+        debug!("a chunk came after its version was given up");
+    }
+}
+
+async fn fetch(
+    stager: &Stager,
+    id: &VersionId,
+    chunk: usize,
+    source: &Source,
+) -> Result<(Bytes, Option<HaveAnswer>), PlatformError> {
+    match (source, stager.origin()) {
+        (Source::Peer { address, .. }, _) => {
+            let url = chunk_url(*address, id, chunk);
+            get(&stager.client, url, CHUNK_TIMEOUT).await
+        }
+        (Source::Origin, Some(origin)) => {
+            Ok((origin.chunk(&id.model, id.version, chunk).await?, None))
+        }
+        (Source::Origin, None) => Err(PlatformError::Status { status: 404 }),
+    }
+}
+
+fn chunk_url(address: SocketAddr, id: &VersionId, chunk: usize) -> String {
+    let path = paths::MODEL_CHUNK;
+    format!("http://{address}{path}/{}/{}/{chunk}", id.model, id.version)
+}
+
+async fn get(
+    client: &Client,
+    url: String,
+    timeout: Duration,
+) -> Result<(Bytes, Option<HaveAnswer>), PlatformError> {
+    let mut response = client.get(url).timeout(timeout).send().await?.timeout(timeout);
+    if !response.status().is_success() {
+        let status = response.status().as_u16();
+        return Err(PlatformError::Status { status });
+    }
+    let held = response.headers().get(HELD_HEADER);
+    let held = held.and_then(|value| header::from_header(value.to_str().ok()?).ok());
+    Ok((response.body().limit(MAX_ANSWER_BYTES).await?, held))
+}
--- /dev/null
+++ b/crates/daemon/src/stager/holdings.rs
@@ -0,0 +1,103 @@
+//! Chunks that this host has checked, of the last few versions.
+
+use std::{collections::VecDeque, sync::Mutex};
+
+use balsamjunction_platform::Manifest;
+use balsamjunction_protocol::ChunkMap;
+use bytes::Bytes;
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+
+use crate::sync::lock;
+
+/// Versions that are kept: the one that serves and the one that comes.
+const MAX_VERSIONS: usize = 2;
+
+/// One version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct VersionId {
+    /// The model.
+    pub model: SmolStr,
+    /// The version of its weights.
+    pub version: u64,
+}
+
+struct Held {
+    id: VersionId,
+    manifest: Manifest,
+    chunks: Vec<Option<Bytes>>,
+}
+
+/// Checked chunks, shared with the threads that send them.
+#[derive(Default)]
+pub struct Holdings {
+    versions: Mutex<VecDeque<Held>>,
+}
+
+/// Whether a chunk is the one that the manifest names.
+pub fn is_whole(manifest: &Manifest, chunk: usize, buf: &[u8]) -> bool {
+    let digest = Sha256::digest(buf);
+    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    manifest
+        .digests
+        .get(chunk)
+        .is_some_and(|expected| expected.eq_ignore_ascii_case(&hex))
+}
+
+impl Holdings {
+    /// Starts to hold a version; the oldest one goes.
+    pub fn open(&self, id: &VersionId, manifest: Manifest) {
+        let mut versions = lock(&self.versions);
+        if versions.iter().any(|held| held.id == *id) {
+            return;
+        }
+        let chunks = vec![None; manifest.digests.len()];
+        versions.push_back(Held {
+            id: id.clone(),
+            manifest,
+            chunks,
+        });
+        if versions.len() > MAX_VERSIONS {
+            versions.pop_front();
+        }
+    }
+
+    fn with<T>(&self, id: &VersionId, f: impl FnOnce(&mut Held) -> T) -> Option<T> {
+        let mut versions = lock(&self.versions);
+        versions.iter_mut().find(|held| held.id == *id).map(f)
+    }
+
+    /// The manifest of a version, if it is known.
+    pub fn manifest(&self, id: &VersionId) -> Option<Manifest> {
+        self.with(id, |held| held.manifest.clone())
+    }
+
+    /// Keeps a chunk if it is whole; tells whether it was.
+    pub fn put(&self, id: &VersionId, chunk: usize, buf: Bytes) -> bool {
+        let Some(manifest) = self.manifest(id) else {
+            return false;
+        };
+        if !is_whole(&manifest, chunk, &buf) {
+            return false;
+        }
+        self.with(id, |held| held.chunks[chunk] = Some(buf))
+            .is_some()
+    }
+
+    /// A chunk, if it is held.
+    pub fn get(&self, id: &VersionId, chunk: usize) -> Option<Bytes> {
+        self.with(id, |held| held.chunks.get(chunk).cloned().flatten())?
+    }
+
+    /// Which chunks of a version are held.
+    pub fn map(&self, id: &VersionId) -> ChunkMap {
+        let map = self.with(id, |held| {
+            let mut map = ChunkMap::empty(held.chunks.len());
+            for (chunk, _) in held.chunks.iter().enumerate().filter(|(_, c)| c.is_some()) {
+                map.set(chunk);
+            }
+            map
+        });
+        map.unwrap_or_default()
+    }
+}
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -1,10 +1,118 @@
-//! The stager.
+//! The stager: brings the wanted version of the weights to the engine on its host, and hands chunks
+//! on to other hosts. See docs/WEIGHTS.md, "Stagers".
 
+mod fetch;
+mod holdings;
+mod http;
+mod reach;
+mod state;
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix_web::{web::Data, App, HttpServer};
+use balsamjunction_platform::{Engine, Store};
+use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
 use balsamjunction_settings::StagerSettings;
+use tokio::signal::unix::{signal, SignalKind};
 
-use crate::error::DaemonError;
+use self::{holdings::Holdings, http::Uploads, state::Stager};
+use crate::{
+    clock::Clock,
+    error::DaemonError,
+    events::{Event, Events},
+    mesh::{self, Beliefs},
+    metrics::Metrics,
+    process,
+};
+
+/// Peers that have begun a chunk get this long to take the rest of it.
+const LAST_UPLOADS: Duration = Duration::from_millis(300);
 
 /// Runs a stager until it is told to stop.
-pub async fn serve(_settings: StagerSettings) -> Result<(), DaemonError> {
-    crate::process::stop_signal().await
+pub async fn serve(settings: StagerSettings) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let inner = process::listen(settings.mesh.inner_listen)?;
+    let events = Arc::new(Events::start(clock));
+    let metrics = Arc::new(Metrics::default());
+    let own = member_record(&settings, clock);
+    let beliefs = Arc::new(Beliefs::new(clock, events.clone(), own));
+    let holdings = Arc::new(Holdings::default());
+    let client = balsamjunction_client::new(None);
+    events.emit(&Event::Process {
+        change: "started",
+        host: settings.mesh.host.clone(),
+        detail: format!("stager of the engine at {}", settings.engine),
+    });
+
+    let data = (
+        Data::from(beliefs.clone()),
+        Data::from(holdings.clone()),
+        Data::new(Uploads::default()),
+        Data::new(metrics.clone()),
+    );
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.0.clone())
+            .app_data(data.1.clone())
+            .app_data(data.2.clone())
+            .app_data(data.3.clone())
+            .configure(mesh::http::routes)
+            .configure(http::routes)
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(inner)?
+    .run();
+    actix_rt::spawn(server);
+
+    let stager = Rc::new(Stager::new(
+        &settings,
+        beliefs,
+        holdings,
+        metrics,
+        Engine::new(client.clone(), settings.engine),
+        Store::new(client.clone(), settings.mesh.store),
+        client,
+    ));
+    actix_rt::spawn(state::report_loop(stager.clone()));
+    actix_rt::spawn(state::news_loop(stager.clone()));
+    actix_rt::spawn(reach::work_loop(stager.clone()));
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => events.emit(&Event::Process {
+                change: "reloaded",
+                host: settings.mesh.host.clone(),
+                detail: "SIGHUP".to_owned(),
+            }),
+        }
+    }
+    stager.beliefs.members(|members, _| members.leave());
+    stager.tell_entries().await;
+    actix_rt::time::sleep(LAST_UPLOADS).await;
+    Ok(())
+}
+
+fn member_record(settings: &StagerSettings, clock: Clock) -> MemberRecord {
+    MemberRecord {
+        host: settings.mesh.host.clone(),
+        role: ProcessRole::Sidecar,
+        data_centre: settings.mesh.data_centre.clone(),
+        address: settings.mesh.inner_listen,
+        incarnation: clock.started_ms(),
+        beat: 0,
+        leaving: false,
+        engine: Some(EngineStatus {
+            address: settings.engine,
+            service: settings.service.clone(),
+            born_ms: 0,
+            serving: None,
+            turning: false,
+        }),
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/stager/state.rs
@@ -0,0 +1,324 @@
+//! What a stager knows: its engine's report, and which version is wanted.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use awc::Client;
+use balsamjunction_directory::{Fact, Subject};
+use balsamjunction_platform::{
+    store::EVERYTHING, Engine, EngineReport, PlatformError, Store, WeightOrigin,
+};
+use balsamjunction_policy::Moment;
+use balsamjunction_protocol::{
+    mesh::{MemberRecord, ProcessRole, WeightsNews},
+    MemberDocument, MemberState,
+};
+use balsamjunction_settings::{MeshSettings, StagerSettings};
+use log::debug;
+use rand::Rng;
+use smol_str::{format_smolstr, SmolStr};
+
+use super::holdings::{Holdings, VersionId};
+use crate::{
+    events::Event,
+    mesh::{self, Beliefs},
+    metrics::Metrics,
+};
+
+/// How often the engine is asked for its report; the engine is on the same host.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Mean time between questions to entries, spread by half to both sides.
+const NEWS_INTERVAL: Duration = Duration::from_millis(300);
+/// News that is older than this is not believed, and the store is read instead.
+const NEWS_LIFE: Duration = Duration::from_millis(2_500);
+/// The version that engines hold before any is named.
+const FIRST_VERSION: u64 = 1;
+
+/// A version that the engine is to serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Goal {
+    /// The version.
+    pub id: VersionId,
+    /// The engine's start, since a restarted engine holds nothing.
+    pub born_ms: u64,
+}
+
+/// A stager with all that it knows.
+pub struct Stager {
+    /// This host and its peers.
+    pub settings: MeshSettings,
+    /// The service that the engine belongs to.
+    pub service: SmolStr,
+    /// Time in which engines must have changed to a newer version.
+    pub version_within: Duration,
+    /// Members of the system.
+    pub beliefs: Arc<Beliefs>,
+    /// Chunks that are held.
+    pub holdings: Arc<Holdings>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// The engine on this host.
+    pub engine: Engine,
+    /// Connections to peers.
+    pub client: Client,
+    store: Store,
+    report: RefCell<Option<EngineReport>>,
+    news: RefCell<Option<(WeightsNews, Moment)>>,
+    wanted: RefCell<Option<(VersionId, Moment)>>,
+    /// Whether an order was given that the engine has not carried out yet.
+    pub turning: Cell<bool>,
+}
+
+impl Stager {
+    /// A stager that knows nothing yet.
+    pub fn new(
+        settings: &StagerSettings,
+        beliefs: Arc<Beliefs>,
+        holdings: Arc<Holdings>,
+        metrics: Arc<Metrics>,
+        engine: Engine,
+        store: Store,
+        client: Client,
+    ) -> Self {
+        Self {
+            settings: settings.mesh.clone(),
+            service: settings.service.clone(),
+            version_within: settings.version_within,
+            beliefs,
+            holdings,
+            metrics,
+            engine,
+            client,
+            store,
+            report: RefCell::default(),
+            news: RefCell::default(),
+            wanted: RefCell::default(),
+            turning: Cell::new(false),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Moment {
+        self.beliefs.clock.now()
+    }
+
+    /// The engine's last report.
+    pub fn report(&self) -> Option<EngineReport> {
+        self.report.borrow().clone()
+    }
+
+    /// The model that the engine serves.
+    pub fn model(&self) -> Option<SmolStr> {
+        let news = self.news.borrow();
+        let (news, _) = news.as_ref()?;
+        let mut models = news.models.iter();
+        let (_, model) = models.find(|(service, _)| *service == self.service)?;
+        Some(model.clone())
+    }
+
+    /// The version of a model that the engine serves whole.
+    pub fn serving(&self, model: &str) -> Option<u64> {
+        let report = self.report.borrow();
+        let models = report.as_ref().map(|r| &r.models);
+        let mut held = models.into_iter().flatten();
+        held.find(|held| held.name == model).map(|held| held.version)
+    }
+
+    /// What the engine is to serve, and since when that is known.
+    pub fn goal(&self) -> Option<(Goal, Moment)> {
+        let wanted = self.wanted.borrow();
+        let (id, since) = wanted.as_ref()?;
+        let born_ms = self.report.borrow().as_ref()?.born_ms;
+        let id = id.clone();
+        Some((Goal { id, born_ms }, *since))
+    }
+
+    /// The origin of weights, if one is known.
+    pub fn origin(&self) -> Option<WeightOrigin> {
+        let news = self.news.borrow();
+        let address: SocketAddr = news.as_ref()?.0.origin.as_ref()?.parse().ok()?;
+        Some(WeightOrigin::new(self.client.clone(), address))
+    }
+
+    /// Stagers of the same service that are up, this one included, in a fixed order.
+    pub fn fellows(&self) -> Vec<MemberDocument> {
+        let mut fellows: Vec<MemberDocument> = self.beliefs.members(|members, now| {
+            let own = members.own().clone();
+            let others = members.live(now, ProcessRole::Sidecar).cloned();
+            let same = |record: &MemberRecord| {
+                let engine = record.engine.as_ref();
+                engine.is_some_and(|engine| engine.service == self.service)
+            };
+            let others = others.filter(same);
+            std::iter::once(own).chain(others).map(document).collect()
+        });
+        fellows.sort_by(|a, b| a.host.cmp(&b.host));
+        fellows
+    }
+
+    fn take_report(&self, report: EngineReport) -> bool {
+        let model = self.model();
+        let serving = model.and_then(|model| {
+            let held = report.models.iter().find(|held| held.name == model)?;
+            Some((model, held.version))
+        });
+        let turning = self.turning.get() || report.ordering;
+        let born_ms = report.born_ms;
+        *self.report.borrow_mut() = Some(report);
+        self.beliefs.members(|members, _| {
+            members.set_engine(|engine| {
+                let before = engine.clone();
+                engine.born_ms = born_ms;
+                engine.serving = serving;
+                engine.turning = turning;
+                *engine != before
+            })
+        })
+    }
+
+    /// Tells all entries what this stager knows of its engine.
+    pub async fn tell_entries(&self) {
+        let entries: Vec<SocketAddr> = self.beliefs.members(|members, now| {
+            members.beat();
+            let entries = members.live(now, ProcessRole::Entry);
+            entries.map(|record| record.address).collect()
+        });
+        let told = entries.into_iter().map(|address| async move {
+            let told = mesh::exchange_once(&self.beliefs, &self.client, address, None, true).await;
+            if let Err(e) = told {
+                debug!("{address} was not told: {e}");
+            }
+        });
+        futures_util::future::join_all(told).await;
+    }
+
+    /// Asks an entry, and the store if no entry answers.
+    async fn ask(&self) {
+        let target = self.beliefs.members(|members, now| {
+            members.beat();
+            members.expire(now);
+            let seeds = &self.settings.seeds;
+            members.exchange_target(now, ProcessRole::Entry, seeds, &mut rand::rng())
+        });
+        let asked = self.now();
+        if let Some(address) = target {
+            let answer = mesh::exchange_once(&self.beliefs, &self.client, address, None, true);
+            match answer.await {
+                Ok(answer) => {
+                    if let Some(news) = answer.weights {
+                        let age = Duration::from_millis(news.age_ms);
+                        self.take_news(news, asked.saturating_sub(age));
+                    }
+                }
+                Err(e) => debug!("no news from {address}: {e}"),
+            }
+        }
+        let fresh = self.news.borrow().as_ref().map(|(_, at)| *at);
+        let age = fresh.map(|at| self.now().saturating_sub(at));
+        if age.is_none_or(|age| age > NEWS_LIFE) {
+            match self.read_store().await {
+                Ok(news) => self.take_news(news, asked),
+                Err(e) => debug!("the store was not read: {e}"),
+            }
+        }
+    }
+
+    /// Reads the versions straight from the store.
+    async fn read_store(&self) -> Result<WeightsNews, PlatformError> {
+        let mut news = WeightsNews::default();
+        let mut after = None;
+        loop {
+            let page = self.store.list(EVERYTHING, after.as_deref()).await?;
+            for change in page.changes {
+                match (change.subject, change.fact) {
+                    (Subject::Version(model), Some(Fact::Version(version))) => {
+                        news.wanted.push((model, version));
+                    }
+                    (_, Some(Fact::Declaration(declaration))) => {
+                        news.add_services(&declaration);
+                    }
+                    _ => {}
+                }
+            }
+            after = page.next;
+            if after.is_none() {
+                return Ok(news);
+            }
+        }
+    }
+
+    /// Takes over news; a version never goes back.
+    fn take_news(&self, news: WeightsNews, proved: Moment) {
+        let older = self.news.borrow().as_ref().is_some_and(|(_, at)| *at > proved);
+        if older || news.models.is_empty() {
+            return;
+        }
+        *self.news.borrow_mut() = Some((news, proved));
+        let Some(model) = self.model() else {
+            return;
+        };
+        let named = self.news.borrow().as_ref().and_then(|(news, _)| {
+            let mut wanted = news.wanted.iter();
+            wanted.find(|(name, _)| *name == model).map(|(_, v)| *v)
+        });
+        let version = named.unwrap_or(FIRST_VERSION);
+        let id = VersionId { model, version };
+        let mut wanted = self.wanted.borrow_mut();
+        let newer = wanted
+            .as_ref()
+            .is_none_or(|(old, _)| old.model != id.model || old.version < id.version);
+        if newer {
+            self.beliefs.events.emit(&Event::Weights {
+                model: id.model.clone(),
+                version,
+                step: "wanted",
+                detail: String::new(),
+            });
+            *wanted = Some((id, self.now()));
+        }
+    }
+}
+
+fn document(record: MemberRecord) -> MemberDocument {
+    MemberDocument {
+        host: record.host,
+        data_centre: record.data_centre,
+        address: format_smolstr!("{}", record.address),
+        state: match record.leaving {
+            true => MemberState::Leaving,
+            false => MemberState::Live,
+        },
+    }
+}
+
+/// Keeps the engine's report fresh, and tells entries of every change.
+pub async fn report_loop(stager: Rc<Stager>) {
+    loop {
+        match stager.engine.report().await {
+            Ok(report) => {
+                if stager.take_report(report) {
+                    stager.tell_entries().await;
+                }
+            }
+            Err(e) => {
+                debug!("engine does not report: {e}");
+                *stager.report.borrow_mut() = None;
+            }
+        }
+        actix_rt::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+/// Keeps members and wanted versions fresh.
+pub async fn news_loop(stager: Rc<Stager>) {
+    loop {
+        stager.ask().await;
+        let part = rand::rng().random_range(0.5..1.5);
+        actix_rt::time::sleep(NEWS_INTERVAL.mul_f64(part)).await;
+    }
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
+use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
 use rand::{seq::IteratorRandom, Rng};
 use smol_str::SmolStr;
 
@@ -50,6 +50,15 @@
         self.own.beat += 1;
     }
 
+    /// Changes what this process says of its engine; `change` tells whether anything is other.
+    pub fn set_engine(&mut self, change: impl FnOnce(&mut EngineStatus) -> bool) -> bool {
+        let changed = self.own.engine.as_mut().is_some_and(change);
+        if changed {
+            self.own.beat += 1;
+        }
+        changed
+    }
+
     /// Says that this process is about to stop.
     pub fn leave(&mut self) {
         self.own.leaving = true;
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use balsamjunction_directory::{ReplicaPull, ReplicaUpdate};
+use balsamjunction_directory::{Declaration, ReplicaPull, ReplicaUpdate};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use strum::Display;
@@ -101,6 +101,18 @@
     pub models: Vec<(SmolStr, SmolStr)>,
 }
 
+impl WeightsNews {
+    /// Adds the models of a configuration's services, and its origin.
+    pub fn add_services(&mut self, declaration: &Declaration) {
+        for service in &declaration.services {
+            let served = service.engine.iter().flat_map(|engine| &engine.models);
+            let named = served.map(|m| (service.name.clone(), m.name.clone()));
+            self.models.extend(named);
+        }
+        self.origin = declaration.origin().map(|origin| origin.address.clone());
+    }
+}
+
 /// Tells a peer at once of requests that broke upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashNews {
