--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -72,6 +72,7 @@
 
     let store = Store::new(client.clone(), settings.mesh.store);
     actix_rt::spawn(mesh::read_loop(beliefs.clone(), store));
+    actix_rt::spawn(mesh::push_versions(beliefs.clone(), client.clone()));
     let seeds = settings.mesh.seeds.clone();
     actix_rt::spawn(mesh::exchange_loop(beliefs.clone(), client, move || {
         seeds.clone()
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -10,6 +10,6 @@
 
 pub use self::{
     beliefs::Beliefs,
-    peers::{exchange_loop, exchange_once, tell_broken},
+    peers::{exchange_loop, exchange_once, push_versions, tell_broken},
     reader::read_loop,
 };
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -109,3 +109,36 @@
     });
     futures_util::future::join_all(calls).await;
 }
+
+/// Tells the sidecars of the own data centre which versions are wanted, whenever that changes.
+pub async fn push_versions(beliefs: Arc<Beliefs>, client: Client) {
+    let mut changes = beliefs.subscribe();
+    let mut told = Vec::new();
+    while changes.changed().await.is_ok() {
+        let Some(news) = beliefs.weights_news() else {
+            continue;
+        };
+        if news.wanted == told {
+            continue;
+        }
+        told = news.wanted.clone();
+        let sidecars: Vec<SocketAddr> = beliefs.members(|members, now| {
+            let own = members.own().data_centre.clone();
+            let sidecars = members.live(now, ProcessRole::Sidecar);
+            let near = sidecars.filter(|record| record.data_centre == own);
+            near.map(|record| record.address).collect()
+        });
+        let calls = sidecars.into_iter().map(|address| {
+            let news = &news;
+            let client = &client;
+            async move {
+                let told: Result<Done, _> =
+                    client::call(client, address, paths::NEWS, news, PEER_TIMEOUT).await;
+                if let Err(e) = told {
+                    debug!("{address} was not told of a version: {e}");
+                }
+            }
+        });
+        futures_util::future::join_all(calls).await;
+    }
+}
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -54,7 +54,7 @@
         if let Some(manifest) = stager.holdings.manifest(id) {
             return Some(manifest);
         }
-        if stager.goal().is_none_or(|(now, _)| now != *goal) {
+        if stager.goal().as_ref() != Some(goal) {
             return None;
         }
         let found = ask_for_manifest(stager, id, asked).await;
@@ -114,7 +114,7 @@
     }
     let (tx, mut rx) = mpsc::unbounded_channel();
     while plan.missing() > 0 {
-        if stager.goal().is_none_or(|(now, _)| now.id != *id) {
+        if stager.goal().is_none_or(|now| now.id != *id) {
             return false;
         }
         plan.set_participants(participants(stager));
@@ -194,6 +194,11 @@
             Outcome::Probed { host, answer }
         }
         FetchAction::Fetch { chunk, source } => {
+            let expected = stager.holdings.chunk_bytes(&id);
+            let wait = stager.pacer.borrow_mut().take(stager.now(), expected);
+            if !wait.is_zero() {
+                actix_rt::time::sleep(wait).await;
+            }
             let fetched = fetch(&stager, &id, chunk, &source).await;
             let (buf, held) = match fetched {
                 Ok((buf, held)) => (Ok(buf), held),
--- a/crates/daemon/src/stager/holdings.rs
+++ b/crates/daemon/src/stager/holdings.rs
@@ -72,6 +72,12 @@
         self.with(id, |held| held.manifest.clone())
     }
 
+    /// Length of a version's chunks in bytes; zero if its manifest is not known.
+    pub fn chunk_bytes(&self, id: &VersionId) -> usize {
+        let bytes = self.with(id, |held| held.manifest.chunk_bytes);
+        bytes.map_or(0, |bytes| bytes as usize)
+    }
+
     /// Keeps a chunk if it is whole; tells whether it was.
     pub fn put(&self, id: &VersionId, chunk: usize, buf: Bytes) -> bool {
         let Some(manifest) = self.manifest(id) else {
--- a/crates/daemon/src/stager/http.rs
+++ b/crates/daemon/src/stager/http.rs
@@ -1,30 +1,76 @@
 //! Hands chunks on to other hosts.
 
+use std::sync::{Arc, Mutex};
+
 use actix_web::{
-    web::{self, Data, Path},
+    body::SizedStream,
+    error::PayloadError,
+    web::{self, Bytes, Data, Path},
     HttpResponse,
 };
-use balsamjunction_protocol::{header, paths, HaveAnswer};
+use balsamjunction_policy::pace::Pacer;
+use balsamjunction_protocol::{header, mesh::WeightsNews, paths, HaveAnswer};
+use futures_util::{stream, Stream};
 use smol_str::SmolStr;
-use tokio::sync::Semaphore;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 
 use super::holdings::{Holdings, VersionId};
-use crate::inner::{message, InnerError};
+use crate::{
+    clock::Clock,
+    fleet::spread::Done,
+    inner::{message, InnerError},
+    sync::lock,
+};
 
 /// Chunks that are sent at once; more would only delay each of them, and live answers with them.
-const MAX_UPLOADS: usize = 3;
+const MAX_UPLOADS: usize = 2;
+/// A chunk goes out in pieces of this length, so that live answers fit in between.
+const PIECE_BYTES: usize = 8 * 1024;
 /// Tells with each chunk which others the sender holds, so that the receiver need not ask.
 pub const HELD_HEADER: &str = "balsam-held";
 
-/// Chunks that are being sent.
-pub struct Uploads(Semaphore);
+/// Chunks that are being sent, and the rate at which they are.
+pub struct Uploads {
+    permits: Arc<Semaphore>,
+    pacer: Arc<Mutex<Pacer>>,
+    clock: Clock,
+}
+
+impl Uploads {
+    /// Sends at most `rate` bytes a second.
+    pub fn new(clock: Clock, rate: u64) -> Self {
+        Self {
+            permits: Arc::new(Semaphore::new(MAX_UPLOADS)),
+            pacer: Arc::new(Mutex::new(Pacer::new(clock.now(), rate))),
+            clock,
+        }
+    }
 
-impl Default for Uploads {
-    fn default() -> Self {
-        Self(Semaphore::new(MAX_UPLOADS))
+    /// The bytes of a chunk at the rate that is left for it.
+    fn paced(
+        &self,
+        permit: Option<OwnedSemaphorePermit>,
+        buf: Bytes,
+    ) -> impl Stream<Item = Result<Bytes, PayloadError>> + Unpin {
+        let state = (permit, self.pacer.clone(), self.clock, buf);
+        let pieces = stream::unfold(state, |(permit, pacer, clock, mut buf)| async move {
+            if buf.is_empty() {
+                return None;
+            }
+            let piece = buf.split_to(buf.len().min(PIECE_BYTES));
+            let wait = lock(&pacer).take(clock.now(), piece.len());
+            if !wait.is_zero() {
+                actix_rt::time::sleep(wait).await;
+            }
+            Some((Ok(piece), (permit, pacer, clock, buf)))
+        });
+        Box::pin(pieces)
     }
 }
 
+/// Where news of versions go that entries push.
+pub struct NewsQueue(pub mpsc::UnboundedSender<WeightsNews>);
+
 /// Adds the routes; needs [`Holdings`] and [`Uploads`] as data.
 pub fn routes(cfg: &mut web::ServiceConfig) {
     let have_path = format!("{}/{{model}}/{{version}}", paths::MODEL_HAVE);
@@ -32,15 +78,24 @@
     let manifest_path = format!("{}/{{model}}/{{version}}", paths::MANIFEST);
     cfg.route(&have_path, web::get().to(have))
         .route(&chunk_path, web::get().to(chunk))
-        .route(&manifest_path, web::get().to(manifest));
+        .route(&manifest_path, web::get().to(manifest))
+        .route(paths::NEWS, web::post().to(news));
 }
 
 fn what_is_held(holdings: &Holdings, uploads: &Uploads, id: &VersionId) -> HaveAnswer {
     HaveAnswer {
         map: holdings.map(id),
         serving: false,
-        uploads: (MAX_UPLOADS - uploads.0.available_permits()) as u32,
+        uploads: (MAX_UPLOADS - uploads.permits.available_permits()) as u32,
+    }
+}
+
+async fn news(queue: Data<NewsQueue>, body: Bytes) -> Result<HttpResponse, InnerError> {
+    let news: WeightsNews = header::from_bytes(&body)?;
+    if queue.0.send(news).is_err() {
+        log::debug!("news came while the process stops");
     }
+    message(&Done {})
 }
 
 async fn have(
@@ -74,14 +129,13 @@
     let Some(buf) = holdings.get(&id, chunk) else {
         return HttpResponse::NotFound().finish();
     };
-    // The semaphore is never closed, so only a permit comes back.
-    let permit = uploads.0.acquire().await;
+    // The semaphore is never closed, so a permit always comes.
+    let permit = uploads.permits.clone().acquire_owned().await.ok();
     let held = what_is_held(&holdings, &uploads, &id);
     let mut response = HttpResponse::Ok();
     if let Ok(held) = header::to_header(&held) {
         response.insert_header((HELD_HEADER, held));
     }
-    let response = response.body(buf);
-    drop(permit);
-    response
+    let length = buf.len() as u64;
+    response.body(SizedStream::new(length, uploads.paced(permit, buf)))
 }
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -13,9 +13,16 @@
 use balsamjunction_platform::{Engine, Store};
 use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
 use balsamjunction_settings::StagerSettings;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::{
+    signal::unix::{signal, SignalKind},
+    sync::mpsc,
+};
 
-use self::{holdings::Holdings, http::Uploads, state::Stager};
+use self::{
+    holdings::Holdings,
+    http::{NewsQueue, Uploads},
+    state::Stager,
+};
 use crate::{
     clock::Clock,
     error::DaemonError,
@@ -28,6 +35,9 @@
 /// Peers that have begun a chunk get this long to take the rest of it.
 const LAST_UPLOADS: Duration = Duration::from_millis(300);
 
+/// Part of the link that chunks may use each way; the rest is for live requests of the engine.
+const BULK_PART: f64 = 0.75;
+
 /// Runs a stager until it is told to stop.
 pub async fn serve(settings: StagerSettings) -> Result<(), DaemonError> {
     let clock = Clock::start();
@@ -44,11 +54,14 @@
         detail: format!("stager of the engine at {}", settings.engine),
     });
 
+    let bulk_rate = (settings.link_bytes_per_s as f64 * BULK_PART) as u64;
+    let (news_tx, news_rx) = mpsc::unbounded_channel();
     let data = (
         Data::from(beliefs.clone()),
         Data::from(holdings.clone()),
-        Data::new(Uploads::default()),
+        Data::new(Uploads::new(clock, bulk_rate)),
         Data::new(metrics.clone()),
+        Data::new(NewsQueue(news_tx)),
     );
     let server = HttpServer::new(move || {
         App::new()
@@ -56,6 +69,7 @@
             .app_data(data.1.clone())
             .app_data(data.2.clone())
             .app_data(data.3.clone())
+            .app_data(data.4.clone())
             .configure(mesh::http::routes)
             .configure(http::routes)
     })
@@ -73,7 +87,9 @@
         Engine::new(client.clone(), settings.engine),
         Store::new(client.clone(), settings.mesh.store),
         client,
+        bulk_rate,
     ));
+    actix_rt::spawn(state::pushed_news_loop(stager.clone(), news_rx));
     actix_rt::spawn(state::report_loop(stager.clone()));
     actix_rt::spawn(state::news_loop(stager.clone()));
     actix_rt::spawn(reach::work_loop(stager.clone()));
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderAnswer, PlatformError, TurnMode};
+use balsamjunction_policy::Moment;
 use log::debug;
 
 use super::{
@@ -28,7 +29,7 @@
 pub async fn work_loop(stager: Rc<Stager>) {
     let mut offered = None;
     loop {
-        let Some((goal, since)) = stager.goal() else {
+        let Some(goal) = stager.goal() else {
             actix_rt::time::sleep(IDLE).await;
             continue;
         };
@@ -42,7 +43,7 @@
             actix_rt::time::sleep(IDLE).await;
             continue;
         }
-        if let Err(e) = reach(&stager, &goal, since).await {
+        if let Err(e) = reach(&stager, &goal).await {
             stager.turning.set(false);
             debug!("{:?} is not reached yet: {e}", goal.id);
             actix_rt::time::sleep(RETRY).await;
@@ -88,7 +89,7 @@
     Ok(whole)
 }
 
-async fn reach(stager: &Rc<Stager>, goal: &Goal, since: Duration) -> Result<(), PlatformError> {
+async fn reach(stager: &Rc<Stager>, goal: &Goal) -> Result<(), PlatformError> {
     let id = &goal.id;
     let Some(manifest) = fetch::find_manifest(stager, goal).await else {
         return Ok(());
@@ -103,9 +104,9 @@
     told(stager, id, "fetched", String::new());
     stage_all(stager, id, &manifest).await?;
     if stager.serving(&id.model).is_some() {
-        let turn = since + own_turn(stager);
+        let turn = own_turn(stager, id);
         while stager.now() < turn {
-            if stager.goal().is_none_or(|(now, _)| now != *goal) {
+            if stager.goal().as_ref() != Some(goal) {
                 return Ok(());
             }
             actix_rt::time::sleep(IDLE).await;
@@ -113,7 +114,7 @@
     }
     // What was staged may have changed since; the engine takes what lies there now.
     let mended = stage_all(stager, id, &manifest).await?;
-    if stager.goal().is_none_or(|(now, _)| now != *goal) {
+    if stager.goal().as_ref() != Some(goal) {
         return Ok(());
     }
     stager.turning.set(true);
@@ -131,15 +132,17 @@
     Ok(())
 }
 
-/// When this engine changes, counted from when the version was known: one after the other, so that
-/// most of them serve at any time.
-fn own_turn(stager: &Stager) -> Duration {
+/// When this engine changes: one after the other, so that most of them serve at any time.
+fn own_turn(stager: &Stager, id: &VersionId) -> Moment {
+    let now = stager.now();
+    let since = stager.behind_since(&id.model).unwrap_or(now);
+    let from = (since + stager.version_within.mul_f64(TURNS_FROM)).max(now);
+    let until = (since + stager.version_within.mul_f64(TURNS_UNTIL)).max(from);
     let fellows = stager.fellows();
     let own = &stager.settings.host;
     let rank = fellows.iter().position(|m| m.host == *own).unwrap_or(0);
     let part = rank as f64 / fellows.len().max(1) as f64;
-    let part = TURNS_FROM + (TURNS_UNTIL - TURNS_FROM) * part;
-    stager.version_within.mul_f64(part)
+    from + (until - from).mul_f64(part)
 }
 
 /// Stages every chunk that does not lie there whole; gives how many those were.
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -13,7 +13,7 @@
 use balsamjunction_platform::{
     store::EVERYTHING, Engine, EngineReport, PlatformError, Store, WeightOrigin,
 };
-use balsamjunction_policy::Moment;
+use balsamjunction_policy::{pace::Pacer, Moment};
 use balsamjunction_protocol::{
     mesh::{MemberRecord, ProcessRole, WeightsNews},
     MemberDocument, MemberState,
@@ -22,6 +22,7 @@
 use log::debug;
 use rand::Rng;
 use smol_str::{format_smolstr, SmolStr};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::holdings::{Holdings, VersionId};
 use crate::{
@@ -66,10 +67,12 @@
     pub engine: Engine,
     /// Connections to peers.
     pub client: Client,
+    /// Paces chunks that are fetched.
+    pub pacer: RefCell<Pacer>,
     store: Store,
     report: RefCell<Option<EngineReport>>,
     news: RefCell<Option<(WeightsNews, Moment)>>,
-    wanted: RefCell<Option<(VersionId, Moment)>>,
+    wanted: RefCell<Vec<(VersionId, Moment)>>,
     /// Whether an order was given that the engine has not carried out yet.
     pub turning: Cell<bool>,
 }
@@ -84,8 +87,10 @@
         engine: Engine,
         store: Store,
         client: Client,
+        bulk_rate: u64,
     ) -> Self {
         Self {
+            pacer: RefCell::new(Pacer::new(beliefs.clock.now(), bulk_rate)),
             settings: settings.mesh.clone(),
             service: settings.service.clone(),
             version_within: settings.version_within,
@@ -129,13 +134,23 @@
         held.find(|held| held.name == model).map(|held| held.version)
     }
 
-    /// What the engine is to serve, and since when that is known.
-    pub fn goal(&self) -> Option<(Goal, Moment)> {
+    /// What the engine is to serve.
+    pub fn goal(&self) -> Option<Goal> {
         let wanted = self.wanted.borrow();
-        let (id, since) = wanted.as_ref()?;
+        let (id, _) = wanted.last()?;
         let born_ms = self.report.borrow().as_ref()?.born_ms;
         let id = id.clone();
-        Some((Goal { id, born_ms }, *since))
+        Some(Goal { id, born_ms })
+    }
+
+    /// Since when a version is known that is newer than the one that the engine serves.
+    ///
+    /// Where several versions came quickly one after the other, the first of them binds.
+    pub fn behind_since(&self, model: &str) -> Option<Moment> {
+        let serving = self.serving(model).unwrap_or(0);
+        let wanted = self.wanted.borrow();
+        let mut newer = wanted.iter().filter(|(id, _)| id.version > serving);
+        newer.next().map(|(_, since)| *since)
     }
 
     /// The origin of weights, if one is known.
@@ -270,7 +285,7 @@
         let id = VersionId { model, version };
         let mut wanted = self.wanted.borrow_mut();
         let newer = wanted
-            .as_ref()
+            .last()
             .is_none_or(|(old, _)| old.model != id.model || old.version < id.version);
         if newer {
             self.beliefs.events.emit(&Event::Weights {
@@ -279,7 +294,8 @@
                 step: "wanted",
                 detail: String::new(),
             });
-            *wanted = Some((id, self.now()));
+            wanted.retain(|(old, _)| old.model == id.model);
+            wanted.push((id, self.now()));
         }
     }
 }
@@ -314,6 +330,15 @@
     }
 }
 
+/// Takes news that entries push.
+pub async fn pushed_news_loop(stager: Rc<Stager>, mut rx: UnboundedReceiver<WeightsNews>) {
+    while let Some(news) = rx.recv().await {
+        let age = Duration::from_millis(news.age_ms);
+        let proved = stager.now().saturating_sub(age);
+        stager.take_news(news, proved);
+    }
+}
+
 /// Keeps members and wanted versions fresh.
 pub async fn news_loop(stager: Rc<Stager>) {
     loop {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashMap;
 
-use balsamjunction_directory::{Directory, EngineModel, Service, UpstreamRecord, UpstreamState};
+use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
 use balsamjunction_protocol::mesh::EngineStatus;
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
@@ -138,6 +138,7 @@
     by_id: HashMap<(SmolStr, u64), UpstreamKey>,
     pools: HashMap<SmolStr, Pool>,
     waiting: SlotMap<WaitKey, Waiting>,
+    named: HashMap<SmolStr, Vec<(u64, Moment)>>,
     entries: usize,
 }
 
@@ -164,6 +165,7 @@
             by_id: HashMap::new(),
             pools: HashMap::new(),
             waiting: SlotMap::with_key(),
+            named: HashMap::new(),
             entries: 1,
         }
     }
@@ -211,18 +213,43 @@
             }
         }
         self.by_id = found;
+        self.note_versions(directory);
+        let least: HashMap<SmolStr, u64> = self
+            .named
+            .iter()
+            .filter_map(|(model, _)| Some((model.clone(), self.least_version(now, model)?)))
+            .collect();
         self.pools = table
             .declaration
             .services
             .iter()
             .map(|service| {
                 let mut pool = Pool::new(service, members.remove(&service.name));
-                pool.wanted = wanted_versions(now, &self.settings, service, directory);
+                pool.least_versions = least.clone();
                 (service.name.clone(), pool)
             })
             .collect();
     }
 
+    /// Remembers when each version was named, since several may come before the first is in force.
+    fn note_versions(&mut self, directory: &Directory) {
+        for (model, (version, learned)) in &directory.wanted {
+            let named = self.named.entry(model.clone()).or_default();
+            if named.last().is_none_or(|(last, _)| last < version) {
+                named.push((*version, *learned));
+            }
+        }
+    }
+
+    /// The oldest version of a model that requests may find now.
+    fn least_version(&self, now: Moment, model: &str) -> Option<u64> {
+        let named = self.named.get(model)?;
+        let old = self.settings.old_version_for;
+        let binding = named.iter().rev();
+        let mut binding = binding.filter(|(_, learned)| now.saturating_sub(*learned) >= old);
+        binding.next().map(|(version, _)| *version)
+    }
+
     /// An upstream, unless it is gone.
     pub fn view(&self, key: UpstreamKey) -> Option<UpstreamView> {
         let upstream = self.upstreams.get(key)?;
@@ -361,22 +388,3 @@
     Wait,
     Refuse(Refused),
 }
-
-/// The versions that requests to a service may find: the wanted one, and for a while after it was
-/// named the one before.
-fn wanted_versions(
-    now: Moment,
-    settings: &DispatchSettings,
-    service: &Service,
-    directory: &Directory,
-) -> HashMap<SmolStr, u64> {
-    let models = service.engine.as_ref().map(|e: &EngineModel| &e.models);
-    let models = models.into_iter().flatten();
-    models
-        .filter_map(|model| {
-            let (version, learned) = directory.wanted.get(&model.name)?;
-            let strict = now.saturating_sub(*learned) >= settings.old_version_for;
-            strict.then(|| (model.name.clone(), *version))
-        })
-        .collect()
-}
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -24,8 +24,8 @@
 /// The upstreams of one service.
 #[derive(Debug)]
 pub struct Pool {
-    /// Versions that engines must have by now.
-    pub wanted: HashMap<SmolStr, u64>,
+    /// The oldest versions that engines may have by now.
+    pub least_versions: HashMap<SmolStr, u64>,
     model: Option<EngineModel>,
     max_connections: u32,
     members: Vec<UpstreamKey>,
@@ -58,7 +58,7 @@
     /// The pool of a service with its members.
     pub fn new(service: &Service, members: Option<Vec<UpstreamKey>>) -> Self {
         Self {
-            wanted: HashMap::new(),
+            least_versions: HashMap::new(),
             model: service.engine.clone(),
             max_connections: service.max_connections,
             members: members.unwrap_or_default(),
@@ -112,8 +112,8 @@
             // A service that names no models may serve any.
             return upstream.record.models.is_none();
         };
-        let wanted = self.wanted.get(model);
-        !upstream.turning && wanted.is_none_or(|wanted| version >= *wanted)
+        let least = self.least_versions.get(model);
+        !upstream.turning && least.is_none_or(|least| version >= *least)
     }
 
     fn rate(
--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Distribution, FetchPlan, Source, OWNER_PATIENCE, PARALLEL_DIRECT, PARALLEL_FROM_ORIGIN,
-    PARALLEL_PER_SOURCE,
+    PARALLEL_PER_SOURCE, SURVEY_LIMIT,
 };
 use crate::{rendezvous, Moment};
 
@@ -21,19 +21,21 @@
         if self.distribution == Distribution::Direct {
             return self.origin(now);
         }
+        if nearby.has(chunk) {
+            if let Some(source) = self.local_holder(now, chunk, luck) {
+                return Some(source);
+            }
+        }
+        if !self.surveyed(now) {
+            return None;
+        }
         if self.owners.fleet[chunk] == self.host {
             let holder = || self.any_holder(now, chunk, luck);
             return self.origin(now).or_else(holder);
         }
         let expected = self.expected_holder(chunk);
-        if self.owners.local[chunk] == self.host {
-            if self.can_send(now, expected, chunk) {
-                return self.peer(expected);
-            }
-        } else if nearby.has(chunk) {
-            if let Some(source) = self.local_holder(now, chunk, luck) {
-                return Some(source);
-            }
+        if self.owners.local[chunk] == self.host && self.can_send(now, expected, chunk) {
+            return self.peer(expected);
         }
         if self.may_bypass(now, expected) {
             let holder = self.any_holder(now, chunk, luck);
@@ -42,6 +44,20 @@
         None
     }
 
+    /// Whether the peers of the own data centre had the time to say what they hold. Before that, a
+    /// chunk might be drawn from afar that lies next door.
+    fn surveyed(&self, now: Moment) -> bool {
+        if now.saturating_sub(self.started) >= SURVEY_LIMIT {
+            return true;
+        }
+        let peers = self.peers.iter();
+        let mut local = peers.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
+        local.all(|(host, _)| {
+            let view = self.views.get(host);
+            view.is_some_and(|view| view.asked.is_some() && !view.asking)
+        })
+    }
+
     /// What the peers of the own data centre hold together; spares asking each for every chunk.
     pub(super) fn held_nearby(&self, now: Moment) -> ChunkMap {
         let mut nearby = ChunkMap::empty(self.held.len());
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -34,6 +34,8 @@
 const PROBE_INTERVAL: Moment = Moment::from_millis(100);
 /// Probes that run at once.
 const MAX_PROBES: usize = 4;
+/// A peer nearby that has not said by then what it holds is not waited for.
+const SURVEY_LIMIT: Moment = Moment::from_millis(250);
 /// Time for which a source that failed is passed over.
 const AVOID_FAILED: Moment = Moment::from_secs(2);
 /// Time for which a source that sent a corrupt chunk is passed over.
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -10,6 +10,8 @@
 pub const CRASH: &str = "/peer/crash";
 /// Exchange of views between processes that find each other through seeds.
 pub const SYNC: &str = "/mesh/sync";
+/// News of versions, from an entry to sidecars.
+pub const NEWS: &str = "/mesh/news";
 /// Report of requests that broke upstreams, among entries.
 pub const BROKEN: &str = "/mesh/broken";
 /// Prefix of one chunk: `/mesh/chunk/{model}/{version}/{chunk}`.
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -17,6 +17,13 @@
 /// The longest bound that makes sense, in seconds.
 const MOST_S: u32 = 3_600;
 
+/// The fastest link that makes sense, in megabits a second.
+const MOST_MBPS: u32 = 1_000_000;
+/// A host's link where the settings do not name one, in megabits a second.
+const USUAL_LINK_MBPS: f64 = 1_000.0;
+/// Bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// What both roles need to find the platform and each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MeshSettings {
@@ -67,6 +74,8 @@
     pub engine: SocketAddr,
     /// The service that the engine belongs to.
     pub service: SmolStr,
+    /// What the host's link carries each way, in bytes a second.
+    pub link_bytes_per_s: u64,
     /// Time in which engines must have changed to a newer version.
     pub version_within: Duration,
 }
@@ -127,7 +136,9 @@
         let engine = fields.required_address("engine");
         let service = fields.required_text("service");
         let version_within = millis(fields, "version_within_ms", 8_000);
+        let link = fields.decimal("link_mbps", (0, MOST_MBPS), "megabits a second");
         Some(StagerSettings {
+            link_bytes_per_s: (link.unwrap_or(USUAL_LINK_MBPS) * BYTES_PER_MEGABIT) as u64,
             mesh: read_mesh(fields, faults)?,
             engine: engine?,
             service,
