--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -37,7 +37,7 @@
 
 /// Part of the time for a change of version for which requests may still find the version before.
 /// The rest is for the news to travel and for requests that wait at the engine.
-const OLD_VERSION_PART: f64 = 0.8;
+const OLD_VERSION_PART: f64 = 0.88;
 
 /// Runs a gateway until it is told to stop.
 pub async fn serve(settings: GatewaySettings) -> Result<(), DaemonError> {
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -36,7 +36,7 @@
 const LAST_UPLOADS: Duration = Duration::from_millis(300);
 
 /// Part of the link that chunks may use each way; the rest is for live requests of the engine.
-const BULK_PART: f64 = 0.75;
+const BULK_PART: f64 = 0.9;
 
 /// Runs a stager until it is told to stop.
 pub async fn serve(settings: StagerSettings) -> Result<(), DaemonError> {
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -21,7 +21,7 @@
 /// take about that long to arrive.
 const TURNS_FROM: f64 = 0.28;
 /// Part of the time for a change of version by which the last engine has begun to change.
-const TURNS_UNTIL: f64 = 0.72;
+const TURNS_UNTIL: f64 = 0.86;
 /// An engine that neither serves the version nor works on the order after this time gets it again.
 const ORDER_PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -121,7 +121,7 @@
     let order = LoadOrder {
         model: id.model.clone(),
         version: id.version,
-        mode: TurnMode::Finish,
+        mode: TurnMode::BreakOff,
     };
     let answer = stager.engine.load(&order).await?;
     told(stager, id, "ordered", format!("{answer:?}, {mended} staged again"));
