--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -29,6 +29,8 @@
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(1);
 /// A process that knows no configuration expects one within about this time.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Another process takes a caller that this one turns away because it stops.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Bytes of the first part of a body for which room is made at once.
 const USUAL_BODY_BYTES: usize = 1_024;
 
@@ -108,6 +110,9 @@
     came: Moment,
     id: SmolStr,
 ) -> Result<Call, Turned> {
+    if context.refusing.load(Ordering::Acquire) {
+        return Err(Turned::for_now(Reason::Stopping, STOPPING_RETRY_AFTER));
+    }
     let directory = context.beliefs.directory();
     let Some(table) = directory.table.clone() else {
         let pause = NO_CONFIGURATION_RETRY_AFTER;
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -36,6 +36,8 @@
 pub enum Reason {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The process is about to end.
+    Stopping,
     /// The facts are too old to admit a key by.
     StaleFacts,
     /// No route has the host and path.
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{atomic::AtomicUsize, Arc, Mutex},
+    sync::{
+        atomic::{AtomicBool, AtomicUsize},
+        Arc, Mutex,
+    },
     time::Duration,
 };
 
@@ -38,6 +41,8 @@
     pub metrics: Arc<Metrics>,
     /// Whether a stop was asked for.
     pub lifecycle: Lifecycle,
+    /// Whether new requests are turned away because the process is about to end.
+    pub refusing: AtomicBool,
     /// Requests whose answer is not complete.
     pub in_progress: AtomicUsize,
     revoke_within: Option<Duration>,
@@ -66,6 +71,7 @@
             beliefs,
             metrics,
             lifecycle: Lifecycle::default(),
+            refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             revoke_within: settings.revoke_within,
             dispatch: Mutex::new(Dispatch {
--- a/crates/daemon/src/gateway/lifecycle.rs
+++ b/crates/daemon/src/gateway/lifecycle.rs
@@ -44,8 +44,13 @@
     let mut waited = Duration::ZERO;
     while waited < most {
         let idle = context.in_progress.load(Ordering::Acquire) == 0;
-        if idle && waited >= LEAST_DRAIN {
-            break;
+        if waited >= LEAST_DRAIN {
+            // The balancer sends nobody any more; what still comes on open connections could outlast
+            // this process, and is served elsewhere.
+            context.refusing.store(true, Ordering::Release);
+            if idle {
+                break;
+            }
         }
         actix_rt::time::sleep(POLL).await;
         waited += POLL;
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -32,6 +32,8 @@
     client: Client,
     seeds: impl Fn() -> Vec<SocketAddr>,
 ) {
+    // A process that has just started knows facts, but not for how long they have held.
+    let mut met = false;
     loop {
         let stale = beliefs.age().is_none_or(|age| age >= ASK_PEERS_AFTER);
         let target = beliefs.members(|members, now| {
@@ -40,9 +42,13 @@
             members.exchange_target(now, ProcessRole::Entry, &seeds(), &mut rand::rng())
         });
         if let Some(address) = target {
-            let pull = stale.then(|| ReplicaPull { at: beliefs.at() });
-            if let Err(e) = exchange_once(&beliefs, &client, address, pull, false).await {
-                debug!("no exchange with {address}: {e}");
+            let pull = match met {
+                true => stale.then(|| ReplicaPull { at: beliefs.at() }),
+                false => Some(ReplicaPull::default()),
+            };
+            match exchange_once(&beliefs, &client, address, pull, false).await {
+                Ok(_) => met = true,
+                Err(e) => debug!("no exchange with {address}: {e}"),
             }
         }
         let mean = match stale {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -40,6 +40,10 @@
 /// The version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
 
+/// Part of the time for a change of version that may have passed when a process that starts first
+/// hears of a version.
+const FIRST_VERSION_AGE_PART: f64 = 0.4;
+
 /// A version that the engine is to serve.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Goal {
@@ -294,8 +298,13 @@
                 step: "wanted",
                 detail: String::new(),
             });
+            // The first version that this process hears of may have been named a while before.
+            let before = match wanted.is_empty() {
+                true => self.version_within.mul_f64(FIRST_VERSION_AGE_PART),
+                false => Duration::ZERO,
+            };
             wanted.retain(|(old, _)| old.model == id.model);
-            wanted.push((id, self.now()));
+            wanted.push((id, self.now().saturating_sub(before)));
         }
     }
 }
--- a/crates/directory/src/replica.rs
+++ b/crates/directory/src/replica.rs
@@ -24,6 +24,9 @@
     pub revision: u64,
     /// The fact; nothing if it was removed or cannot be read.
     pub fact: Option<Fact>,
+    /// How long the sender has known it, in milliseconds; zero if the source itself tells.
+    #[serde(default)]
+    pub known_ms: u64,
 }
 
 /// That a copy was complete up to a revision at a time.
@@ -132,6 +135,7 @@
                 subject,
                 revision: least,
                 fact: None,
+                known_ms: 0,
             };
             absorbed.changed += usize::from(self.put(now, change));
         }
@@ -152,10 +156,16 @@
     }
 
     fn put(&mut self, now: Duration, change: Change) -> bool {
-        let known = self.entries.get(&change.subject);
-        if known.is_some_and(|e| e.revision >= change.revision) {
-            return false;
+        let learned = now.saturating_sub(Duration::from_millis(change.known_ms));
+        if let Some(known) = self.entries.get_mut(&change.subject) {
+            if known.revision == change.revision {
+                known.learned = known.learned.min(learned);
+            }
+            if known.revision >= change.revision {
+                return false;
+            }
         }
+        let known = self.entries.get(&change.subject);
         let removed = self.removed.iter().rev();
         let mut removed = removed.filter(|(subject, _)| *subject == change.subject);
         if removed.next().is_some_and(|(_, at)| *at >= change.revision) {
@@ -176,8 +186,8 @@
         }
         let same = known.is_some_and(|e| e.fact == fact);
         let learned = match known {
-            Some(e) if same => e.learned,
-            _ => now,
+            Some(e) if same => e.learned.min(learned),
+            _ => learned,
         };
         let entry = Entry {
             revision: change.revision,
@@ -210,6 +220,7 @@
                 subject: subject.clone(),
                 revision: e.revision,
                 fact: Some(e.fact.clone()),
+                known_ms: now.saturating_sub(e.learned).as_millis() as u64,
             })
             .collect();
         if !whole {
@@ -218,6 +229,7 @@
                 subject: subject.clone(),
                 revision: *revision,
                 fact: None,
+                known_ms: 0,
             }));
         }
         changes.sort_by_key(|change| change.revision);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -151,6 +151,9 @@
 /// Longest time for which a request waits for room before it is refused; callers that are refused
 /// at once can be served elsewhere or come back.
 const MAX_WAIT: Moment = Moment::from_millis(45);
+/// Part of the time for a change of version that may have passed when a process that starts first
+/// hears of a version.
+const FIRST_VERSION_AGE_PART: f64 = 0.4;
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
 /// A refusal for want of any upstream: about the time in which one is registered anew.
@@ -232,11 +235,19 @@
     }
 
     /// Remembers when each version was named, since several may come before the first is in force.
+    ///
+    /// The first version that this process hears of may have been named a while before.
     fn note_versions(&mut self, directory: &Directory) {
         for (model, (version, learned)) in &directory.wanted {
             let named = self.named.entry(model.clone()).or_default();
-            if named.last().is_none_or(|(last, _)| last < version) {
-                named.push((*version, *learned));
+            match named.last_mut() {
+                Some((last, at)) if last == version => *at = (*at).min(*learned),
+                Some((last, _)) if *last > *version => {}
+                Some(_) => named.push((*version, *learned)),
+                None => {
+                    let before = self.settings.old_version_for.mul_f64(FIRST_VERSION_AGE_PART);
+                    named.push((*version, learned.saturating_sub(before)));
+                }
             }
         }
     }
