--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -18,7 +18,7 @@
 use super::{
     holdings::VersionId,
     http::HELD_HEADER,
-    state::{Goal, Stager},
+    state::Stager,
 };
 
 /// How often the plan is asked for more to do though nothing arrived.
@@ -30,8 +30,8 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest answer of a peer.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// Pause after nobody had the manifest.
-const MANIFEST_RETRY: Duration = Duration::from_millis(60);
+/// A fetch to which nothing was added for this long lacks chunks that nobody sends now.
+const STALL: Duration = Duration::from_millis(1_500);
 
 enum Outcome {
     Chunk {
@@ -46,30 +46,19 @@
     },
 }
 
-/// Finds the manifest of a goal's version, and holds it.
-pub async fn find_manifest(stager: &Stager, goal: &Goal) -> Option<Manifest> {
-    let id = &goal.id;
-    let mut asked = 0;
-    loop {
-        if let Some(manifest) = stager.holdings.manifest(id) {
-            return Some(manifest);
-        }
-        if stager.goal().as_ref() != Some(goal) {
-            return None;
-        }
-        let found = ask_for_manifest(stager, id, asked).await;
-        match found {
-            Ok(manifest) if manifest.version == id.version && manifest.model == id.model => {
-                stager.holdings.open(id, manifest);
-            }
-            Ok(manifest) => debug!("manifest of version {} came instead", manifest.version),
-            Err(e) => debug!("manifest of {id:?} did not come: {e}"),
-        }
-        asked += 1;
-        if stager.holdings.manifest(id).is_none() {
-            actix_rt::time::sleep(MANIFEST_RETRY).await;
+/// Finds the manifest of a version, and holds it; `asked` counts earlier questions.
+pub async fn find_manifest(stager: &Stager, id: &VersionId, asked: u32) -> Option<Manifest> {
+    if let Some(manifest) = stager.holdings.manifest(id) {
+        return Some(manifest);
+    }
+    match ask_for_manifest(stager, id, asked).await {
+        Ok(manifest) if manifest.version == id.version && manifest.model == id.model => {
+            stager.holdings.open(id, manifest);
         }
+        Ok(manifest) => debug!("manifest of version {} came instead", manifest.version),
+        Err(e) => debug!("manifest of {id:?} did not come: {e}"),
     }
+    stager.holdings.manifest(id)
 }
 
 async fn ask_for_manifest(
@@ -96,9 +85,19 @@
     }
 }
 
-/// Fetches until every chunk is held; gives up once the goal is another.
-pub async fn fetch_all(stager: &Rc<Stager>, goal: &Goal, manifest: &Manifest) -> bool {
-    let id = &goal.id;
+/// How a fetch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchEnd {
+    /// Every chunk is held.
+    Complete,
+    /// Nobody sends what is missing.
+    Stalled,
+    /// A newer version is to be fetched first.
+    Overtaken,
+}
+
+/// Fetches until every chunk is held, nothing comes any more, or a newer version goes first.
+pub async fn fetch_all(stager: &Rc<Stager>, id: &VersionId, manifest: &Manifest) -> FetchEnd {
     let chunks = manifest.digests.len();
     let mut plan = FetchPlan::new(
         stager.now(),
@@ -113,9 +112,19 @@
         plan.arrived(stager.now(), chunk, &Source::Origin);
     }
     let (tx, mut rx) = mpsc::unbounded_channel();
+    let mut last_missing = plan.missing();
+    let mut last_progress = stager.now();
     while plan.missing() > 0 {
-        if stager.goal().is_none_or(|now| now.id != *id) {
-            return false;
+        let newest = stager.wanted().first() == Some(id);
+        if !newest && plan.missing() * 2 > chunks {
+            return FetchEnd::Overtaken;
+        }
+        if plan.missing() < last_missing {
+            last_missing = plan.missing();
+            last_progress = stager.now();
+        }
+        if stager.now().saturating_sub(last_progress) > STALL {
+            return FetchEnd::Stalled;
         }
         plan.set_participants(participants(stager));
         for action in plan.next(stager.now()) {
@@ -128,7 +137,7 @@
             outcome = rx.try_recv().ok();
         }
     }
-    true
+    FetchEnd::Complete
 }
 
 fn participants(stager: &Stager) -> Participants {
--- a/crates/daemon/src/stager/holdings.rs
+++ b/crates/daemon/src/stager/holdings.rs
@@ -10,8 +10,8 @@
 
 use crate::sync::lock;
 
-/// Versions that are kept: the one that serves and the one that comes.
-const MAX_VERSIONS: usize = 2;
+/// Versions that are kept: the one that serves, the one that comes, and one that overtakes it.
+const MAX_VERSIONS: usize = 3;
 
 /// One version of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -78,6 +78,19 @@
         bytes.map_or(0, |bytes| bytes as usize)
     }
 
+    /// Chunks of a version that are held, and how many it has; nothing if its manifest is not known.
+    pub fn progress(&self, id: &VersionId) -> Option<(usize, usize)> {
+        self.with(id, |held| {
+            let chunks = &held.chunks;
+            (chunks.iter().flatten().count(), chunks.len())
+        })
+    }
+
+    /// Whether every chunk of a version is held.
+    pub fn complete(&self, id: &VersionId) -> bool {
+        self.progress(id).is_some_and(|(held, all)| held == all)
+    }
+
     /// Keeps a chunk if it is whole; tells whether it was.
     pub fn put(&self, id: &VersionId, chunk: usize, buf: Bytes) -> bool {
         let Some(manifest) = self.manifest(id) else {
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -92,7 +92,8 @@
     actix_rt::spawn(state::pushed_news_loop(stager.clone(), news_rx));
     actix_rt::spawn(state::report_loop(stager.clone()));
     actix_rt::spawn(state::news_loop(stager.clone()));
-    actix_rt::spawn(reach::work_loop(stager.clone()));
+    actix_rt::spawn(reach::fetch_loop(stager.clone()));
+    actix_rt::spawn(reach::turn_loop(stager.clone()));
 
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -1,22 +1,29 @@
 //! Brings the engine to a version: chunks, staging, check, order.
+//!
+//! Chunks are fetched while the engine waits for its turn, so that a version that overtakes another
+//! one loses no time. See docs/WEIGHTS.md, "Stagers".
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderAnswer, PlatformError, TurnMode};
 use balsamjunction_policy::Moment;
 use log::debug;
 
 use super::{
-    fetch,
+    fetch::{self, FetchEnd},
     holdings::{is_whole, VersionId},
-    state::{Goal, Stager},
+    state::Stager,
 };
 use crate::events::Event;
 
-/// How often a stager without work looks for some.
+/// How often a loop without work looks for some.
 const IDLE: Duration = Duration::from_millis(50);
 /// Pause after a step failed.
 const RETRY: Duration = Duration::from_millis(200);
+/// Questions for a manifest after which another version goes first, if one is wanted, too.
+const QUESTIONS_UNTIL_STALLED: u32 = 6;
+/// A version of which nothing came is left alone for this long if another one is wanted, too.
+const LEAVE_STALLED: Duration = Duration::from_millis(2_000);
 /// Part of the time for a change of version after which engines that serve begin to change; chunks
 /// take about that long to arrive.
 const TURNS_FROM: f64 = 0.28;
@@ -25,32 +32,76 @@
 /// An engine that neither serves the version nor works on the order after this time gets it again.
 const ORDER_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Brings the engine to whatever version is wanted, for as long as the process runs.
-pub async fn work_loop(stager: Rc<Stager>) {
-    let mut offered = None;
+/// Fetches wanted versions for as long as the process runs, the newest first.
+pub async fn fetch_loop(stager: Rc<Stager>) {
+    let mut stalled: HashMap<VersionId, Moment> = HashMap::new();
+    let mut asked: HashMap<VersionId, u32> = HashMap::new();
+    let mut looked = None;
     loop {
-        let Some(goal) = stager.goal() else {
+        let now = stager.now();
+        let wanted = stager.wanted();
+        let missing: Vec<_> = wanted
+            .iter()
+            .filter(|id| !stager.holdings.complete(id))
+            .collect();
+        let left_alone = |id: &VersionId| stalled.get(id).is_some_and(|until| now < *until);
+        let next = missing.iter().find(|id| !left_alone(id));
+        let Some(id) = next.or(missing.first()).map(|id| (*id).clone()) else {
             actix_rt::time::sleep(IDLE).await;
             continue;
         };
-        let serving = stager.serving(&goal.id.model);
-        if serving == Some(goal.id.version) {
-            stager.turning.set(false);
-            if offered.as_ref() != Some(&goal) {
-                offer_staged(&stager, &goal).await;
-                offered = Some(goal);
+        let questions = asked.entry(id.clone()).or_default();
+        *questions += 1;
+        let Some(manifest) = fetch::find_manifest(&stager, &id, *questions - 1).await else {
+            if *questions > QUESTIONS_UNTIL_STALLED {
+                stalled.insert(id, now + LEAVE_STALLED);
             }
             actix_rt::time::sleep(IDLE).await;
             continue;
+        };
+        // The engine may have this version staged already, since before this process started.
+        let born = stager.engine_born();
+        if looked.as_ref() != Some(&(id.clone(), born)) {
+            look_at_staged(&stager, &id, &manifest).await;
+            looked = Some((id.clone(), born));
+        }
+        match fetch::fetch_all(&stager, &id, &manifest).await {
+            FetchEnd::Complete => told(&stager, &id, "fetched", String::new()),
+            FetchEnd::Overtaken => told(&stager, &id, "overtaken", String::new()),
+            FetchEnd::Stalled => {
+                told(&stager, &id, "stalled", String::new());
+                stalled.insert(id, stager.now() + LEAVE_STALLED);
+            }
         }
-        if let Err(e) = reach(&stager, &goal).await {
-            stager.turning.set(false);
-            debug!("{:?} is not reached yet: {e}", goal.id);
+    }
+}
+
+/// Brings the engine to the newest version that is held whole, for as long as the process runs.
+pub async fn turn_loop(stager: Rc<Stager>) {
+    loop {
+        actix_rt::time::sleep(IDLE).await;
+        let Some(id) = next_version(&stager) else {
+            continue;
+        };
+        if let Err(e) = turn(&stager, &id).await {
+            debug!("{id:?} is not reached yet: {e}");
             actix_rt::time::sleep(RETRY).await;
         }
+        stager.turning.set(false);
     }
 }
 
+/// The newest version that is held whole, if the engine serves an older one or none.
+fn next_version(stager: &Stager) -> Option<VersionId> {
+    stager.engine_born()?;
+    let mut wanted = stager.wanted().into_iter();
+    let newest = wanted.find(|id| stager.holdings.complete(id))?;
+    let serving = stager.serving(&newest.model);
+    serving
+        .is_none_or(|serving| serving < newest.version)
+        .then_some(newest)
+}
+
 fn told(stager: &Stager, id: &VersionId, step: &'static str, detail: String) {
     stager.beliefs.events.emit(&Event::Weights {
         model: id.model.clone(),
@@ -60,13 +111,11 @@
     });
 }
 
-/// Takes what is staged of a version that serves, so that other hosts can fetch it here.
-async fn offer_staged(stager: &Rc<Stager>, goal: &Goal) {
-    let Some(manifest) = fetch::find_manifest(stager, goal).await else {
-        return;
-    };
-    match take_staged(stager, &goal.id, &manifest).await {
-        Ok(taken) => told(stager, &goal.id, "offered", format!("{taken} chunks staged")),
+/// Takes what is staged of a version, so that it need not be fetched and others can have it.
+async fn look_at_staged(stager: &Stager, id: &VersionId, manifest: &Manifest) {
+    match take_staged(stager, id, manifest).await {
+        Ok(0) => {}
+        Ok(taken) => told(stager, id, "taken", format!("{taken} chunks were staged")),
         Err(e) => debug!("staged chunks were not read: {e}"),
     }
 }
@@ -89,32 +138,23 @@
     Ok(whole)
 }
 
-async fn reach(stager: &Rc<Stager>, goal: &Goal) -> Result<(), PlatformError> {
-    let id = &goal.id;
-    let Some(manifest) = fetch::find_manifest(stager, goal).await else {
+/// Stages a version, waits for this engine's turn, and orders the engine to take it.
+async fn turn(stager: &Rc<Stager>, id: &VersionId) -> Result<(), PlatformError> {
+    let Some(manifest) = stager.holdings.manifest(id) else {
         return Ok(());
     };
-    // An engine that restarted still has what was staged before.
-    if stager.serving(&id.model).is_none() {
-        take_staged(stager, id, &manifest).await?;
-    }
-    if !fetch::fetch_all(stager, goal, &manifest).await {
-        return Ok(());
-    }
-    told(stager, id, "fetched", String::new());
     stage_all(stager, id, &manifest).await?;
-    if stager.serving(&id.model).is_some() {
-        let turn = own_turn(stager, id);
-        while stager.now() < turn {
-            if stager.goal().as_ref() != Some(goal) {
-                return Ok(());
-            }
-            actix_rt::time::sleep(IDLE).await;
+    let from = stager.now();
+    while stager.serving(&id.model).is_some() && stager.now() < own_turn(stager, id, from) {
+        if next_version(stager).as_ref() != Some(id) {
+            return Ok(());
         }
+        actix_rt::time::sleep(IDLE).await;
     }
     // What was staged may have changed since; the engine takes what lies there now.
     let mended = stage_all(stager, id, &manifest).await?;
-    if stager.goal().as_ref() != Some(goal) {
+    let born = stager.engine_born();
+    if next_version(stager).as_ref() != Some(id) {
         return Ok(());
     }
     stager.turning.set(true);
@@ -126,17 +166,17 @@
     let answer = stager.engine.load(&order).await?;
     told(stager, id, "ordered", format!("{answer:?}, {mended} staged again"));
     if answer == OrderAnswer::Taken {
-        await_turn(stager, goal).await;
+        await_turn(stager, id, born).await;
     }
-    stager.turning.set(false);
     Ok(())
 }
 
 /// When this engine changes: one after the other, so that most of them serve at any time.
-fn own_turn(stager: &Stager, id: &VersionId) -> Moment {
-    let now = stager.now();
-    let since = stager.behind_since(&id.model).unwrap_or(now);
-    let from = (since + stager.version_within.mul_f64(TURNS_FROM)).max(now);
+///
+/// `ready` is when the version was staged.
+fn own_turn(stager: &Stager, id: &VersionId, ready: Moment) -> Moment {
+    let since = stager.behind_since(&id.model).unwrap_or(ready);
+    let from = (since + stager.version_within.mul_f64(TURNS_FROM)).max(ready);
     let until = (since + stager.version_within.mul_f64(TURNS_UNTIL)).max(from);
     let fellows = stager.fellows();
     let own = &stager.settings.host;
@@ -169,8 +209,8 @@
     Ok(put)
 }
 
-/// Waits until the engine serves the goal, is another one, or does not work on the order.
-async fn await_turn(stager: &Stager, goal: &Goal) {
+/// Waits until the engine serves the version, is another one, or does not work on the order.
+async fn await_turn(stager: &Stager, id: &VersionId, born: Option<u64>) {
     let mut last_busy = stager.now();
     loop {
         actix_rt::time::sleep(IDLE).await;
@@ -180,11 +220,11 @@
             }
             continue;
         };
-        if report.born_ms != goal.born_ms {
+        if Some(report.born_ms) != born {
             return;
         }
-        if stager.serving(&goal.id.model) == Some(goal.id.version) {
-            told(stager, &goal.id, "serving", String::new());
+        if stager.serving(&id.model) == Some(id.version) {
+            told(stager, id, "serving", String::new());
             return;
         }
         if report.ordering {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -44,15 +44,6 @@
 /// hears of a version.
 const FIRST_VERSION_AGE_PART: f64 = 0.4;
 
-/// A version that the engine is to serve.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Goal {
-    /// The version.
-    pub id: VersionId,
-    /// The engine's start, since a restarted engine holds nothing.
-    pub born_ms: u64,
-}
-
 /// A stager with all that it knows.
 pub struct Stager {
     /// This host and its peers.
@@ -138,13 +129,20 @@
         held.find(|held| held.name == model).map(|held| held.version)
     }
 
-    /// What the engine is to serve.
-    pub fn goal(&self) -> Option<Goal> {
+    /// Versions that the engine is to serve or may serve meanwhile, newest first.
+    pub fn wanted(&self) -> Vec<VersionId> {
         let wanted = self.wanted.borrow();
-        let (id, _) = wanted.last()?;
-        let born_ms = self.report.borrow().as_ref()?.born_ms;
-        let id = id.clone();
-        Some(Goal { id, born_ms })
+        let Some((newest, _)) = wanted.last() else {
+            return Vec::new();
+        };
+        let serving = self.serving(&newest.model).unwrap_or(0);
+        let current = wanted.iter().rev().filter(|(id, _)| id.version >= serving);
+        current.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The engine's start, in milliseconds since the Unix epoch; nothing if it does not report.
+    pub fn engine_born(&self) -> Option<u64> {
+        Some(self.report.borrow().as_ref()?.born_ms)
     }
 
     /// Since when a version is known that is newer than the one that the engine serves.
