--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -231,7 +231,7 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
         };
-        if let Some(target) = &self.target {
+        if let Some(target) = self.target.as_ref().filter(|_| !self.flight.turning()) {
             self.run.note_crash(target);
         }
         let left = self.run.left();
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -295,6 +295,13 @@
         Some(view.record)
     }
 
+    /// Whether the upstream takes other weights now, which breaks off what runs there.
+    pub fn turning(&self) -> bool {
+        let dispatch = lock(&self.context.dispatch);
+        let view = dispatch.dispatcher.view(self.chosen.upstream);
+        view.is_some_and(|view| view.turning)
+    }
+
     /// Notes the load that an answer shows.
     pub fn load(&self, running: u32, waiting: u32) {
         let now = self.context.now();
@@ -308,11 +315,12 @@
     pub fn first_event(&mut self) {
         let took = self.context.now().saturating_sub(self.began);
         let unread = std::mem::take(&mut self.unread);
+        let now = self.context.now();
         lock(&self.context.dispatch).dispatcher.first_event(
-            self.chosen.upstream,
+            now,
+            &self.chosen,
             unread,
             took.as_secs_f64() * 1e3,
-            self.chosen.expected_ms,
         );
     }
 
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -234,7 +234,7 @@
         let detail = match sent {
             Ok(Ok(sent)) => return self.judge(sent, flight, &target),
             Ok(Err(e)) => {
-                if matches!(e, SendError::Broken(_)) {
+                if matches!(e, SendError::Broken(_)) && !flight.turning() {
                     self.note_crash(&target);
                 }
                 e.to_string()
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -33,16 +33,16 @@
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
     beliefs.merge_members(request.members);
-    let members = beliefs.members(|members, now| {
-        let same = members.digest(now) == request.member_digest;
-        match same {
-            true => vec![members.own().clone()],
-            false => members.records(now),
+    let (members, same_members) = beliefs.members(|members, now| {
+        match members.digest(now) == request.member_digest {
+            true => (vec![members.own().clone()], true),
+            false => (members.records(now), false),
         }
     });
     let pull = request.pull.as_ref();
     message(&SyncAnswer {
         members,
+        same_members,
         update: pull.and_then(|pull| beliefs.answer_pull(pull)),
         weights: request.weights.then(|| beliefs.weights_news()).flatten(),
     })
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -87,6 +87,10 @@
     let mut answer: SyncAnswer =
         client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
     beliefs.merge_members(std::mem::take(&mut answer.members));
+    if weights && answer.same_members {
+        // Sidecars hear of others through entries alone, and tell nobody of them.
+        beliefs.members(|members, now| members.confirm(now));
+    }
     if let Some(update) = answer.update.take() {
         beliefs.absorb(asked, update, &format!("peer {address}"));
     }
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -130,6 +130,7 @@
             born_ms: 0,
             serving: None,
             turning: false,
+            pace_percent: 100,
         }),
     }
 }
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderAnswer, PlatformError, TurnMode};
-use balsamjunction_policy::Moment;
+use balsamjunction_policy::{rendezvous, Moment};
 use log::debug;
 
 use super::{
@@ -62,7 +62,11 @@
         // The engine may have this version staged already, since before this process started.
         let born = stager.engine_born();
         if looked.as_ref() != Some(&(id.clone(), born)) {
-            look_at_staged(&stager, &id, &manifest).await;
+            if let Err(e) = take_staged(&stager, &id, &manifest).await {
+                debug!("staged chunks were not read: {e}");
+                actix_rt::time::sleep(IDLE).await;
+                continue;
+            }
             looked = Some((id.clone(), born));
         }
         match fetch::fetch_all(&stager, &id, &manifest).await {
@@ -112,20 +116,11 @@
 }
 
 /// Takes what is staged of a version, so that it need not be fetched and others can have it.
-async fn look_at_staged(stager: &Stager, id: &VersionId, manifest: &Manifest) {
-    match take_staged(stager, id, manifest).await {
-        Ok(0) => {}
-        Ok(taken) => told(stager, id, "taken", format!("{taken} chunks were staged")),
-        Err(e) => debug!("staged chunks were not read: {e}"),
-    }
-}
-
-/// Reads staged chunks that are not held yet; gives how many were whole.
 async fn take_staged(
     stager: &Stager,
     id: &VersionId,
     manifest: &Manifest,
-) -> Result<usize, PlatformError> {
+) -> Result<(), PlatformError> {
     let held = stager.holdings.map(id);
     let mut whole = 0;
     for chunk in stager.engine.staged(&id.model).await? {
@@ -135,7 +130,10 @@
         let buf = stager.engine.read_staged(&id.model, chunk).await?;
         whole += usize::from(stager.holdings.put(id, chunk, buf));
     }
-    Ok(whole)
+    if whole > 0 {
+        told(stager, id, "taken", format!("{whole} chunks were staged"));
+    }
+    Ok(())
 }
 
 /// Stages a version, waits for this engine's turn, and orders the engine to take it.
@@ -157,7 +155,7 @@
     if next_version(stager).as_ref() != Some(id) {
         return Ok(());
     }
-    stager.turning.set(true);
+    stager.announce_turn().await;
     let order = LoadOrder {
         model: id.model.clone(),
         version: id.version,
@@ -178,10 +176,13 @@
     let since = stager.behind_since(&id.model).unwrap_or(ready);
     let from = (since + stager.version_within.mul_f64(TURNS_FROM)).max(ready);
     let until = (since + stager.version_within.mul_f64(TURNS_UNTIL)).max(from);
+    // Hosts of one data centre stand apart in this order, so that each keeps most of its engines.
     let fellows = stager.fellows();
-    let own = &stager.settings.host;
-    let rank = fellows.iter().position(|m| m.host == *own).unwrap_or(0);
-    let part = rank as f64 / fellows.len().max(1) as f64;
+    let names = fellows.iter().map(|m| m.host.as_str());
+    let order = rendezvous::ranked(&id.version.to_le_bytes(), names);
+    let own = stager.settings.host.as_str();
+    let rank = order.iter().position(|host| *host == own).unwrap_or(0);
+    let part = rank as f64 / order.len().max(1) as f64;
     from + (until - from).mul_f64(part)
 }
 
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -37,6 +37,10 @@
 const NEWS_INTERVAL: Duration = Duration::from_millis(300);
 /// News that is older than this is not believed, and the store is read instead.
 const NEWS_LIFE: Duration = Duration::from_millis(2_500);
+/// An entry that has not heard of a turn after this time hears of it from others.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(120);
+/// Changes of an engine's pace below this are not told, in hundredths of the usual.
+const PACE_STEP_PERCENT: u32 = 20;
 /// The version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
 
@@ -178,6 +182,19 @@
         fellows
     }
 
+    /// Says that the engine turns, to all entries before it does, so that they send it nothing more
+    /// and do not take what breaks off for failures.
+    pub async fn announce_turn(&self) {
+        self.turning.set(true);
+        self.beliefs.members(|members, _| {
+            members.set_engine(|engine| !std::mem::replace(&mut engine.turning, true))
+        });
+        let told = actix_rt::time::timeout(ANNOUNCE_LIMIT, self.tell_entries()).await;
+        if told.is_err() {
+            debug!("not every entry has heard of the turn");
+        }
+    }
+
     fn take_report(&self, report: EngineReport) -> bool {
         let model = self.model();
         let serving = model.and_then(|model| {
@@ -186,6 +203,7 @@
         });
         let turning = self.turning.get() || report.ordering;
         let born_ms = report.born_ms;
+        let pace_percent = (report.slowdown * 100.0).round() as u32;
         *self.report.borrow_mut() = Some(report);
         self.beliefs.members(|members, _| {
             members.set_engine(|engine| {
@@ -193,6 +211,10 @@
                 engine.born_ms = born_ms;
                 engine.serving = serving;
                 engine.turning = turning;
+                // Small changes are not worth a message to every entry.
+                if engine.pace_percent.abs_diff(pace_percent) >= PACE_STEP_PERCENT {
+                    engine.pace_percent = pace_percent;
+                }
                 *engine != before
             })
         })
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -72,6 +72,8 @@
     pub upstream: UpstreamKey,
     /// When its first event is expected, from now, in milliseconds.
     pub expected_ms: f64,
+    /// The same for an upstream of the published pace, in milliseconds.
+    pub published_ms: f64,
 }
 
 /// Why a request is not served, and when to come back.
@@ -128,6 +130,8 @@
     pub record: UpstreamRecord,
     /// The requests of this entry there.
     pub own_requests: usize,
+    /// Whether it takes other weights now, which breaks off what runs there.
+    pub turning: bool,
 }
 
 /// What an entry knows of all upstreams.
@@ -151,8 +155,8 @@
 /// Longest time for which a request waits for room before it is refused; callers that are refused
 /// at once can be served elsewhere or come back.
 const MAX_WAIT: Moment = Moment::from_millis(45);
-/// Part of the time for a change of version that may have passed when a process that starts first
-/// hears of a version.
+/// Part of the time for a change of version that may have passed when a process starts and finds
+/// the version named.
 const FIRST_VERSION_AGE_PART: f64 = 0.4;
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
@@ -236,14 +240,16 @@
 
     /// Remembers when each version was named, since several may come before the first is in force.
     ///
-    /// The first version that this process hears of may have been named a while before.
+    /// A version that this process finds when it starts may have been named a while before.
     fn note_versions(&mut self, directory: &Directory) {
+        let starting = self.pools.is_empty();
         for (model, (version, learned)) in &directory.wanted {
             let named = self.named.entry(model.clone()).or_default();
             match named.last_mut() {
                 Some((last, at)) if last == version => *at = (*at).min(*learned),
                 Some((last, _)) if *last > *version => {}
                 Some(_) => named.push((*version, *learned)),
+                None if !starting => named.push((*version, *learned)),
                 None => {
                     let before = self.settings.old_version_for.mul_f64(FIRST_VERSION_AGE_PART);
                     named.push((*version, learned.saturating_sub(before)));
@@ -267,6 +273,7 @@
         Some(UpstreamView {
             record: upstream.record.clone(),
             own_requests: upstream.own_requests,
+            turning: upstream.turning,
         })
     }
 
@@ -344,6 +351,7 @@
             return Decision::Send(Chosen {
                 upstream: best.upstream,
                 expected_ms: best.expected_ms,
+                published_ms: best.published_ms,
             });
         }
         let waited = now.saturating_sub(since);
@@ -370,18 +378,11 @@
         }
     }
 
-    /// Notes that a request's prompt was read: its first event came after `took_ms`, where
-    /// `expected_ms` was expected.
-    pub fn first_event(
-        &mut self,
-        key: UpstreamKey,
-        prompt_tokens: f64,
-        took_ms: f64,
-        expected_ms: f64,
-    ) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
+    /// Notes that a request's prompt was read: its first event came after `took_ms`.
+    pub fn first_event(&mut self, now: Moment, chosen: &Chosen, prompt_tokens: f64, took_ms: f64) {
+        if let Some(upstream) = self.upstreams.get_mut(chosen.upstream) {
             upstream.prompt_read(prompt_tokens);
-            upstream.calibrate(took_ms, expected_ms);
+            upstream.calibrate(now, took_ms, chosen.published_ms);
         }
     }
 
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -48,6 +48,8 @@
     pub upstream: UpstreamKey,
     /// Expected time to the first event in milliseconds.
     pub expected_ms: f64,
+    /// The same for an upstream of the published pace, in milliseconds.
+    pub published_ms: f64,
     /// Whether the request should be sent there now.
     pub fits: bool,
     /// By how much the expected time exceeds the wanted one, in milliseconds.
@@ -144,6 +146,7 @@
         Best {
             upstream: key,
             expected_ms,
+            published_ms: expected_ms / occupancy.slowdown.max(0.1),
             fits: room && allowed,
             excess_ms: expected_ms + WAY_BACK_MS - left_ms,
         }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -20,9 +20,12 @@
 /// Longest time for which an upstream is left out.
 const LONGEST_SUSPENSION: Moment = Moment::from_secs(4);
 /// Part of what is known of an upstream's pace that it keeps with each first event.
-const PACE_MEMORY: f64 = 0.85;
-/// Bounds of how much slower than published an engine is taken to be.
-const SLOWDOWN_RANGE: (f64, f64) = (0.7, 12.0);
+const PACE_MEMORY: f64 = 0.9;
+/// Bounds of how much slower than published an upstream is taken to be by what is seen of it.
+const SLOWDOWN_RANGE: (f64, f64) = (0.8, 8.0);
+/// What is seen of an upstream's pace loses half of its weight in this time, so that one that was
+/// slow is tried again.
+const PACE_HALF_LIFE_S: f64 = 2.0;
 /// Expected times below this say nothing about the pace, in milliseconds.
 const LEAST_CALIBRATION_MS: f64 = 20.0;
 /// Part of the cold rate that one entry may send to an upstream that is not known to be cold, which
@@ -52,6 +55,8 @@
     suspended_until: Moment,
     suspension: Moment,
     slowdown: f64,
+    slowdown_seen: Moment,
+    reported_slowdown: f64,
     serving: Option<(SmolStr, u64)>,
 }
 
@@ -73,6 +78,8 @@
             suspended_until: Moment::ZERO,
             suspension: FIRST_SUSPENSION,
             slowdown: 1.0,
+            slowdown_seen: Moment::ZERO,
+            reported_slowdown: 1.0,
             serving: None,
         }
     }
@@ -89,7 +96,15 @@
         self.cold_until = self.cold_until.max(learned + cold);
         self.cold_per_s = service.cold_per_s;
         self.record = record.clone();
-        self.turning = status.is_some_and(|status| status.turning);
+        let turning = status.is_some_and(|status| status.turning);
+        if self.turning && !turning {
+            // What broke off at the turn says nothing about the engine.
+            self.failures = 0.0;
+            self.suspended_until = Moment::ZERO;
+        }
+        self.turning = turning;
+        let percent = status.map_or(100, |status| status.pace_percent);
+        self.reported_slowdown = (f64::from(percent) / 100.0).max(1.0);
         self.serving = status.and_then(|status| status.serving.clone());
     }
 
@@ -125,10 +140,15 @@
         Occupancy {
             requests: self.own_requests as f64 + others,
             unread_tokens: self.own_unread,
-            slowdown: self.slowdown,
+            slowdown: self.seen_slowdown(now).max(self.reported_slowdown),
         }
     }
 
+    fn seen_slowdown(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.slowdown_seen).as_secs_f64();
+        1.0 + (self.slowdown - 1.0) * 0.5_f64.powf(age / PACE_HALF_LIFE_S)
+    }
+
     /// Counts a request as sent.
     pub fn begin(&mut self, now: Moment, prompt_tokens: f64) {
         self.own_requests += 1;
@@ -147,15 +167,17 @@
         self.own_unread = (self.own_unread - prompt_tokens).max(0.0);
     }
 
-    /// Learns how slow the engine is from a first event.
-    pub fn calibrate(&mut self, took_ms: f64, expected_ms: f64) {
-        let published = expected_ms / self.slowdown;
-        if published < LEAST_CALIBRATION_MS {
+    /// Learns how slow the upstream is from a first event that came after `took_ms`, where
+    /// `published_ms` would be usual.
+    pub fn calibrate(&mut self, now: Moment, took_ms: f64, published_ms: f64) {
+        if published_ms < LEAST_CALIBRATION_MS || self.turning {
             return;
         }
         let (least, most) = SLOWDOWN_RANGE;
-        let seen = (took_ms / published).clamp(least, most);
-        self.slowdown = PACE_MEMORY * self.slowdown + (1.0 - PACE_MEMORY) * seen;
+        let seen = (took_ms / published_ms).clamp(least, most);
+        let before = self.seen_slowdown(now);
+        self.slowdown = PACE_MEMORY * before + (1.0 - PACE_MEMORY) * seen;
+        self.slowdown_seen = now;
     }
 
     /// Notes what came of a request.
@@ -173,6 +195,7 @@
                 self.others = self.others.max(slots - self.own_requests as f64);
                 self.others_seen = now;
             }
+            Ending::Failed if self.turning => {}
             Ending::Misdirected | Ending::Unreachable => self.suspend(now),
             Ending::Failed => {
                 self.failures = FAILURE_MEMORY * self.failures + (1.0 - FAILURE_MEMORY);
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -33,17 +33,19 @@
 
 /// Time until the first event of a request with `prompt` tokens, in milliseconds.
 ///
-/// It waits for half a pass on average, for a slot if all are taken, and for the reading of what
-/// came before it and of itself.
+/// It waits for the rest of the pass that is under way, half of one on average, and for a slot if all
+/// are taken. The pass that reads what came before it and itself also writes, and shows its events
+/// when it ends.
 pub fn first_event_ms(model: &EngineModel, at: &Occupancy, prompt: f64) -> f64 {
     let slots = f64::from(model.slots.max(1));
     let running = at.requests.min(slots);
-    let pass = match running < 0.5 {
+    let under_way = match running < 0.5 {
         true => 0.0,
         false => pass_ms(model, running) / 2.0,
     };
+    let own_pass = pass_ms(model, running + 1.0);
     let reading = (at.unread_tokens + prompt) / model.read_tokens_per_ms.max(0.001);
     let beyond = (at.requests - slots + 1.0).max(0.0);
     let slot = beyond * usual_service_ms(model);
-    at.slowdown.max(0.1) * (pass + reading + model.step_ms + slot)
+    at.slowdown.max(0.1) * (under_way + reading + own_pass + slot)
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Notes that a peer with beats of its own believes the same processes to be up as this one.
+    pub fn confirm(&mut self, now: Moment) {
+        for known in self.known.values_mut() {
+            if now.saturating_sub(known.heard) < SUSPECT_AFTER {
+                known.heard = now;
+            }
+        }
+    }
+
     /// Forgets processes that have been silent for long.
     pub fn expire(&mut self, now: Moment) {
         self.known
@@ -126,8 +135,8 @@
         (others.count() + own).max(1)
     }
 
-    /// A process to exchange views with: mostly a live one, at times a seed, so that two halves of
-    /// the system which lost each other meet again.
+    /// A process to exchange views with: mostly a live one nearby, at times a far one or a seed, so
+    /// that two halves of the system which lost each other meet again.
     pub fn exchange_target(
         &self,
         now: Moment,
@@ -136,7 +145,13 @@
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
         let own = self.own.address;
-        let live = self.live(now, role).map(|record| record.address).choose(rng);
+        let near = |record: &&MemberRecord| record.data_centre == self.own.data_centre;
+        let nearby = self.live(now, role).filter(near).choose(rng);
+        let live = match rng.random_ratio(1, 4) {
+            true => self.live(now, role).choose(rng),
+            false => nearby.or_else(|| self.live(now, role).choose(rng)),
+        };
+        let live = live.map(|record| record.address);
         let seed = seeds.iter().copied().filter(|s| *s != own).choose(rng);
         match live {
             Some(_) if rng.random_ratio(1, 8) => seed.or(live),
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -56,6 +56,13 @@
     pub serving: Option<(SmolStr, u64)>,
     /// Whether it takes other weights now.
     pub turning: bool,
+    /// How long its work takes, in hundredths of what is usual.
+    #[serde(default = "usual_pace")]
+    pub pace_percent: u32,
+}
+
+fn usual_pace() -> u32 {
+    100
 }
 
 /// Exchanges views with a peer.
@@ -78,8 +85,11 @@
 /// A peer's view.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncAnswer {
-    /// Whom the peer believes to be up, itself included.
+    /// Whom the peer believes to be up, itself included; only itself if `same_members`.
     pub members: Vec<MemberRecord>,
+    /// Whether the peer believes the same processes to be up as the sender.
+    #[serde(default)]
+    pub same_members: bool,
     /// Newer facts, if they were asked for and the peer has any.
     #[serde(default)]
     pub update: Option<ReplicaUpdate>,
