--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -221,6 +221,10 @@
         }
         self.by_id = found;
         self.note_versions(directory);
+        let wanted = directory.wanted.iter();
+        let newest: HashMap<SmolStr, u64> = wanted
+            .map(|(model, (version, _))| (model.clone(), *version))
+            .collect();
         let least: HashMap<SmolStr, u64> = self
             .named
             .iter()
@@ -233,6 +237,7 @@
             .map(|service| {
                 let mut pool = Pool::new(service, members.remove(&service.name));
                 pool.least_versions = least.clone();
+                pool.newest_versions = newest.clone();
                 (service.name.clone(), pool)
             })
             .collect();
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -12,6 +12,11 @@
 /// What an upstream in another data centre costs more than one nearby, in milliseconds of waiting.
 /// Bytes between data centres are dear, and links between regions narrow.
 const FAR_PENALTY_MS: f64 = 15.0;
+/// What an engine costs more that is about to turn, and so to break off what runs there, in
+/// milliseconds of waiting.
+const ABOUT_TO_TURN_PENALTY_MS: f64 = 20.0;
+/// The same for a request that was broken off before and may not be a second time.
+const SECOND_BREAK_PENALTY_MS: f64 = 250.0;
 /// What an upstream costs more that must not be chosen while any other can serve.
 const LAST_RESORT_PENALTY_MS: f64 = 10_000.0;
 /// Time from an entry to a caller and back, by which an event is later there than here.
@@ -26,6 +31,8 @@
 pub struct Pool {
     /// The oldest versions that engines may have by now.
     pub least_versions: HashMap<SmolStr, u64>,
+    /// The newest versions that are named; engines with older ones are about to turn.
+    pub newest_versions: HashMap<SmolStr, u64>,
     model: Option<EngineModel>,
     max_connections: u32,
     members: Vec<UpstreamKey>,
@@ -61,6 +68,7 @@
     pub fn new(service: &Service, members: Option<Vec<UpstreamKey>>) -> Self {
         Self {
             least_versions: HashMap::new(),
+            newest_versions: HashMap::new(),
             model: service.engine.clone(),
             max_connections: service.max_connections,
             members: members.unwrap_or_default(),
@@ -87,6 +95,12 @@
             if upstream.record.data_centre != cx.settings.data_centre {
                 cost += FAR_PENALTY_MS;
             }
+            if self.about_to_turn(upstream, demand) {
+                cost += match demand.tried.is_empty() {
+                    true => ABOUT_TO_TURN_PENALTY_MS,
+                    false => SECOND_BREAK_PENALTY_MS,
+                };
+            }
             if upstream.suspended(cx.now) {
                 cost += LAST_RESORT_PENALTY_MS;
             }
@@ -118,6 +132,14 @@
         !upstream.turning && least.is_none_or(|least| version >= *least)
     }
 
+    fn about_to_turn(&self, upstream: &Upstream, demand: &Demand) -> bool {
+        let Some(model) = &demand.model else {
+            return false;
+        };
+        let newest = self.newest_versions.get(model);
+        newest.is_some_and(|newest| upstream.version_of(model) < Some(*newest))
+    }
+
     fn rate(
         &self,
         cx: &Context<'_>,
