--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -30,6 +30,9 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest answer of a peer.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Chunks that do not have their hash, in a fetch that stalled, after which its manifest is read
+/// again.
+const SUSPICIOUS_CHUNKS: u64 = 4;
 /// A fetch to which nothing was added for this long lacks chunks that nobody sends now.
 const STALL: Duration = Duration::from_millis(1_500);
 
@@ -80,7 +83,19 @@
             let (buf, _) = get(&stager.client, url, PROBE_TIMEOUT).await?;
             Ok(serde_json::from_slice(&buf)?)
         }
-        (Source::Origin, Some(origin)) => origin.manifest(&id.model, id.version).await,
+        (Source::Origin, Some(origin)) => {
+            // Nothing else vouches for a manifest, and one with a wrong hash would spread to every
+            // host and never be met, so it must come twice alike.
+            let first = origin.manifest(&id.model, id.version).await?;
+            let second = origin.manifest(&id.model, id.version).await?;
+            match first == second {
+                true => Ok(second),
+                false => Err(PlatformError::Unknown {
+                    what: "manifest that differs from read to read",
+                    found: name,
+                }),
+            }
+        }
         (Source::Origin, None) => Err(PlatformError::Status { status: 404 }),
     }
 }
@@ -114,6 +129,7 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     let mut last_missing = plan.missing();
     let mut last_progress = stager.now();
+    let corrupt = stager.metrics.corrupt_chunks.get();
     while plan.missing() > 0 {
         let newest = stager.wanted().first() == Some(id);
         if !newest && plan.missing() * 2 > chunks {
@@ -124,6 +140,10 @@
             last_progress = stager.now();
         }
         if stager.now().saturating_sub(last_progress) > STALL {
+            if stager.metrics.corrupt_chunks.get() >= corrupt + SUSPICIOUS_CHUNKS {
+                // More likely the manifest is wrong than every sender.
+                stager.holdings.close(id);
+            }
             return FetchEnd::Stalled;
         }
         plan.set_participants(participants(stager));
--- a/crates/daemon/src/stager/holdings.rs
+++ b/crates/daemon/src/stager/holdings.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Forgets a version whose manifest is not trusted any more.
+    pub fn close(&self, id: &VersionId) {
+        lock(&self.versions).retain(|held| held.id != *id);
+    }
+
     fn with<T>(&self, id: &VersionId, f: impl FnOnce(&mut Held) -> T) -> Option<T> {
         let mut versions = lock(&self.versions);
         versions.iter_mut().find(|held| held.id == *id).map(f)
