--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -7,8 +7,11 @@
 use super::Ending;
 use crate::{estimate::Occupancy, sliding::SlidingCount, Moment};
 
-/// What others have at an upstream loses half of its weight in this time, since it was seen.
-const OTHERS_HALF_LIFE_S: f64 = 0.6;
+/// What others have at an upstream is believed for this long after it was seen. Were it to fade at
+/// once, the upstream of which least is known would always seem the emptiest.
+const OTHERS_HELD_S: f64 = 1.0;
+/// After that it loses half of its weight in this time.
+const OTHERS_HALF_LIFE_S: f64 = 0.7;
 /// An upstream that turned a request away is taken to be full for a while.
 const FULL_MARK: f64 = 1.0;
 /// Part of its rate of failures that an upstream keeps with each outcome.
@@ -136,7 +139,8 @@
     /// What runs and waits there, as far as is known.
     pub fn occupancy(&self, now: Moment) -> Occupancy {
         let age = now.saturating_sub(self.others_seen).as_secs_f64();
-        let others = self.others * 0.5_f64.powf(age / OTHERS_HALF_LIFE_S);
+        let faded = (age - OTHERS_HELD_S).max(0.0) / OTHERS_HALF_LIFE_S;
+        let others = self.others * 0.5_f64.powf(faded);
         Occupancy {
             requests: self.own_requests as f64 + others,
             unread_tokens: self.own_unread,
