--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -4,8 +4,11 @@
 
 use awc::Client;
 use balsamjunction_platform::{Manifest, PlatformError};
-use balsamjunction_policy::fetch::{
-    manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
+use balsamjunction_policy::{
+    fetch::{
+        manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
+    },
+    version_queue::VersionQueue,
 };
 use balsamjunction_protocol::{header, paths, HaveAnswer};
 use bytes::Bytes;
@@ -112,7 +115,12 @@
 }
 
 /// Fetches until every chunk is held, nothing comes any more, or a newer version goes first.
-pub async fn fetch_all(stager: &Rc<Stager>, id: &VersionId, manifest: &Manifest) -> FetchEnd {
+pub async fn fetch_all(
+    stager: &Rc<Stager>,
+    queue: &VersionQueue<VersionId>,
+    id: &VersionId,
+    manifest: &Manifest,
+) -> FetchEnd {
     let chunks = manifest.digests.len();
     let mut plan = FetchPlan::new(
         stager.now(),
@@ -131,8 +139,8 @@
     let mut last_progress = stager.now();
     let corrupt = stager.metrics.corrupt_chunks.get();
     while plan.missing() > 0 {
-        let newest = stager.wanted().first() == Some(id);
-        if !newest && plan.missing() * 2 > chunks {
+        let held = chunks - plan.missing();
+        if queue.gives_way(stager.now(), id, &stager.missing(), held, chunks) {
             return FetchEnd::Overtaken;
         }
         if plan.missing() < last_missing {
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderAnswer, PlatformError, TurnMode};
-use balsamjunction_policy::{rendezvous, Moment};
+use balsamjunction_policy::{rendezvous, version_queue::VersionQueue, Moment};
 use log::debug;
 
 use super::{
@@ -22,8 +22,6 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// Questions for a manifest after which another version goes first, if one is wanted, too.
 const QUESTIONS_UNTIL_STALLED: u32 = 6;
-/// A version of which nothing came is left alone for this long if another one is wanted, too.
-const LEAVE_STALLED: Duration = Duration::from_millis(2_000);
 /// Part of the time for a change of version after which engines that serve begin to change; chunks
 /// take about that long to arrive.
 const TURNS_FROM: f64 = 0.28;
@@ -34,19 +32,12 @@
 
 /// Fetches wanted versions for as long as the process runs, the newest first.
 pub async fn fetch_loop(stager: Rc<Stager>) {
-    let mut stalled: HashMap<VersionId, Moment> = HashMap::new();
+    let mut queue = VersionQueue::default();
     let mut asked: HashMap<VersionId, u32> = HashMap::new();
     let mut looked = None;
     loop {
-        let now = stager.now();
-        let wanted = stager.wanted();
-        let missing: Vec<_> = wanted
-            .iter()
-            .filter(|id| !stager.holdings.complete(id))
-            .collect();
-        let left_alone = |id: &VersionId| stalled.get(id).is_some_and(|until| now < *until);
-        let next = missing.iter().find(|id| !left_alone(id));
-        let Some(id) = next.or(missing.first()).map(|id| (*id).clone()) else {
+        let missing = stager.missing();
+        let Some(id) = queue.next(stager.now(), &missing).cloned() else {
             actix_rt::time::sleep(IDLE).await;
             continue;
         };
@@ -54,7 +45,7 @@
         *questions += 1;
         let Some(manifest) = fetch::find_manifest(&stager, &id, *questions - 1).await else {
             if *questions > QUESTIONS_UNTIL_STALLED {
-                stalled.insert(id, now + LEAVE_STALLED);
+                queue.stalled(stager.now(), &id);
             }
             actix_rt::time::sleep(IDLE).await;
             continue;
@@ -69,14 +60,15 @@
             }
             looked = Some((id.clone(), born));
         }
-        match fetch::fetch_all(&stager, &id, &manifest).await {
+        match fetch::fetch_all(&stager, &queue, &id, &manifest).await {
             FetchEnd::Complete => told(&stager, &id, "fetched", String::new()),
             FetchEnd::Overtaken => told(&stager, &id, "overtaken", String::new()),
             FetchEnd::Stalled => {
                 told(&stager, &id, "stalled", String::new());
-                stalled.insert(id, stager.now() + LEAVE_STALLED);
+                queue.stalled(stager.now(), &id);
             }
         }
+        actix_rt::time::sleep(IDLE).await;
     }
 }
 
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -44,10 +44,6 @@
 /// The version that engines hold before any is named.
 const FIRST_VERSION: u64 = 1;
 
-/// Part of the time for a change of version that may have passed when a process that starts first
-/// hears of a version.
-const FIRST_VERSION_AGE_PART: f64 = 0.4;
-
 /// A stager with all that it knows.
 pub struct Stager {
     /// This host and its peers.
@@ -144,6 +140,13 @@
         current.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Wanted versions that are not held whole, newest first.
+    pub fn missing(&self) -> Vec<VersionId> {
+        let mut wanted = self.wanted();
+        wanted.retain(|id| !self.holdings.complete(id));
+        wanted
+    }
+
     /// The engine's start, in milliseconds since the Unix epoch; nothing if it does not report.
     pub fn engine_born(&self) -> Option<u64> {
         Some(self.report.borrow().as_ref()?.born_ms)
@@ -318,9 +321,9 @@
                 step: "wanted",
                 detail: String::new(),
             });
-            // The first version that this process hears of may have been named a while before.
+            // A version that is found at the start may have to be in force at any moment.
             let before = match wanted.is_empty() {
-                true => self.version_within.mul_f64(FIRST_VERSION_AGE_PART),
+                true => self.version_within,
                 false => Duration::ZERO,
             };
             wanted.retain(|(old, _)| old.model == id.model);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -157,7 +157,7 @@
 const MAX_WAIT: Moment = Moment::from_millis(45);
 /// Part of the time for a change of version that may have passed when a process starts and finds
 /// the version named.
-const FIRST_VERSION_AGE_PART: f64 = 0.4;
+const FIRST_VERSION_AGE_PART: f64 = 0.6;
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
 /// A refusal for want of any upstream: about the time in which one is registered anew.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod sliding;
 pub mod spread;
 pub mod turnover;
+pub mod version_queue;
 
 /// Time since the process started, on a clock that never goes back.
 pub type Moment = std::time::Duration;
--- /dev/null
+++ b/crates/policy/src/version_queue.rs
@@ -0,0 +1,58 @@
+//! Which of several wanted versions is fetched next.
+
+use std::{collections::HashMap, hash::Hash};
+
+use crate::Moment;
+
+/// A version of which nothing came is left alone for this long if another one is wanted, too.
+const LEAVE_STALLED: Moment = Moment::from_secs(2);
+/// Part of its chunks from which on a version is finished before a newer one is begun.
+const FINISH_FROM: f64 = 0.5;
+
+/// The order of fetches where versions overtake each other.
+///
+/// The newest version goes first. One that is half there is finished all the same, and an older one
+/// goes on while the newest does not come, for instance because its origin is down.
+#[derive(Clone, Debug)]
+pub struct VersionQueue<V> {
+    stalled: HashMap<V, Moment>,
+}
+
+impl<V> Default for VersionQueue<V> {
+    fn default() -> Self {
+        Self {
+            stalled: HashMap::new(),
+        }
+    }
+}
+
+impl<V: Clone + Eq + Hash> VersionQueue<V> {
+    /// Notes that nothing comes of a version.
+    pub fn stalled(&mut self, now: Moment, version: &V) {
+        self.stalled.insert(version.clone(), now + LEAVE_STALLED);
+    }
+
+    fn left_alone(&self, now: Moment, version: &V) -> bool {
+        self.stalled.get(version).is_some_and(|until| now < *until)
+    }
+
+    /// The next of the versions that are `missing`, which are sorted from the newest to the oldest.
+    pub fn next<'v>(&self, now: Moment, missing: &'v [V]) -> Option<&'v V> {
+        let ready = missing.iter().find(|v| !self.left_alone(now, v));
+        ready.or(missing.first())
+    }
+
+    /// Whether the fetch of a version, of which `held` of `all` chunks are there, gives way to
+    /// another one that is `missing`.
+    pub fn gives_way(
+        &self,
+        now: Moment,
+        version: &V,
+        missing: &[V],
+        held: usize,
+        all: usize,
+    ) -> bool {
+        let begun = held as f64 >= FINISH_FROM * all as f64;
+        !begun && self.next(now, missing).is_some_and(|next| next != version)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/versions.rs
@@ -0,0 +1,48 @@
+//! Versions that overtake each other.
+
+use balsamjunction_policy::{version_queue::VersionQueue, Moment};
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+#[test]
+fn the_newest_version_is_fetched_first() {
+    let queue = VersionQueue::default();
+
+    assert_eq!(queue.next(at(0), &[3, 2]), Some(&3));
+    assert!(queue.gives_way(at(0), &2, &[3, 2], 10, 64));
+}
+
+#[test]
+fn a_version_that_is_half_there_is_finished_first() {
+    let queue = VersionQueue::default();
+
+    assert!(!queue.gives_way(at(0), &2, &[3, 2], 32, 64));
+}
+
+#[test]
+fn an_older_version_goes_on_while_the_newest_does_not_come() {
+    let mut queue = VersionQueue::default();
+
+    queue.stalled(at(100), &3);
+
+    assert_eq!(queue.next(at(200), &[3, 2]), Some(&2));
+    assert_eq!(queue.next(at(2_100), &[3, 2]), Some(&3));
+}
+
+/// A fetch that gives way at once to a version that is left alone would begin again at once, for
+/// ever, and nothing else of its process would run.
+#[test]
+fn whatever_is_chosen_next_does_not_give_way_at_once() {
+    let mut queue = VersionQueue::default();
+    for stalled in [vec![], vec![3], vec![2], vec![3, 2]] {
+        for version in stalled {
+            queue.stalled(at(100), &version);
+        }
+        let missing = [3, 2];
+        let next = queue.next(at(200), &missing).expect("versions are missing");
+
+        assert!(!queue.gives_way(at(200), next, &missing, 0, 64));
+    }
+}
