--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -143,7 +143,6 @@
     Ok(Call {
         id,
         service: choose_service(&route),
-        table,
         holder,
         method,
         headers: call::passed_headers(req),
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -25,7 +25,7 @@
     run::Run,
     send::Sent,
 };
-use crate::events::Event;
+use crate::{events::Event, metrics::RequestLabels};
 
 /// Part by which the time to come back is spread, so that callers do not come back together.
 const SPREAD: f64 = 0.5;
@@ -88,11 +88,18 @@
 fn told(context: &GatewayContext, given: &Given<'_>) {
     let took = context.now().saturating_sub(given.came);
     let age = context.beliefs.age().unwrap_or_default();
+    let reason: &'static str = given.reason.into();
+    let labels = RequestLabels {
+        pool: given.route.to_string(),
+        outcome: given.status.as_str().to_owned(),
+        refusal: reason.to_owned(),
+    };
+    context.metrics.requests.get_or_create(&labels).inc();
     context.beliefs.events.emit(&Event::Answered {
         id: given.id.clone(),
         route: given.route.clone(),
         status: given.status.as_u16(),
-        reason: given.reason.into(),
+        reason,
         took_ms: took.as_millis() as u64,
         belief_age_ms: age.as_millis() as u64,
         configuration: context.beliefs.configuration(),
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use actix_web::HttpRequest;
-use balsamjunction_directory::{KeyHolder, Route, RouteTable};
+use balsamjunction_directory::{KeyHolder, Route};
 use balsamjunction_platform::headers;
 use balsamjunction_policy::{dispatch::Demand, Moment};
 use bytes::Bytes;
@@ -46,8 +46,6 @@
 pub struct Call {
     /// The caller's id of this attempt.
     pub id: SmolStr,
-    /// The configuration that it is served by.
-    pub table: Arc<RouteTable>,
     /// Its route.
     pub route: Arc<Route>,
     /// Whose key it carries, unless the route is public.
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -183,7 +183,11 @@
         let now = self.now();
         let mut allowances = lock(&self.allowances);
         let allowance = allowances.get_mut(service);
-        allowance.is_some_and(|allowance| allowance.spend(now, entries))
+        let spent = allowance.is_some_and(|allowance| allowance.spend(now, entries));
+        if spent {
+            self.metrics.retries.inc();
+        }
+        spent
     }
 
     fn configure(&self) {
@@ -316,6 +320,8 @@
         let took = self.context.now().saturating_sub(self.began);
         let unread = std::mem::take(&mut self.unread);
         let now = self.context.now();
+        let metrics = &self.context.metrics;
+        metrics.first_byte.observe(took.as_secs_f64());
         lock(&self.context.dispatch).dispatcher.first_event(
             now,
             &self.chosen,
--- a/crates/daemon/src/gateway/lifecycle.rs
+++ b/crates/daemon/src/gateway/lifecycle.rs
@@ -2,10 +2,8 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use tokio::signal::unix::{signal, SignalKind};
-
 use super::context::GatewayContext;
-use crate::{error::DaemonError, events::Event};
+use crate::{error::DaemonError, events::Event, process};
 
 /// The balancer asks once a second and takes a process out after two refusals.
 const LEAST_DRAIN: Duration = Duration::from_millis(3_200);
@@ -19,20 +17,7 @@
     context: &GatewayContext,
     grace: Duration,
 ) -> Result<(), DaemonError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => context.beliefs.events.emit(&Event::Process {
-                change: "reloaded",
-                host: context.host.clone(),
-                detail: "SIGHUP".to_owned(),
-            }),
-        }
-    }
+    process::stop_signal().await?;
     context.lifecycle.stop();
     context.beliefs.members(|members, _| members.leave());
     context.beliefs.events.emit(&Event::Process {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,7 +22,7 @@
     dispatch::{DispatchSettings, Dispatcher},
 };
 use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
-use balsamjunction_settings::GatewaySettings;
+use balsamjunction_settings::{read_gateway, GatewaySettings};
 use smol_str::SmolStr;
 
 use self::context::GatewayContext;
@@ -33,6 +33,7 @@
     mesh::{self, Beliefs},
     metrics::Metrics,
     process::{self, BACKLOG},
+    reload::{reload_loop, Seeds, SettingsFile},
 };
 
 /// Part of the time for a change of version for which requests may still find the version before.
@@ -40,7 +41,7 @@
 const OLD_VERSION_PART: f64 = 0.88;
 
 /// Runs a gateway until it is told to stop.
-pub async fn serve(settings: GatewaySettings) -> Result<(), DaemonError> {
+pub async fn serve(settings: GatewaySettings, file: SettingsFile) -> Result<(), DaemonError> {
     let clock = Clock::start();
     let callers = process::listen(settings.listen)?;
     let readiness = process::listen(settings.readiness_listen)?;
@@ -73,10 +74,12 @@
     let store = Store::new(client.clone(), settings.mesh.store);
     actix_rt::spawn(mesh::read_loop(beliefs.clone(), store));
     actix_rt::spawn(mesh::push_versions(beliefs.clone(), client.clone()));
-    let seeds = settings.mesh.seeds.clone();
-    actix_rt::spawn(mesh::exchange_loop(beliefs.clone(), client, move || {
-        seeds.clone()
+    let seeds = Seeds::new(settings.mesh.seeds.clone());
+    let host = settings.mesh.host.clone();
+    actix_rt::spawn(reload_loop(file, host, seeds.clone(), events, |buf, overrides| {
+        Ok(read_gateway(buf, overrides)?.mesh.seeds)
     }));
+    actix_rt::spawn(mesh::exchange_loop(beliefs.clone(), client, seeds));
     actix_rt::spawn(context::follow_beliefs(context.clone()));
     actix_rt::spawn(context::grant_loop(context.clone()));
 
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,10 +5,7 @@
 use actix_web::{http::StatusCode, HttpResponse};
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::{
-    dispatch::{Demand, Ending, Refused},
-    Moment,
-};
+use balsamjunction_policy::dispatch::{Demand, Ending, RefusalReason, Refused};
 use balsamjunction_protocol::Crash;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -149,7 +146,6 @@
             };
             self.demand.tried.push(flight.upstream());
             self.asked += 1;
-            let first = self.asked == 1;
             match self.attempt(flight, resume_after).await {
                 Attempted::Answer(sent, flight) => {
                     self.ran += 1;
@@ -164,9 +160,6 @@
                     if self.asked >= MAX_ASKED {
                         return Err(self.give_up(Reason::TurnedAway, RETRY_AFTER));
                     }
-                    // The first send is no retry if it never reached an upstream, but whether it
-                    // did is only surely known where no connection was made.
-                    let _ = first;
                 }
                 Attempted::Unknown => {
                     self.ran += 1;
@@ -188,8 +181,8 @@
 
     fn refused(&self, refused: &Refused) -> GivenUp {
         let reason = match refused.reason {
-            balsamjunction_policy::dispatch::RefusalReason::NoUpstream => Reason::NoUpstream,
-            balsamjunction_policy::dispatch::RefusalReason::Overload => Reason::Overload,
+            RefusalReason::NoUpstream => Reason::NoUpstream,
+            RefusalReason::Overload => Reason::Overload,
         };
         self.give_up(reason, refused.retry_after)
     }
@@ -357,11 +350,6 @@
             detail,
         });
     }
-
-    /// The time.
-    pub fn now(&self) -> Moment {
-        self.context.now()
-    }
 }
 
 fn not_run(reason: Reason, retry_after: Duration) -> GivenUp {
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -33,8 +33,8 @@
 pub struct Sent {
     /// The answer.
     pub response: Response<Incoming>,
-    /// Keeps the connection open.
-    pub connection: Connection,
+    /// Keeps the connection open for as long as the answer is of interest.
+    pub _connection: Connection,
 }
 
 /// A connection that closes when it is dropped, which tells the upstream to stop its work.
@@ -60,7 +60,7 @@
 pub async fn send(tcp: TcpStream, req: Request<Full<Bytes>>) -> Result<Sent, SendError> {
     let handshake = http1::handshake(TokioIo::new(tcp)).await;
     let (mut sender, connection) = handshake.map_err(SendError::Broken)?;
-    let connection = Connection(actix_rt::spawn(async move {
+    let _connection = Connection(actix_rt::spawn(async move {
         // Errors of the connection show at the body.
         if let Err(e) = connection.await {
             log::debug!("connection to upstream ended: {e}");
@@ -69,6 +69,6 @@
     let response = sender.send_request(req).await.map_err(SendError::Broken)?;
     Ok(Sent {
         response,
-        connection,
+        _connection,
     })
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod problem;
 pub mod process;
+pub mod reload;
 pub mod sidecar;
 pub mod stager;
 pub mod sync;
@@ -38,7 +39,7 @@
     match options.role {
         Role::Entry(settings) => actix_rt::System::new().block_on(entry::serve(*settings)),
         Role::Sidecar(settings) => actix_rt::System::new().block_on(sidecar::serve(*settings)),
-        Role::Gateway(settings) => actix_rt::System::new().block_on(gateway::serve(*settings)),
-        Role::Stager(settings) => actix_rt::System::new().block_on(stager::serve(*settings)),
+        Role::Gateway(settings) => actix_rt::System::new().block_on(gateway::serve(*settings, options.file)),
+        Role::Stager(settings) => actix_rt::System::new().block_on(stager::serve(*settings, options.file)),
     }
 }
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -15,6 +15,7 @@
 use crate::{
     client::{self, PeerError},
     fleet::spread::Done,
+    reload::Seeds,
 };
 
 /// Mean time between exchanges, spread by half to both sides.
@@ -26,12 +27,8 @@
 /// A peer that does not answer in this time is passed over.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Exchanges views for as long as the process runs; `seeds` gives the seeds of the moment.
-pub async fn exchange_loop(
-    beliefs: Arc<Beliefs>,
-    client: Client,
-    seeds: impl Fn() -> Vec<SocketAddr>,
-) {
+/// Exchanges views for as long as the process runs.
+pub async fn exchange_loop(beliefs: Arc<Beliefs>, client: Client, seeds: Seeds) {
     // A process that has just started knows facts, but not for how long they have held.
     let mut met = false;
     loop {
@@ -39,7 +36,7 @@
         let target = beliefs.members(|members, now| {
             members.beat();
             members.expire(now);
-            members.exchange_target(now, ProcessRole::Entry, &seeds(), &mut rand::rng())
+            members.exchange_target(now, ProcessRole::Entry, &seeds.get(), &mut rand::rng())
         });
         if let Some(address) = target {
             let pull = match met {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -10,7 +10,7 @@
 use log::LevelFilter;
 use smol_str::SmolStr;
 
-use crate::{cli::Args, error::DaemonError};
+use crate::{cli::Args, error::DaemonError, reload::SettingsFile};
 
 /// The role of the process with its settings.
 #[derive(Debug)]
@@ -30,6 +30,8 @@
 pub struct Options {
     /// Role and settings.
     pub role: Role,
+    /// Where the settings came from.
+    pub file: SettingsFile,
     /// Least severe messages that are logged.
     pub log_level: LevelFilter,
 }
@@ -49,6 +51,10 @@
         })?;
         let overrides = split_overrides(&args.overrides)?;
         let log_level = log_level(args.log)?;
+        let file = SettingsFile {
+            path: path.clone(),
+            overrides: overrides.clone(),
+        };
         let buf = fs::read(&path).map_err(|source| DaemonError::ReadSettings {
             path: path.clone(),
             source,
@@ -59,7 +65,11 @@
             "stager" => Role::Stager(Box::new(located(path, read_stager(&buf, &overrides))?)),
             _ => Role::Sidecar(Box::new(located(path, read_sidecar(&buf, &overrides))?)),
         };
-        Ok(Self { role, log_level })
+        Ok(Self {
+            role,
+            file,
+            log_level,
+        })
     }
 }
 
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -12,11 +12,8 @@
 use actix_web::{web::Data, App, HttpServer};
 use balsamjunction_platform::{Engine, Store};
 use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
-use balsamjunction_settings::StagerSettings;
-use tokio::{
-    signal::unix::{signal, SignalKind},
-    sync::mpsc,
-};
+use balsamjunction_settings::{read_stager, StagerSettings};
+use tokio::sync::mpsc;
 
 use self::{
     holdings::Holdings,
@@ -30,6 +27,7 @@
     mesh::{self, Beliefs},
     metrics::Metrics,
     process,
+    reload::{reload_loop, Seeds, SettingsFile},
 };
 
 /// Peers that have begun a chunk get this long to take the rest of it.
@@ -39,7 +37,7 @@
 const BULK_PART: f64 = 0.9;
 
 /// Runs a stager until it is told to stop.
-pub async fn serve(settings: StagerSettings) -> Result<(), DaemonError> {
+pub async fn serve(settings: StagerSettings, file: SettingsFile) -> Result<(), DaemonError> {
     let clock = Clock::start();
     let inner = process::listen(settings.mesh.inner_listen)?;
     let events = Arc::new(Events::start(clock));
@@ -79,8 +77,14 @@
     .run();
     actix_rt::spawn(server);
 
+    let seeds = Seeds::new(settings.mesh.seeds.clone());
+    let host = settings.mesh.host.clone();
+    actix_rt::spawn(reload_loop(file, host, seeds.clone(), events, |buf, overrides| {
+        Ok(read_stager(buf, overrides)?.mesh.seeds)
+    }));
     let stager = Rc::new(Stager::new(
         &settings,
+        seeds,
         beliefs,
         holdings,
         metrics,
@@ -95,20 +99,7 @@
     actix_rt::spawn(reach::fetch_loop(stager.clone()));
     actix_rt::spawn(reach::turn_loop(stager.clone()));
 
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => events.emit(&Event::Process {
-                change: "reloaded",
-                host: settings.mesh.host.clone(),
-                detail: "SIGHUP".to_owned(),
-            }),
-        }
-    }
+    process::stop_signal().await?;
     stager.beliefs.members(|members, _| members.leave());
     stager.tell_entries().await;
     actix_rt::time::sleep(LAST_UPLOADS).await;
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -29,6 +29,7 @@
     events::Event,
     mesh::{self, Beliefs},
     metrics::Metrics,
+    reload::Seeds,
 };
 
 /// How often the engine is asked for its report; the engine is on the same host.
@@ -64,6 +65,7 @@
     pub client: Client,
     /// Paces chunks that are fetched.
     pub pacer: RefCell<Pacer>,
+    seeds: Seeds,
     store: Store,
     report: RefCell<Option<EngineReport>>,
     news: RefCell<Option<(WeightsNews, Moment)>>,
@@ -76,6 +78,7 @@
     /// A stager that knows nothing yet.
     pub fn new(
         settings: &StagerSettings,
+        seeds: Seeds,
         beliefs: Arc<Beliefs>,
         holdings: Arc<Holdings>,
         metrics: Arc<Metrics>,
@@ -87,6 +90,7 @@
         Self {
             pacer: RefCell::new(Pacer::new(beliefs.clock.now(), bulk_rate)),
             settings: settings.mesh.clone(),
+            seeds,
             service: settings.service.clone(),
             version_within: settings.version_within,
             beliefs,
@@ -244,8 +248,8 @@
         let target = self.beliefs.members(|members, now| {
             members.beat();
             members.expire(now);
-            let seeds = &self.settings.seeds;
-            members.exchange_target(now, ProcessRole::Entry, seeds, &mut rand::rng())
+            let seeds = self.seeds.get();
+            members.exchange_target(now, ProcessRole::Entry, &seeds, &mut rand::rng())
         });
         let asked = self.now();
         if let Some(address) = target {
--- /dev/null
+++ b/crates/lab/src/standin/published/engine.rs
@@ -0,0 +1,338 @@
+//! A model engine or plain service of the platform.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{stream, FutureExt, StreamExt};
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, header::HeaderValue, Request, Response};
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+
+use super::server::{full, parts, query, reply, serve, Body, Reply};
+use crate::error::LabError;
+
+/// How an engine treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EngineFault {
+    /// It serves them.
+    #[default]
+    None,
+    /// It turns them away and says so.
+    Full,
+    /// It answers with a failure of its own.
+    Failing,
+    /// It runs them and closes the connection without an answer.
+    AnswerLost,
+    /// It says nothing at all.
+    Silent,
+    /// It breaks streams off in the middle of the event after the given one.
+    CutAfter(u32),
+    /// It answers without its signature.
+    Unsigned,
+    /// It answers in the name of another request.
+    Crossed,
+}
+
+/// What an engine is.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Its id.
+    pub id: SmolStr,
+    /// The service that it belongs to.
+    pub service: SmolStr,
+    /// The data centre in which it stands.
+    pub data_centre: SmolStr,
+    /// Events of a stream.
+    pub events: u32,
+    /// Pause between events.
+    pub pause: Duration,
+    /// The version that it serves from the start, if it is a model engine.
+    pub version: Option<u64>,
+}
+
+/// A request that an engine worked on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The caller's id of the attempt.
+    pub id: String,
+    /// Headers by name in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Path and query.
+    pub target: String,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the whole answer was taken.
+    pub finished: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fault: EngineFault,
+    runs: Vec<Run>,
+    staged: BTreeMap<usize, Bytes>,
+    version: Option<u64>,
+    spoil_next_stage: bool,
+    mixed_loads: u32,
+}
+
+/// An engine.
+#[derive(Clone)]
+pub struct Engine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it is.
+    pub options: EngineOptions,
+    state: Arc<Mutex<State>>,
+}
+
+/// The start that every engine reports, in milliseconds since the Unix epoch.
+const BORN_MS: u64 = 1_700_000_000_000;
+/// The model that engines serve.
+const MODEL: &str = "m1";
+
+impl Engine {
+    /// Starts an engine; the test registers it.
+    pub async fn start(options: EngineOptions) -> Result<Self, LabError> {
+        let state = Arc::new(Mutex::new(State {
+            version: options.version,
+            ..State::default()
+        }));
+        let served = (state.clone(), options.clone());
+        let address = serve(move |req| {
+            let (state, options) = served.clone();
+            async move { answer(&state, &options, req).await }.boxed_local()
+        })
+        .await?;
+        Ok(Self {
+            address,
+            options,
+            state,
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    /// Changes how requests are treated.
+    pub fn fail(&self, fault: EngineFault) {
+        self.state().fault = fault;
+    }
+
+    /// Requests that were worked on.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    /// The version that it serves.
+    pub fn version(&self) -> Option<u64> {
+        self.state().version
+    }
+
+    /// Spoils the next chunk that is staged.
+    pub fn spoil_next_stage(&self) {
+        self.state().spoil_next_stage = true;
+    }
+
+    /// Orders that were taken while a chunk was missing, spoilt or of another version.
+    pub fn mixed_loads(&self) -> u32 {
+        self.state().mixed_loads
+    }
+
+    /// Its entry in the platform's list.
+    pub fn entry(&self, state: &str) -> Value {
+        let models = self.state().version.map(|version| held(version));
+        let mut entry = json!({
+            "service": self.options.service, "address": self.address.to_string(),
+            "zone": self.options.data_centre, "version": "v1", "slots": 4, "state": state,
+            "coldRemainingMs": 0, "born": BORN_MS, "sequence": 1,
+        });
+        if let Some(models) = models {
+            entry["models"] = models;
+        }
+        entry
+    }
+}
+
+fn held(version: u64) -> Value {
+    json!([{"name": MODEL, "version": version, "adapters": []}])
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn answer(
+    state: &Arc<Mutex<State>>,
+    options: &EngineOptions,
+    req: Request<Incoming>,
+) -> Reply {
+    let path = req.uri().path().to_owned();
+    if path == "/report" {
+        let version = lock(state).version;
+        let models = version.map_or(json!([]), held);
+        let report = json!({
+            "phase": "unified", "models": models, "busy": false, "sequence": 1, "queued": 0,
+            "active": 0, "kvUsed": 0, "kvTotal": 1, "sessions": 0, "born": BORN_MS, "pace": 1.0,
+        });
+        return Ok(reply(200, report.to_string()));
+    }
+    if path.starts_with("/stage-") || path == "/order" {
+        return weights(state, req).await;
+    }
+    work(state, options, req).await
+}
+
+async fn weights(state: &Mutex<State>, req: Request<Incoming>) -> Reply {
+    let chunk: Option<usize> = query(&req, "quantity").and_then(|n| n.parse().ok());
+    let path = req.uri().path().to_owned();
+    let buf = req.into_body().collect().await.map_err(io::Error::other)?;
+    let buf = buf.to_bytes();
+    let mut state = lock(state);
+    match (path.as_str(), chunk) {
+        ("/order", _) => {
+            let order: Value = serde_json::from_slice(&buf)?;
+            let version = order["version"].as_u64().unwrap_or_default();
+            let whole = (0..super::CHUNKS)
+                .all(|n| state.staged.get(&n) == Some(&super::origin::chunk(version, n)));
+            state.mixed_loads += u32::from(!whole);
+            state.version = Some(version);
+            Ok(reply(202, ""))
+        }
+        (path, Some(chunk)) if path.starts_with("/stage-put/") => {
+            let spoilt = std::mem::take(&mut state.spoil_next_stage);
+            let buf = match spoilt {
+                true => Bytes::from(vec![0; buf.len()]),
+                false => buf,
+            };
+            state.staged.insert(chunk, buf);
+            Ok(reply(200, ""))
+        }
+        (_, Some(chunk)) => match state.staged.get(&chunk) {
+            Some(buf) => Ok(reply(200, buf.clone())),
+            None => Ok(reply(404, "")),
+        },
+        (_, None) => {
+            let held: Vec<usize> = state.staged.keys().copied().collect();
+            Ok(reply(200, json!({"held": held}).to_string()))
+        }
+    }
+}
+
+fn header(req: &Request<Incoming>, name: &str) -> Option<String> {
+    Some(req.headers().get(name)?.to_str().ok()?.to_owned())
+}
+
+async fn work(
+    state: &Arc<Mutex<State>>,
+    options: &EngineOptions,
+    req: Request<Incoming>,
+) -> Reply {
+    let id = header(&req, "balsamjunction-attempt-id").unwrap_or_default();
+    let expected = header(&req, "balsamjunction-expect-instance");
+    if expected.is_some_and(|expected| expected != options.id.as_str()) {
+        return Ok(reply(421, ""));
+    }
+    let fault = lock(state).fault;
+    if fault == EngineFault::Full {
+        let mut response = reply(503, "");
+        set(&mut response, "balsamjunction-not-executed", "1");
+        return Ok(response);
+    }
+    let streamed = header(&req, "balsamjunction-token-usage").is_some();
+    let after: u32 = header(&req, "last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let run = note_run(state, &id, req).await?;
+    let mut response = match fault {
+        EngineFault::AnswerLost => return Err(io::ErrorKind::ConnectionReset.into()),
+        EngineFault::Silent => {
+            actix_rt::time::sleep(Duration::from_secs(60)).await;
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        EngineFault::Failing => reply(500, "failed"),
+        _ if streamed => Response::new(events(state.clone(), run, options, after, fault)),
+        _ => {
+            actix_rt::time::sleep(options.pause).await;
+            lock(state).runs[run].finished = true;
+            Response::new(full("done"))
+        }
+    };
+    let echoed = match fault {
+        EngineFault::Crossed => "another",
+        _ => id.as_str(),
+    };
+    set(&mut response, "balsamjunction-attempt-id", echoed);
+    set(&mut response, "balsamjunction-instance-load", "1,0,4");
+    if fault != EngineFault::Unsigned {
+        set(&mut response, "balsamjunction-server-signature", &options.id);
+    }
+    Ok(response)
+}
+
+fn set(response: &mut Response<Body>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+async fn note_run(
+    state: &Mutex<State>,
+    id: &str,
+    req: Request<Incoming>,
+) -> Result<usize, io::Error> {
+    let headers = req.headers().iter();
+    let headers = headers
+        .map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            (name.as_str().to_owned(), value)
+        })
+        .collect();
+    let target = req.uri().to_string();
+    let buf = req.into_body().collect().await.map_err(io::Error::other)?;
+    let mut state = lock(state);
+    state.runs.push(Run {
+        id: id.to_owned(),
+        headers,
+        target,
+        body: buf.to_bytes(),
+        finished: false,
+    });
+    Ok(state.runs.len() - 1)
+}
+
+/// The events of a stream from the one after `after`, each after a pause.
+fn events(
+    state: Arc<Mutex<State>>,
+    run: usize,
+    options: &EngineOptions,
+    after: u32,
+    fault: EngineFault,
+) -> Body {
+    let pause = options.pause;
+    let last = options.events;
+    let all = stream::iter(after + 1..=last).then(move |n| {
+        let state = state.clone();
+        async move {
+            actix_rt::time::sleep(pause).await;
+            if n == last {
+                lock(&state).runs[run].finished = true;
+            }
+            match fault {
+                EngineFault::CutAfter(whole) if n == whole + 1 => Ok(Bytes::from(format!("id: {n}"))),
+                EngineFault::CutAfter(whole) if n > whole => {
+                    Err(io::Error::from(io::ErrorKind::ConnectionReset))
+                }
+                _ => Ok(Bytes::from(format!("id: {n}\ndata: word{n}\n\n"))),
+            }
+        }
+    });
+    parts(all.boxed())
+}
--- /dev/null
+++ b/crates/lab/tests/gateway/main.rs
@@ -0,0 +1,7 @@
+//! Integration tests of gateways and stagers: the real programs against stand-ins of the platform.
+
+mod common;
+mod lifecycle;
+mod requests;
+mod streams;
+mod weights;
--- /dev/null
+++ b/crates/lab/tests/gateway/weights.rs
@@ -0,0 +1,96 @@
+//! Versions on their way to engines.
+
+use balsamjunction_lab::standin::published::{Engine, CHUNKS};
+use serde_json::json;
+
+use crate::common::{engine, until, Gateway, Site};
+
+/// Engines with their stagers behind one gateway.
+async fn fleet(site: &mut Site, engines: usize) -> (Gateway, Vec<Engine>) {
+    let gateway = site.gateway("g1", &[]);
+    let mut started = Vec::new();
+    for n in 0..engines {
+        let engine = site.engine(engine(&format!("e{n}"), 3, 5)).await;
+        site.stager(&format!("s{n}"), &engine, &[gateway]);
+        started.push(engine);
+    }
+    gateway.until_ready().await;
+    (gateway, started)
+}
+
+fn name(site: &Site, version: u64) {
+    let value = json!({"model": "m1", "version": version});
+    site.store.put("op/version/m1", &value);
+}
+
+async fn until_served(engines: &[Engine], version: u64) {
+    until("every engine to serve the version", async || {
+        engines.iter().all(|engine| engine.version() == Some(version))
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_version_reaches_every_engine_and_little_comes_from_the_origin() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 4).await;
+    actix_rt::time::sleep(std::time::Duration::from_millis(1_000)).await;
+    let before = site.origin.chunks_sent();
+
+    name(&site, 2);
+    until_served(&engines, 2).await;
+
+    let drawn = site.origin.chunks_sent() - before;
+    assert!(drawn <= 2 * CHUNKS as u64, "{drawn} chunks were drawn");
+    assert!(engines.iter().all(|engine| engine.mixed_loads() == 0));
+}
+
+#[actix_rt::test]
+async fn a_chunk_that_spoils_after_staging_is_staged_again() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 2).await;
+
+    engines[0].spoil_next_stage();
+    name(&site, 2);
+    until_served(&engines, 2).await;
+
+    assert_eq!(engines[0].mixed_loads(), 0);
+}
+
+#[actix_rt::test]
+async fn a_manifest_that_was_garbled_on_its_way_is_not_believed() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 3).await;
+
+    site.origin.garble_next_manifest();
+    name(&site, 2);
+    until_served(&engines, 2).await;
+
+    assert!(engines.iter().all(|engine| engine.mixed_loads() == 0));
+}
+
+#[actix_rt::test]
+async fn of_two_versions_the_later_one_is_served_in_the_end() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 3).await;
+
+    name(&site, 2);
+    actix_rt::time::sleep(std::time::Duration::from_millis(150)).await;
+    name(&site, 3);
+    until_served(&engines, 3).await;
+
+    assert!(engines.iter().all(|engine| engine.mixed_loads() == 0));
+}
+
+#[actix_rt::test]
+async fn a_version_whose_origin_is_down_arrives_when_it_is_back() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 2).await;
+
+    site.origin.set_down(true);
+    name(&site, 2);
+    actix_rt::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    site.origin.set_down(false);
+
+    until_served(&engines, 2).await;
+}
