--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -210,16 +210,11 @@
 }
 
 /// Reads the whole body, so that it can be sent again.
-async fn read_body(
-    mut payload: Payload,
-    limit: u64,
-    patience: Duration,
-) -> Result<Bytes, Turned> {
+async fn read_body(mut payload: Payload, limit: u64, patience: Duration) -> Result<Bytes, Turned> {
     let mut whole = BytesMut::new();
     let read = async {
         while let Some(part) = payload.next().await {
-            let part =
-                part.map_err(|_| Turned::new(StatusCode::BAD_REQUEST, Reason::Malformed))?;
+            let part = part.map_err(|_| Turned::new(StatusCode::BAD_REQUEST, Reason::Malformed))?;
             if (whole.len() + part.len()) as u64 > limit {
                 return Err(Turned::new(
                     StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -2,11 +2,7 @@
 
 use std::{io, time::Duration};
 
-use actix_web::{
-    body::SizedStream,
-    http::StatusCode,
-    HttpResponse, HttpResponseBuilder,
-};
+use actix_web::{body::SizedStream, http::StatusCode, HttpResponse, HttpResponseBuilder};
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_policy::{dispatch::Ending, Moment};
 use bytes::Bytes;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -76,9 +76,13 @@
     actix_rt::spawn(mesh::push_versions(beliefs.clone(), client.clone()));
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
-    actix_rt::spawn(reload_loop(file, host, seeds.clone(), events, |buf, overrides| {
-        Ok(read_gateway(buf, overrides)?.mesh.seeds)
-    }));
+    actix_rt::spawn(reload_loop(
+        file,
+        host,
+        seeds.clone(),
+        events,
+        |buf, overrides| Ok(read_gateway(buf, overrides)?.mesh.seeds),
+    ));
     actix_rt::spawn(mesh::exchange_loop(beliefs.clone(), client, seeds));
     actix_rt::spawn(context::follow_beliefs(context.clone()));
     actix_rt::spawn(context::grant_loop(context.clone()));
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -22,10 +22,7 @@
     context::{Flight, GatewayContext},
     send::{self, SendError, Sent},
 };
-use crate::{
-    events::Event,
-    mesh,
-};
+use crate::{events::Event, mesh};
 
 /// Upstreams that are asked for one request, those included that never had it.
 const MAX_ASKED: u32 = 5;
@@ -134,7 +131,11 @@
         resume_after: Option<&SmolStr>,
     ) -> Result<(Box<Sent>, Flight), GivenUp> {
         loop {
-            if self.context.beliefs.crashes_upstreams(self.call.fingerprint) {
+            if self
+                .context
+                .beliefs
+                .crashes_upstreams(self.call.fingerprint)
+            {
                 return Err(self.give_up(Reason::CrashesUpstreams, RETRY_AFTER));
             }
             if self.call.holder.is_some() && !self.context.keys_are_current() {
@@ -289,7 +290,11 @@
         Attempted::Answer(Box::new(sent), flight)
     }
 
-    fn request(&self, target: &UpstreamRecord, resume_after: Option<&SmolStr>) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        target: &UpstreamRecord,
+        resume_after: Option<&SmolStr>,
+    ) -> Request<Full<Bytes>> {
         let call = &self.call;
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -39,7 +39,11 @@
     match options.role {
         Role::Entry(settings) => actix_rt::System::new().block_on(entry::serve(*settings)),
         Role::Sidecar(settings) => actix_rt::System::new().block_on(sidecar::serve(*settings)),
-        Role::Gateway(settings) => actix_rt::System::new().block_on(gateway::serve(*settings, options.file)),
-        Role::Stager(settings) => actix_rt::System::new().block_on(stager::serve(*settings, options.file)),
+        Role::Gateway(settings) => {
+            actix_rt::System::new().block_on(gateway::serve(*settings, options.file))
+        }
+        Role::Stager(settings) => {
+            actix_rt::System::new().block_on(stager::serve(*settings, options.file))
+        }
     }
 }
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -33,12 +33,13 @@
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
     beliefs.merge_members(request.members);
-    let (members, same_members) = beliefs.members(|members, now| {
-        match members.digest(now) == request.member_digest {
-            true => (vec![members.own().clone()], true),
-            false => (members.records(now), false),
-        }
-    });
+    let (members, same_members) =
+        beliefs.members(
+            |members, now| match members.digest(now) == request.member_digest {
+                true => (vec![members.own().clone()], true),
+                false => (members.records(now), false),
+            },
+        );
     let pull = request.pull.as_ref();
     message(&SyncAnswer {
         members,
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -18,11 +18,7 @@
 use smol_str::{format_smolstr, SmolStr};
 use tokio::sync::mpsc;
 
-use super::{
-    holdings::VersionId,
-    http::HELD_HEADER,
-    state::Stager,
-};
+use super::{holdings::VersionId, http::HELD_HEADER, state::Stager};
 
 /// How often the plan is asked for more to do though nothing arrived.
 const TURN: Duration = Duration::from_millis(20);
@@ -78,7 +74,14 @@
     let luck = rand::random();
     let host = &settings.host;
     // Many questions stand for few here: a peer answers within milliseconds.
-    let source = manifest_source(&name, host, &settings.data_centre, &fellows, asked * 8, luck);
+    let source = manifest_source(
+        &name,
+        host,
+        &settings.data_centre,
+        &fellows,
+        asked * 8,
+        luck,
+    );
     match (source, stager.origin()) {
         (Source::Peer { address, .. }, _) => {
             let path = paths::MANIFEST;
@@ -283,7 +286,12 @@
     url: String,
     timeout: Duration,
 ) -> Result<(Bytes, Option<HaveAnswer>), PlatformError> {
-    let mut response = client.get(url).timeout(timeout).send().await?.timeout(timeout);
+    let mut response = client
+        .get(url)
+        .timeout(timeout)
+        .send()
+        .await?
+        .timeout(timeout);
     if !response.status().is_success() {
         let status = response.status().as_u16();
         return Err(PlatformError::Status { status });
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -79,9 +79,13 @@
 
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
-    actix_rt::spawn(reload_loop(file, host, seeds.clone(), events, |buf, overrides| {
-        Ok(read_stager(buf, overrides)?.mesh.seeds)
-    }));
+    actix_rt::spawn(reload_loop(
+        file,
+        host,
+        seeds.clone(),
+        events,
+        |buf, overrides| Ok(read_stager(buf, overrides)?.mesh.seeds),
+    ));
     let stager = Rc::new(Stager::new(
         &settings,
         seeds,
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -154,7 +154,12 @@
         mode: TurnMode::BreakOff,
     };
     let answer = stager.engine.load(&order).await?;
-    told(stager, id, "ordered", format!("{answer:?}, {mended} staged again"));
+    told(
+        stager,
+        id,
+        "ordered",
+        format!("{answer:?}, {mended} staged again"),
+    );
     if answer == OrderAnswer::Taken {
         await_turn(stager, id, born).await;
     }
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -130,7 +130,8 @@
         let report = self.report.borrow();
         let models = report.as_ref().map(|r| &r.models);
         let mut held = models.into_iter().flatten();
-        held.find(|held| held.name == model).map(|held| held.version)
+        held.find(|held| held.name == model)
+            .map(|held| held.version)
     }
 
     /// Versions that the engine is to serve or may serve meanwhile, newest first.
@@ -300,7 +301,11 @@
 
     /// Takes over news; a version never goes back.
     fn take_news(&self, news: WeightsNews, proved: Moment) {
-        let older = self.news.borrow().as_ref().is_some_and(|(_, at)| *at > proved);
+        let older = self
+            .news
+            .borrow()
+            .as_ref()
+            .is_some_and(|(_, at)| *at > proved);
         if older || news.models.is_empty() {
             return;
         }
--- /dev/null
+++ b/crates/directory/tests/replica.rs
@@ -0,0 +1,209 @@
+//! One process's copy of the published facts, and the lookup form.
+
+use std::{sync::Arc, time::Duration};
+
+use balsamjunction_directory::{
+    Change, Declaration, Directory, Fact, Proof, Replica, ReplicaPull, Route, RouteKind,
+    RouteTable, Subject, Target, Workspace,
+};
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn version(revision: u64, version: u64) -> Change {
+    Change {
+        subject: Subject::Version("m1".into()),
+        revision,
+        fact: Some(Fact::Version(version)),
+        known_ms: 0,
+    }
+}
+
+fn evacuation(revision: u64, data_centre: &str, there: bool) -> Change {
+    Change {
+        subject: Subject::Evacuation(data_centre.into()),
+        revision,
+        fact: there.then_some(Fact::Evacuation),
+        known_ms: 0,
+    }
+}
+
+fn configuration(revision: u64, version: u64) -> Change {
+    let declaration = Declaration {
+        version,
+        ..Declaration::default()
+    };
+    Change {
+        subject: Subject::Declaration,
+        revision,
+        fact: Some(Fact::Declaration(Arc::new(declaration))),
+        known_ms: 0,
+    }
+}
+
+fn proof(at: u64, asked: u64) -> Proof {
+    Proof {
+        at,
+        asked: Duration::from_millis(asked),
+    }
+}
+
+fn wanted(replica: &Replica) -> Option<u64> {
+    let directory = Directory::of(replica, &Directory::default());
+    directory.wanted.get("m1").map(|(version, _)| *version)
+}
+
+#[test]
+fn answers_that_cross_leave_the_newest_fact() {
+    let mut replica = Replica::default();
+
+    replica.apply(at(0), vec![version(9, 3)], proof(9, 0));
+    replica.apply(at(1), vec![version(5, 2)], proof(5, 1));
+
+    assert_eq!(wanted(&replica), Some(3));
+    assert_eq!(replica.at(), 9);
+}
+
+#[test]
+fn a_removed_fact_does_not_come_back_with_an_old_answer() {
+    let mut replica = Replica::default();
+    replica.apply(at(0), vec![evacuation(3, "addis-a", true)], proof(3, 0));
+    replica.apply(at(1), vec![evacuation(4, "addis-a", false)], proof(4, 1));
+
+    replica.apply(at(2), vec![evacuation(3, "addis-a", true)], proof(4, 2));
+
+    assert_eq!(replica.facts().count(), 0);
+}
+
+#[test]
+fn a_listing_removes_what_it_lacks_unless_that_is_newer() {
+    let mut replica = Replica::default();
+    let known = vec![
+        evacuation(3, "addis-a", true),
+        evacuation(12, "mekelle-a", true),
+    ];
+    replica.apply(at(0), known, proof(12, 0));
+
+    replica.replace(at(1), vec![version(5, 2)], 10, proof(10, 1));
+
+    let directory = Directory::of(&replica, &Directory::default());
+    assert!(!directory.evacuated.contains("addis-a"));
+    assert!(directory.evacuated.contains("mekelle-a"));
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut replica = Replica::default();
+    replica.apply(at(0), vec![configuration(5, 20)], proof(5, 0));
+
+    replica.apply(at(1), vec![configuration(6, 18)], proof(6, 1));
+
+    let directory = Directory::of(&replica, &Directory::default());
+    assert_eq!(
+        directory.table.map(|table| table.declaration.version),
+        Some(20)
+    );
+}
+
+#[test]
+fn a_proof_of_an_older_revision_proves_nothing() {
+    let mut replica = Replica::default();
+    replica.apply(at(0), vec![version(9, 3)], proof(9, 100));
+
+    replica.prove(proof(8, 900));
+
+    assert_eq!(replica.proved(), Some(at(100)));
+}
+
+#[test]
+fn a_peer_hands_on_facts_with_their_age_and_with_how_long_they_are_known() {
+    let mut source = Replica::default();
+    source.apply(at(1_000), vec![version(9, 3)], proof(9, 1_000));
+    let update = source
+        .answer(at(4_000), &ReplicaPull { at: 0 })
+        .expect("it knows facts");
+
+    let mut replica = Replica::default();
+    replica.absorb(at(50_010), at(50_000), update);
+
+    // Proved 3 s before the question was sent, on the clock of the asking process.
+    assert_eq!(replica.proved(), Some(at(47_000)));
+    let learned: Vec<_> = replica.facts().map(|(_, _, _, learned)| learned).collect();
+    assert_eq!(learned, [at(47_010)]);
+}
+
+#[test]
+fn a_peer_that_is_behind_teaches_nothing() {
+    let mut source = Replica::default();
+    source.apply(at(0), vec![version(5, 2)], proof(5, 0));
+    let update = source
+        .answer(at(0), &ReplicaPull { at: 0 })
+        .expect("it knows facts");
+    let mut replica = Replica::default();
+    replica.apply(at(0), vec![version(9, 3)], proof(9, 0));
+
+    replica.absorb(at(10), at(5), update);
+
+    assert_eq!(wanted(&replica), Some(3));
+    assert_eq!(replica.at(), 9);
+}
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "Floor.example".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        max_pause_ms: None,
+        priority: 1,
+        targets: vec![Target {
+            service: "desk".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: false,
+        resumable: false,
+        homes: Vec::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(Arc::new(Declaration {
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        ..Declaration::default()
+    }));
+    let name = |host: &str, path: &str| table.route(host, path).map(|route| route.name.clone());
+
+    assert_eq!(name("floor.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(
+        name("floor.example:8080", "/a/bc").as_deref(),
+        Some("short")
+    );
+    assert_eq!(name("FLOOR.example", "/a/").as_deref(), Some("short"));
+    assert_eq!(name("floor.example", "/b/"), None);
+    assert_eq!(name("other.example", "/a/"), None);
+}
+
+#[test]
+fn a_key_belongs_to_the_workspace_that_holds_it() {
+    let table = RouteTable::new(Arc::new(Declaration {
+        workspaces: vec![Workspace {
+            name: "selam".into(),
+            keys: vec!["k1".into(), "k2".into()],
+            priority: Some(0),
+            homes: Vec::new(),
+        }],
+        ..Declaration::default()
+    }));
+
+    assert_eq!(
+        table.holder("k2").map(|holder| holder.workspace.as_str()),
+        Some("selam")
+    );
+    assert!(table.holder("k3").is_none());
+    assert!(table.keyed());
+}
--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -230,11 +230,7 @@
     Some(req.headers().get(name)?.to_str().ok()?.to_owned())
 }
 
-async fn work(
-    state: &Arc<Mutex<State>>,
-    options: &EngineOptions,
-    req: Request<Incoming>,
-) -> Reply {
+async fn work(state: &Arc<Mutex<State>>, options: &EngineOptions, req: Request<Incoming>) -> Reply {
     let id = header(&req, "balsamjunction-attempt-id").unwrap_or_default();
     let expected = header(&req, "balsamjunction-expect-instance");
     if expected.is_some_and(|expected| expected != options.id.as_str()) {
@@ -272,7 +268,11 @@
     set(&mut response, "balsamjunction-attempt-id", echoed);
     set(&mut response, "balsamjunction-instance-load", "1,0,4");
     if fault != EngineFault::Unsigned {
-        set(&mut response, "balsamjunction-server-signature", &options.id);
+        set(
+            &mut response,
+            "balsamjunction-server-signature",
+            &options.id,
+        );
     }
     Ok(response)
 }
@@ -326,7 +326,9 @@
                 lock(&state).runs[run].finished = true;
             }
             match fault {
-                EngineFault::CutAfter(whole) if n == whole + 1 => Ok(Bytes::from(format!("id: {n}"))),
+                EngineFault::CutAfter(whole) if n == whole + 1 => {
+                    Ok(Bytes::from(format!("id: {n}")))
+                }
                 EngineFault::CutAfter(whole) if n > whole => {
                     Err(io::Error::from(io::ErrorKind::ConnectionReset))
                 }
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -200,8 +200,12 @@
     /// The log lines of a process that name `event`.
     pub fn lines(&self, name: &str, event: &str) -> Vec<Value> {
         let log = fs::read_to_string(self.dir.join(format!("{name}.out"))).unwrap_or_default();
-        let lines = log.lines().filter_map(|line| serde_json::from_str(line).ok());
-        lines.filter(|line: &Value| line["event"] == event).collect()
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &Value| line["event"] == event)
+            .collect()
     }
 }
 
@@ -228,7 +232,10 @@
 pub async fn until(what: &str, mut done: impl AsyncFnMut() -> bool) {
     let started = Instant::now();
     while !done().await {
-        assert!(started.elapsed() < Duration::from_secs(10), "waited for {what}");
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "waited for {what}"
+        );
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -246,8 +253,13 @@
 
     /// A call with a key and a deadline.
     pub async fn call(&self, method: &str, path: &str, id: &str) -> Got {
-        self.call_with(method, path, id, &[("authorization", &format!("Bearer {KEY}"))])
-            .await
+        self.call_with(
+            method,
+            path,
+            id,
+            &[("authorization", &format!("Bearer {KEY}"))],
+        )
+        .await
     }
 
     pub async fn call_with(
@@ -267,7 +279,9 @@
         for (name, value) in headers {
             request = request.insert_header((*name, *value));
         }
-        let sent = request.timeout(Duration::from_secs(10)).send_body("body of the call");
+        let sent = request
+            .timeout(Duration::from_secs(10))
+            .send_body("body of the call");
         let mut got = sent.await.expect("the gateway answers");
         let text = |name: &str| Some(got.headers().get(name)?.to_str().ok()?.to_owned());
         let retry_after = text("retry-after").and_then(|value| value.parse().ok());
--- a/crates/lab/tests/gateway/lifecycle.rs
+++ b/crates/lab/tests/gateway/lifecycle.rs
@@ -15,7 +15,9 @@
 
     let running = actix_rt::spawn(async move { gateway.generate("a1").await });
     actix_rt::time::sleep(Duration::from_millis(300)).await;
-    site.processes.signal("g1", Signal::SIGTERM).expect("the process is there");
+    site.processes
+        .signal("g1", Signal::SIGTERM)
+        .expect("the process is there");
     actix_rt::time::sleep(Duration::from_millis(300)).await;
     let ready = gateway.ready().await;
     let late = gateway.generate("a2").await;
@@ -23,7 +25,10 @@
 
     assert!(!ready);
     assert_eq!(event_ids(&body.expect("the stream is whole")).len(), 10);
-    assert_eq!(event_ids(&late.body.expect("the stream is whole")).len(), 10);
+    assert_eq!(
+        event_ids(&late.body.expect("the stream is whole")).len(),
+        10
+    );
     until("the process to end", async || {
         site.processes.ended_well("g1").expect("it was started") == Some(true)
     })
@@ -40,24 +45,40 @@
     let path = site.settings_path("g1");
     let settings = fs::read_to_string(&path).expect("it was written");
 
-    fs::write(&path, settings.replace("\"seeds\":[]", "\"seeds\":[\"127.0.0.1:9\"]"))
-        .expect("it can be written");
+    fs::write(
+        &path,
+        settings.replace("\"seeds\":[]", "\"seeds\":[\"127.0.0.1:9\"]"),
+    )
+    .expect("it can be written");
     until("the change without a signal", async || {
         let lines = site.lines("g1", "process");
-        lines.iter().any(|l| l["detail"].as_str().is_some_and(|d| d.contains("127.0.0.1:9")))
+        lines.iter().any(|l| {
+            l["detail"]
+                .as_str()
+                .is_some_and(|d| d.contains("127.0.0.1:9"))
+        })
     })
     .await;
     fs::write(&path, "{ \"host\": ").expect("it can be written");
     for process in ["g1", "s1"] {
-        site.processes.signal(process, Signal::SIGHUP).expect("it runs");
+        site.processes
+            .signal(process, Signal::SIGHUP)
+            .expect("it runs");
     }
     until("the refusal of settings with faults", async || {
         let lines = site.lines("g1", "process");
-        lines.iter().any(|l| l["detail"].as_str().is_some_and(|d| d.starts_with("refused")))
+        lines.iter().any(|l| {
+            l["detail"]
+                .as_str()
+                .is_some_and(|d| d.starts_with("refused"))
+        })
     })
     .await;
     let got = gateway.call("GET", "/stock/1", "a1").await;
 
     assert_eq!(got.status, 200);
-    assert_eq!(site.processes.ended_well("s1").expect("it was started"), None);
+    assert_eq!(
+        site.processes.ended_well("s1").expect("it was started"),
+        None
+    );
 }
--- a/crates/lab/tests/gateway/requests.rs
+++ b/crates/lab/tests/gateway/requests.rs
@@ -25,7 +25,9 @@
     assert_eq!(runs[0].headers["balsamjunction-tenant"], "selam");
     assert_eq!(runs[0].headers["balsamjunction-expect-instance"], "d1");
     assert!(!runs[0].headers.values().any(|value| value.contains(KEY)));
-    let left: u64 = runs[0].headers["balsamjunction-deadline-ms"].parse().expect("a number");
+    let left: u64 = runs[0].headers["balsamjunction-deadline-ms"]
+        .parse()
+        .expect("a number");
     assert!((1..=3_000).contains(&left));
 }
 
@@ -37,8 +39,13 @@
     gateway.until_ready().await;
 
     let key = format!("Bearer {KEY}");
-    let headers = [("authorization", key.as_str()), ("balsamjunction-tenant", "gondar")];
-    gateway.call_with("POST", "/order/new", "a1", &headers).await;
+    let headers = [
+        ("authorization", key.as_str()),
+        ("balsamjunction-tenant", "gondar"),
+    ];
+    gateway
+        .call_with("POST", "/order/new", "a1", &headers)
+        .await;
 
     assert_eq!(desk.runs()[0].headers["balsamjunction-tenant"], "selam");
 }
@@ -70,7 +77,9 @@
     let mut site = Site::unconfigured().await;
     let gateway = site.gateway("g1", &[]);
     until("a gateway that listens", async || {
-        tokio::net::TcpStream::connect(gateway.callers).await.is_ok()
+        tokio::net::TcpStream::connect(gateway.callers)
+            .await
+            .is_ok()
     })
     .await;
 
@@ -144,7 +153,9 @@
         })
         .await;
         for call in 0..4 {
-            let got = gateway.call("GET", "/stock/1", &format!("a{n}{call}")).await;
+            let got = gateway
+                .call("GET", "/stock/1", &format!("a{n}{call}"))
+                .await;
 
             assert_eq!(got.status, 200, "{fault:?}");
             assert_eq!(got.body.as_deref(), Some("done"), "{fault:?}");
--- a/crates/lab/tests/gateway/streams.rs
+++ b/crates/lab/tests/gateway/streams.rs
@@ -24,9 +24,16 @@
         .insert_header(("balsamjunction-token-usage", "100,50"))
         .send_body("x");
     let mut got = sent.await.expect("the gateway answers");
-    let first = got.next().await.expect("an event comes").expect("it is whole");
+    let first = got
+        .next()
+        .await
+        .expect("an event comes")
+        .expect("it is whole");
     let second_after = Instant::now();
-    got.next().await.expect("an event comes").expect("it is whole");
+    got.next()
+        .await
+        .expect("an event comes")
+        .expect("it is whole");
 
     assert_eq!(first, "id: 1\ndata: word1\n\n");
     assert!(second_after.elapsed() > Duration::from_millis(100));
@@ -53,7 +60,10 @@
 
     assert_eq!(resumed, breaks.runs().len());
     let ids = whole.runs();
-    let after: Vec<_> = ids.iter().filter_map(|run| run.headers.get("last-event-id")).collect();
+    let after: Vec<_> = ids
+        .iter()
+        .filter_map(|run| run.headers.get("last-event-id"))
+        .collect();
     assert_eq!(after.len(), resumed);
     assert!(after.iter().all(|id| *id == "3"));
 }
@@ -89,7 +99,10 @@
         .insert_header(("balsamjunction-token-usage", "100,500"))
         .send_body("x");
     let mut got = sent.await.expect("the gateway answers");
-    got.next().await.expect("an event comes").expect("it is whole");
+    got.next()
+        .await
+        .expect("an event comes")
+        .expect("it is whole");
     drop(got);
     actix_rt::time::sleep(Duration::from_millis(6_000)).await;
 
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -25,7 +25,9 @@
 
 async fn until_served(engines: &[Engine], version: u64) {
     until("every engine to serve the version", async || {
-        engines.iter().all(|engine| engine.version() == Some(version))
+        engines
+            .iter()
+            .all(|engine| engine.version() == Some(version))
     })
     .await;
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -209,10 +209,7 @@
                 upstream.open = record.state == UpstreamState::Ready && !evacuated;
             }
             found.insert(id, key);
-            members
-                .entry(record.service.clone())
-                .or_default()
-                .push(key);
+            members.entry(record.service.clone()).or_default().push(key);
         }
         for (id, key) in std::mem::take(&mut self.by_id) {
             if !found.contains_key(&id) {
@@ -256,7 +253,10 @@
                 Some(_) => named.push((*version, *learned)),
                 None if !starting => named.push((*version, *learned)),
                 None => {
-                    let before = self.settings.old_version_for.mul_f64(FIRST_VERSION_AGE_PART);
+                    let before = self
+                        .settings
+                        .old_version_for
+                        .mul_f64(FIRST_VERSION_AGE_PART);
                     named.push((*version, learned.saturating_sub(before)));
                 }
             }
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -21,8 +21,8 @@
 const LAST_RESORT_PENALTY_MS: f64 = 10_000.0;
 /// Time from an entry to a caller and back, by which an event is later there than here.
 const WAY_BACK_MS: f64 = 10.0;
-/// A request that is late already is still sent to an engine of which this part of slots is free.
-const FREE_PART_FOR_LATE: f64 = 0.35;
+/// A request that will be late is still sent to an engine of which this part of slots is free.
+const FREE_PART_FOR_LATE: f64 = 0.5;
 /// Work of a usual request at a plain service, in milliseconds, until answers tell.
 const PLAIN_WORK_MS: f64 = 20.0;
 
--- /dev/null
+++ b/crates/policy/tests/dispatch.rs
@@ -0,0 +1,584 @@
+//! Where requests go, which wait and which are refused, by pattern of load.
+
+use std::{collections::HashMap, sync::Arc};
+
+use balsamjunction_directory::{
+    Change, Declaration, Directory, EngineModel, Fact, HeldModel, Proof, Replica, ServedModel,
+    Service, Subject, UpstreamRecord, UpstreamState,
+};
+use balsamjunction_policy::{
+    dispatch::{
+        Chosen, Demand, DispatchSettings, Dispatcher, Ending, RefusalReason, UpstreamKey, Verdict,
+    },
+    Moment,
+};
+use balsamjunction_protocol::mesh::EngineStatus;
+use smol_str::SmolStr;
+
+const MODEL: &str = "m1";
+const OLD_VERSION_FOR: Moment = Moment::from_secs(7);
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        step_ms: 9.27,
+        step_ms_per_request: 0.0232,
+        step_ms_per_context_k: 0.0322,
+        read_tokens_per_ms: 20.7,
+        steps_per_pass: 5,
+        usual_prompt_tokens: 979.0,
+        usual_answer_tokens: 92.0,
+        layers: 16,
+        models: vec![ServedModel {
+            name: MODEL.into(),
+            warm_ms: 300,
+        }],
+    }
+}
+
+/// A platform whose changes a test makes one by one.
+struct World {
+    replica: Replica,
+    directory: Directory,
+    dispatcher: Dispatcher,
+    revision: u64,
+}
+
+impl World {
+    /// Model engines and plain services in two data centres of two regions, seen from the first.
+    fn new() -> Self {
+        let regions = [("addis-a", "addis"), ("mekelle-a", "mekelle")];
+        let regions = regions.map(|(dc, region)| (SmolStr::new(dc), SmolStr::new(region)));
+        let settings = DispatchSettings {
+            data_centre: "addis-a".into(),
+            regions: HashMap::from(regions),
+            old_version_for: OLD_VERSION_FOR,
+        };
+        let mut world = Self {
+            replica: Replica::default(),
+            directory: Directory::default(),
+            dispatcher: Dispatcher::new(settings),
+            revision: 0,
+        };
+        let engines = Service {
+            name: "deck-model".into(),
+            max_connections: 294,
+            cold_start_ms: 3_000,
+            cold_per_s: 28.0,
+            engine: Some(model()),
+            origin: None,
+        };
+        let plain = Service {
+            name: "order-desk".into(),
+            max_connections: 96,
+            ..Service::default()
+        };
+        let declaration = Declaration {
+            version: 1,
+            services: vec![engines, plain],
+            ..Declaration::default()
+        };
+        world.change(
+            Moment::ZERO,
+            Subject::Declaration,
+            Some(Fact::Declaration(Arc::new(declaration))),
+        );
+        world
+    }
+
+    fn change(&mut self, now: Moment, subject: Subject, fact: Option<Fact>) {
+        self.revision += 1;
+        let change = Change {
+            subject,
+            revision: self.revision,
+            fact,
+            known_ms: 0,
+        };
+        let proof = Proof {
+            at: self.revision,
+            asked: now,
+        };
+        self.replica.apply(now, vec![change], proof);
+        self.configure(now, &[], 1);
+    }
+
+    fn configure(&mut self, now: Moment, engines: &[EngineStatus], entries: usize) {
+        self.directory = Directory::of(&self.replica, &self.directory);
+        self.dispatcher
+            .configure(now, &self.directory, engines, entries);
+    }
+
+    fn put(&mut self, now: Moment, record: UpstreamRecord) {
+        self.change(
+            now,
+            Subject::Upstream(record.id.clone()),
+            Some(Fact::Upstream(record)),
+        );
+    }
+
+    fn offer(&mut self, now: Moment, demand: Demand) -> Verdict {
+        self.dispatcher.offer(now, demand)
+    }
+
+    /// The id of the upstream that a request is sent to; it stays there.
+    fn sent_to(&mut self, now: Moment, demand: Demand) -> Option<SmolStr> {
+        let chosen = self.sent(now, demand)?;
+        Some(self.id(chosen.upstream))
+    }
+
+    /// Where a request is sent; one that would have to wait is withdrawn.
+    fn sent(&mut self, now: Moment, demand: Demand) -> Option<Chosen> {
+        match self.offer(now, demand) {
+            Verdict::Send(chosen) => Some(chosen),
+            Verdict::Wait(key) => {
+                self.dispatcher.withdraw(key);
+                None
+            }
+            Verdict::Refuse(_) => None,
+        }
+    }
+
+    fn id(&self, key: UpstreamKey) -> SmolStr {
+        self.dispatcher
+            .view(key)
+            .map(|view| view.record.id)
+            .unwrap_or_default()
+    }
+}
+
+fn engine(id: &str, data_centre: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        service: "deck-model".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: data_centre.into(),
+        slots: 16,
+        state: UpstreamState::Ready,
+        cold_remaining_ms: 0,
+        born_ms: 1,
+        models: Some(vec![HeldModel {
+            name: MODEL.into(),
+            version: 1,
+        }]),
+    }
+}
+
+fn plain(id: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        service: "order-desk".into(),
+        slots: 6,
+        models: None,
+        ..engine(id, "addis-a")
+    }
+}
+
+fn generation(now: Moment) -> Demand {
+    Demand {
+        service: "deck-model".into(),
+        model: Some(MODEL.into()),
+        prompt_tokens: 900.0,
+        wanted_by: now + at(400),
+        deadline: now + at(6_000),
+        ..Demand::default()
+    }
+}
+
+fn order(now: Moment) -> Demand {
+    Demand {
+        service: "order-desk".into(),
+        model: None,
+        prompt_tokens: 0.0,
+        wanted_by: now + at(100),
+        deadline: now + at(1_000),
+        ..Demand::default()
+    }
+}
+
+mod steady_load {
+    use super::*;
+
+    #[test]
+    fn requests_spread_over_engines_instead_of_piling_up() {
+        let mut world = World::new();
+        for n in 0..4 {
+            world.put(at(0), engine(&format!("e{n}"), "addis-a"));
+        }
+
+        let mut counts = HashMap::new();
+        for _ in 0..16 {
+            let id = world
+                .sent_to(at(10), generation(at(10)))
+                .expect("there is room");
+            *counts.entry(id).or_insert(0) += 1;
+        }
+
+        assert!(counts.values().all(|count| *count == 4), "{counts:?}");
+    }
+
+    #[test]
+    fn an_engine_nearby_is_preferred_until_it_is_clearly_busier() {
+        let mut world = World::new();
+        world.put(at(0), engine("near", "addis-a"));
+        world.put(at(0), engine("far", "mekelle-a"));
+
+        let first = world.sent_to(at(10), generation(at(10)));
+        let second = world.sent_to(at(10), generation(at(10)));
+
+        assert_eq!(first.as_deref(), Some("near"));
+        assert_eq!(second.as_deref(), Some("far"));
+    }
+
+    #[test]
+    fn a_request_stays_in_its_home_regions() {
+        let mut world = World::new();
+        world.put(at(0), engine("near", "addis-a"));
+        world.put(at(0), engine("far", "mekelle-a"));
+        let mut demand = generation(at(10));
+        demand.route_homes = vec!["mekelle".into()];
+        let mut nowhere = demand.clone();
+        nowhere.workspace_homes = vec!["addis".into()];
+
+        assert_eq!(world.sent_to(at(10), demand).as_deref(), Some("far"));
+        assert!(matches!(
+            world.offer(at(10), nowhere),
+            Verdict::Refuse(refused) if refused.reason == RefusalReason::NoUpstream
+        ));
+    }
+}
+
+mod overload {
+    use super::*;
+
+    /// Sends until nothing more fits, and gives how many were sent.
+    fn fill(world: &mut World, now: Moment) -> usize {
+        let mut sent = 0;
+        while world.sent(now, generation(now)).is_some() {
+            sent += 1;
+            assert!(sent < 200, "an engine never fills up");
+        }
+        sent
+    }
+
+    #[test]
+    fn no_more_is_sent_than_can_begin_in_the_wanted_time() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+
+        let sent = fill(&mut world, at(10));
+
+        // 400 ms at 20.7 prompt tokens a millisecond read nine prompts of 900 tokens.
+        assert!((4..=9).contains(&sent), "{sent} were sent");
+    }
+
+    #[test]
+    fn what_finds_no_room_is_refused_within_an_eighth_of_its_wanted_time() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+        fill(&mut world, at(10));
+
+        let Verdict::Wait(key) = world.offer(at(10), generation(at(10))) else {
+            panic!("it is neither sent nor refused at once");
+        };
+        let verdicts = world.dispatcher.poll(at(10 + 50));
+
+        let refused = verdicts
+            .into_iter()
+            .find(|(k, _)| *k == key)
+            .map(|(_, v)| v);
+        assert!(matches!(
+            refused,
+            Some(Verdict::Refuse(refused))
+                if refused.reason == RefusalReason::Overload && refused.retry_after >= at(100)
+        ));
+        assert!(!world.dispatcher.any_waiting());
+    }
+
+    #[test]
+    fn what_waits_is_sent_when_room_is_made() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+        let mut running = Vec::new();
+        while let Some(chosen) = world.sent(at(10), generation(at(10))) {
+            running.push(chosen);
+        }
+        let waits = world.offer(at(10), generation(at(10)));
+        assert!(matches!(waits, Verdict::Wait(_)));
+
+        for chosen in &running {
+            world.dispatcher.first_event(at(20), chosen, 900.0, 100.0);
+            world
+                .dispatcher
+                .end(at(20), chosen.upstream, 0.0, Ending::Served);
+        }
+        let verdicts = world.dispatcher.poll(at(20));
+
+        assert!(matches!(verdicts[..], [(_, Verdict::Send(_))]));
+    }
+
+    #[test]
+    fn a_caller_that_leaves_gives_up_its_place_in_the_queue() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+        fill(&mut world, at(10));
+        let Verdict::Wait(key) = world.offer(at(10), generation(at(10))) else {
+            panic!("it does not wait");
+        };
+
+        world.dispatcher.withdraw(key);
+
+        assert!(!world.dispatcher.any_waiting());
+        assert!(world.dispatcher.poll(at(100)).is_empty());
+    }
+
+    #[test]
+    fn the_more_urgent_of_those_that_wait_goes_first() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+        let mut running = Vec::new();
+        while let Some(chosen) = world.sent(at(10), generation(at(10))) {
+            running.push(chosen);
+        }
+        let mut later = generation(at(10));
+        later.priority = 1;
+        let mut urgent = generation(at(11));
+        urgent.priority = 0;
+        let Verdict::Wait(_) = world.offer(at(10), later) else {
+            panic!("it does not wait");
+        };
+        let Verdict::Wait(urgent) = world.offer(at(11), urgent) else {
+            panic!("it does not wait");
+        };
+
+        let one = running.pop().expect("something runs");
+        world
+            .dispatcher
+            .end(at(20), one.upstream, 900.0, Ending::Served);
+        let verdicts = world.dispatcher.poll(at(20));
+
+        assert_eq!(verdicts.first().map(|(key, _)| *key), Some(urgent));
+    }
+
+    /// The engine of which least is known must not seem the emptiest.
+    #[test]
+    fn load_by_other_entries_is_believed_until_it_is_surely_old() {
+        let mut world = World::new();
+        world.put(at(0), engine("known", "addis-a"));
+        world.put(at(0), engine("idle", "addis-a"));
+        let chosen = world.sent(at(0), generation(at(0))).expect("there is room");
+        let busy = world.id(chosen.upstream);
+
+        world.dispatcher.load(at(50), chosen.upstream, 16, 6);
+        world
+            .dispatcher
+            .end(at(60), chosen.upstream, 900.0, Ending::Served);
+        let mut later = Vec::new();
+        for n in 0..4 {
+            let now = at(800 + n);
+            later.extend(world.sent_to(now, generation(now)));
+        }
+
+        assert!(
+            !later.is_empty() && !later.contains(&busy),
+            "{later:?} after {busy}"
+        );
+    }
+}
+
+mod sick_upstreams {
+    use super::*;
+
+    #[test]
+    fn one_that_fails_again_and_again_is_left_out_and_tried_later() {
+        let mut world = World::new();
+        world.put(at(0), plain("d1"));
+        world.put(at(0), plain("d2"));
+        let mut bad = None;
+        for n in 0..8 {
+            let now = at(10 * n);
+            let chosen = world.sent(now, order(now)).expect("there is room");
+            let bad = *bad.get_or_insert(chosen.upstream);
+            let ending = match chosen.upstream == bad {
+                true => Ending::Failed,
+                false => Ending::Served,
+            };
+            world.dispatcher.end(now, chosen.upstream, 0.0, ending);
+        }
+        let bad = world.id(bad.expect("something was sent"));
+
+        let soon: Vec<_> = (0..4)
+            .filter_map(|_| world.sent_to(at(200), order(at(200))))
+            .collect();
+        let mut later = Vec::new();
+        for _ in 0..4 {
+            later.extend(world.sent_to(at(9_000), order(at(9_000))));
+        }
+
+        assert!(!soon.contains(&bad));
+        assert!(later.contains(&bad));
+    }
+
+    #[test]
+    fn the_only_one_is_tried_even_while_it_fails() {
+        let mut world = World::new();
+        world.put(at(0), plain("d1"));
+        let chosen = world.sent(at(0), order(at(0))).expect("there is room");
+        world
+            .dispatcher
+            .end(at(0), chosen.upstream, 0.0, Ending::Unreachable);
+
+        assert!(world.sent(at(10), order(at(10))).is_some());
+    }
+
+    #[test]
+    fn a_slow_engine_gets_less_by_its_own_report() {
+        let mut world = World::new();
+        let mut slow = engine("slow", "addis-a");
+        slow.address = "10.0.0.2:80".parse().expect("an address");
+        world.put(at(0), slow.clone());
+        world.put(at(0), engine("usual", "addis-a"));
+        let status = EngineStatus {
+            address: slow.address,
+            service: slow.service,
+            born_ms: 1,
+            serving: Some((MODEL.into(), 1)),
+            turning: false,
+            pace_percent: 400,
+        };
+        world.configure(at(1), &[status], 1);
+
+        let ids: Vec<_> = (0..3)
+            .filter_map(|_| world.sent_to(at(2), generation(at(2))))
+            .collect();
+
+        assert_eq!(ids, ["usual", "usual", "usual"]);
+    }
+}
+
+mod cold_upstreams {
+    use super::*;
+
+    #[test]
+    fn entries_share_what_a_cold_engine_bears_in_a_second() {
+        let mut world = World::new();
+        let mut cold = engine("cold", "addis-a");
+        cold.cold_remaining_ms = 3_000;
+        world.put(at(0), cold);
+        world.configure(at(1), &[], 4);
+
+        let mut sent = 0;
+        for n in 0..200 {
+            let now = at(5 * n);
+            if let Some(chosen) = world.sent(now, generation(now)) {
+                world
+                    .dispatcher
+                    .end(now, chosen.upstream, 900.0, Ending::Served);
+                sent += 1;
+            }
+        }
+
+        // 28 in a second for all four entries together.
+        assert_eq!(sent, 7);
+    }
+}
+
+mod versions {
+    use super::*;
+
+    fn name(world: &mut World, now: Moment, version: u64) {
+        world.change(
+            now,
+            Subject::Version(MODEL.into()),
+            Some(Fact::Version(version)),
+        );
+    }
+
+    #[test]
+    fn an_engine_without_the_model_gets_nothing() {
+        let mut world = World::new();
+        let mut empty = engine("empty", "addis-a");
+        empty.models = Some(Vec::new());
+        world.put(at(0), empty);
+
+        assert!(world.sent(at(10), generation(at(10))).is_none());
+    }
+
+    #[test]
+    fn the_version_before_serves_until_its_time_is_over() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        name(&mut world, at(1_000), 2);
+
+        let early = world.sent(at(2_000), generation(at(2_000)));
+        world.configure(at(8_100), &[], 1);
+        let late = world.sent(at(8_100), generation(at(8_100)));
+
+        assert!(early.is_some() && late.is_none());
+    }
+
+    #[test]
+    fn a_version_that_overtakes_another_does_not_give_more_time() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        name(&mut world, at(1_000), 2);
+        name(&mut world, at(4_000), 3);
+
+        world.configure(at(8_100), &[], 1);
+
+        assert!(world.sent(at(8_100), generation(at(8_100))).is_none());
+    }
+
+    #[test]
+    fn what_was_broken_off_once_goes_to_an_engine_that_has_turned() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        let mut turned = engine("turned", "mekelle-a");
+        turned.models = Some(vec![HeldModel {
+            name: MODEL.into(),
+            version: 2,
+        }]);
+        world.put(at(0), turned);
+        name(&mut world, at(1_000), 2);
+        let mut demand = generation(at(1_100));
+        demand.tried = vec![UpstreamKey::default()];
+
+        assert_eq!(world.sent_to(at(1_100), demand).as_deref(), Some("turned"));
+    }
+
+    #[test]
+    fn streams_that_break_at_a_turn_are_no_failures_of_the_engine() {
+        let mut world = World::new();
+        world.put(at(0), engine("e1", "addis-a"));
+        let status = |turning| EngineStatus {
+            address: engine("e1", "addis-a").address,
+            service: "deck-model".into(),
+            born_ms: 1,
+            serving: Some((MODEL.into(), 1)),
+            turning,
+            pace_percent: 100,
+        };
+        let sent: Vec<_> = (0..4)
+            .filter_map(|_| world.sent(at(0), generation(at(0))))
+            .collect();
+
+        world.configure(at(10), &[status(true)], 1);
+        let while_turning = world.sent(at(11), generation(at(11)));
+        for chosen in sent {
+            world
+                .dispatcher
+                .end(at(20), chosen.upstream, 900.0, Ending::Failed);
+        }
+        world.configure(at(400), &[status(false)], 1);
+        world.put(at(400), engine("e2", "mekelle-a"));
+        world.configure(at(400), &[status(false)], 1);
+
+        assert!(while_turning.is_none());
+        assert_eq!(
+            world.sent_to(at(410), generation(at(410))).as_deref(),
+            Some("e1")
+        );
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/mesh.rs
@@ -0,0 +1,128 @@
+//! Membership from seeds, and bounds that entries share.
+
+use balsamjunction_policy::{
+    allowance::{RetryAllowance, RetryBound},
+    membership::Membership,
+    sliding::SlidingCount,
+    Moment,
+};
+use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_millis(ms)
+}
+
+fn entry(n: usize) -> MemberRecord {
+    MemberRecord {
+        host: format!("edge-{n}").into(),
+        role: ProcessRole::Entry,
+        data_centre: format!("dc{}", n % 3).into(),
+        address: format!("10.0.0.{}:7000", n + 1)
+            .parse()
+            .expect("an address"),
+        incarnation: 1,
+        beat: 0,
+        leaving: false,
+        engine: None,
+    }
+}
+
+#[test]
+fn processes_that_know_one_seed_find_each_other() {
+    let mut views: Vec<_> = (0..20).map(|n| Membership::new(entry(n))).collect();
+    let seeds = [entry(0).address];
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+
+    for round in 0..12 {
+        let now = at(400 * round);
+        for n in 0..views.len() {
+            views[n].beat();
+            let target = views[n].exchange_target(now, ProcessRole::Entry, &seeds, &mut rng);
+            let Some(target) = target else { continue };
+            let peer = (0..20)
+                .find(|m| entry(*m).address == target)
+                .expect("a known address");
+            let (mine, theirs) = (views[n].records(now), views[peer].records(now));
+            views[peer].merge(now, mine);
+            views[n].merge(now, theirs);
+        }
+    }
+
+    let now = at(400 * 12);
+    assert!(views
+        .iter()
+        .all(|view| view.sharers(now, ProcessRole::Entry) == 20));
+}
+
+#[test]
+fn a_silent_process_gets_no_calls_but_counts_until_it_is_surely_gone() {
+    let mut view = Membership::new(entry(0));
+    view.merge(at(0), vec![entry(1)]);
+
+    assert_eq!(view.live(at(2_000), ProcessRole::Entry).count(), 1);
+    assert_eq!(view.live(at(3_000), ProcessRole::Entry).count(), 0);
+    assert_eq!(view.sharers(at(3_000), ProcessRole::Entry), 2);
+    assert_eq!(view.sharers(at(6_500), ProcessRole::Entry), 1);
+}
+
+#[test]
+fn news_of_the_dead_that_goes_round_does_not_keep_them_alive() {
+    let mut view = Membership::new(entry(0));
+    view.merge(at(0), vec![entry(1)]);
+
+    view.merge(at(2_400), vec![entry(1)]);
+
+    assert_eq!(view.live(at(2_600), ProcessRole::Entry).count(), 0);
+}
+
+#[test]
+fn a_process_that_leaves_gets_no_calls_and_a_restart_brings_it_back() {
+    let mut view = Membership::new(entry(0));
+    let mut leaving = entry(1);
+    leaving.beat = 9;
+    leaving.leaving = true;
+    view.merge(at(0), vec![leaving]);
+    let gone = view.live(at(1), ProcessRole::Entry).count();
+
+    let mut again = entry(1);
+    again.incarnation = 2;
+    view.merge(at(100), vec![again]);
+
+    assert_eq!(gone, 0);
+    assert_eq!(view.live(at(101), ProcessRole::Entry).count(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: prop::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever the order of requests, the retries of all entries stay within the bound in every
+    /// window.
+    #[test]
+    fn shares_of_retries_never_add_up_to_more_than_the_bound(
+        events in prop::collection::vec((0usize..4, any::<bool>(), 0u64..40), 1..600)
+    ) {
+        let bound = RetryBound { window: at(10_000), ratio: 0.2, slack: 20.0 };
+        let mut shares: Vec<_> = (0..4).map(|_| RetryAllowance::new(bound)).collect();
+        let mut requests = SlidingCount::new(bound.window);
+        let mut retries = SlidingCount::new(bound.window);
+        let mut now = at(0);
+        for (entry, retry, pause) in events {
+            now += at(pause);
+            if !retry {
+                shares[entry].request(now);
+                requests.add(now);
+            } else if shares[entry].spend(now, 4) {
+                retries.add(now);
+            }
+            let most = bound.ratio * requests.count(now) as f64 + bound.slack;
+            prop_assert!(retries.count(now) as f64 <= most);
+        }
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,9 +19,7 @@
         DataCentre, Exception, Explained, Fleet, Pool, PoolKind, Route, Scope, Source, Upstream,
     },
     fleet_reader::read_fleet,
-    mesh::{
-        read_gateway, read_stager, GatewaySettings, MeshSettings, StagerSettings,
-    },
+    mesh::{read_gateway, read_stager, GatewaySettings, MeshSettings, StagerSettings},
     process::{read_entry, read_sidecar, EntrySettings, LinkRates, PeerSettings, SidecarSettings},
     report::{Fault, Position, Report},
     value::{ValueKey, ValueUnit, Values},
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -128,10 +128,7 @@
 }
 
 /// Reads the settings of a stager; `overrides` are `field=value` pairs that replace fields.
-pub fn read_stager(
-    buf: &[u8],
-    overrides: &[(SmolStr, SmolStr)],
-) -> Result<StagerSettings, Report> {
+pub fn read_stager(buf: &[u8], overrides: &[(SmolStr, SmolStr)]) -> Result<StagerSettings, Report> {
     read(buf, overrides, |fields, faults| {
         let engine = fields.required_address("engine");
         let service = fields.required_text("service");
