--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -8,7 +8,8 @@
 use jsonc_parser::{
     ast::{Object, ObjectProp, Value},
     common::Ranged,
-    CollectOptions, ParseOptions,
+    tokens::Token,
+    CollectOptions, ParseOptions, Scanner,
 };
 use smol_str::SmolStr;
 
@@ -17,6 +18,9 @@
 /// The longest document, the configuration service's limit on a value.
 pub const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
 
+/// The greatest depth of nested values; the declaration's fields lie at most 6 deep.
+const MAX_DEPTH: usize = 64;
+
 /// Names further apart than this are not suggested for each other.
 const MAX_SUGGESTION_DISTANCE: usize = 3;
 
@@ -77,8 +81,28 @@
     })
 }
 
+/// Refuses a text that the parser, which calls itself for each level, would overflow the stack on.
+fn check_depth(text: &str) -> Result<(), Report> {
+    let mut scanner = Scanner::new(text);
+    let mut depth = 0_usize;
+    // What the scanner cannot read, the parser refuses with its own message.
+    while let Ok(Some(token)) = scanner.scan() {
+        match token {
+            Token::OpenBrace | Token::OpenBracket => depth += 1,
+            Token::CloseBrace | Token::CloseBracket => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            let kind = FaultKind::TooDeep { limit: MAX_DEPTH };
+            return Err(single(Position::of(text, scanner.token_start()), kind));
+        }
+    }
+    Ok(())
+}
+
 /// Parses JSON with comments whose root is an object.
 pub fn parse(text: &str) -> Result<Object<'_>, Report> {
+    check_depth(text)?;
     let options = ParseOptions::default();
     let parsed =
         jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options).map_err(|e| {
--- a/crates/settings/src/report.rs
+++ b/crates/settings/src/report.rs
@@ -41,6 +41,12 @@
         /// The longest document.
         limit: usize,
     },
+    /// Values lie deeper in each other than any document needs.
+    #[display("values are nested more than {limit} deep; no field needs that")]
+    TooDeep {
+        /// The greatest depth.
+        limit: usize,
+    },
     /// The bytes are not UTF-8.
     #[display("byte 0x{byte:02x} is not UTF-8; save the file as UTF-8")]
     Encoding {
--- a/crates/settings/tests/fleet.rs
+++ b/crates/settings/tests/fleet.rs
@@ -307,3 +307,17 @@
         }
     }
 }
+
+#[test]
+fn a_document_that_is_nested_without_end_gets_one_fault_with_its_place() {
+    let deep = format!("{{\"defaults\":{}", "[".repeat(100_000));
+
+    let report = read_fleet(deep.as_bytes()).expect_err("it is refused");
+
+    let lines: Vec<String> = report.lines("f.jsonc").map(|l| l.to_string()).collect();
+    assert_eq!(lines.len(), 1);
+    assert!(
+        lines[0].contains("f.jsonc:1:76: error: values are nested"),
+        "{lines:?}"
+    );
+}
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -1,6 +1,6 @@
 //! Reading the settings of processes.
 
-use balsamjunction_settings::{read_entry, read_sidecar};
+use balsamjunction_settings::{read_entry, read_gateway, read_sidecar, read_stager};
 use smol_str::SmolStr;
 
 const ENTRY: &str = r#"{
@@ -62,3 +62,37 @@
     let text = report.expect_err("names are not resolved").to_string();
     assert!(text.contains("use an IP number and port"), "{text}");
 }
+
+const GATEWAY: &str = r#"{
+    "host": "g1", "data_centre": "addis-a", "regions": {"addis-a": "addis"},
+    "listen": "127.0.0.1:8080", "readiness_listen": "127.0.0.1:8081",
+    "inner_listen": "127.0.0.1:7000", "store": "10.0.0.1:80", "seeds": [],
+    "grace_s": 7.5, "retry_ratio": 0.2, "strict_revocation": false,
+}"#;
+
+#[test]
+fn a_gateway_reads_numbers_with_fractions_and_named_regions() {
+    let settings = read_gateway(GATEWAY.as_bytes(), &[]).expect("the fixture is valid");
+
+    assert_eq!(settings.grace.as_millis(), 7_500);
+    assert_eq!(settings.regions["addis-a"], "addis");
+    assert_eq!(settings.revoke_within, None);
+}
+
+#[test]
+fn faults_of_a_gateway_and_a_stager_are_all_told() {
+    let broken = GATEWAY
+        .replace("0.2", "\"much\"")
+        .replace("\"addis\"}", "7}");
+    let gateway = read_gateway(broken.as_bytes(), &[]).expect_err("it has faults");
+    let stager = read_stager(b"{\"engine\": \"here\"}", &[]).expect_err("it has faults");
+
+    assert_eq!(gateway.faults.len(), 2);
+    let lines: Vec<String> = stager.lines("s").map(|l| l.to_string()).collect();
+    for field in ["engine", "service", "host", "store"] {
+        assert!(
+            lines.iter().any(|line| line.contains(field)),
+            "{field}: {lines:?}"
+        );
+    }
+}
