--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -29,6 +29,8 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest answer of a peer.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// One question for a manifest counts as this many of the plan's, since they are put faster here.
+const QUESTION_WEIGHT: u32 = 3;
 /// Chunks that do not have their hash, in a fetch that stalled, after which its manifest is read
 /// again.
 const SUSPICIOUS_CHUNKS: u64 = 4;
@@ -73,13 +75,12 @@
     let fellows = stager.fellows();
     let luck = rand::random();
     let host = &settings.host;
-    // Many questions stand for few here: a peer answers within milliseconds.
     let source = manifest_source(
         &name,
         host,
         &settings.data_centre,
         &fellows,
-        asked * 8,
+        asked * QUESTION_WEIGHT,
         luck,
     );
     match (source, stager.origin()) {
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -10,7 +10,6 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix_web::{web::Data, App, HttpServer};
-use balsamjunction_platform::{Engine, Store};
 use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
 use balsamjunction_settings::{read_stager, StagerSettings};
 use tokio::sync::mpsc;
@@ -18,7 +17,7 @@
 use self::{
     holdings::Holdings,
     http::{NewsQueue, Uploads},
-    state::Stager,
+    state::{Shared, Stager},
 };
 use crate::{
     clock::Clock,
@@ -86,17 +85,15 @@
         events,
         |buf, overrides| Ok(read_stager(buf, overrides)?.mesh.seeds),
     ));
-    let stager = Rc::new(Stager::new(
-        &settings,
+    let shared = Shared {
         seeds,
         beliefs,
         holdings,
         metrics,
-        Engine::new(client.clone(), settings.engine),
-        Store::new(client.clone(), settings.mesh.store),
         client,
         bulk_rate,
-    ));
+    };
+    let stager = Rc::new(Stager::new(&settings, shared));
     actix_rt::spawn(state::pushed_news_loop(stager.clone(), news_rx));
     actix_rt::spawn(state::report_loop(stager.clone()));
     actix_rt::spawn(state::news_loop(stager.clone()));
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -74,31 +74,38 @@
     pub turning: Cell<bool>,
 }
 
+/// What a stager shares with the rest of its process.
+pub struct Shared {
+    /// Entries to meet first.
+    pub seeds: Seeds,
+    /// Members of the system.
+    pub beliefs: Arc<Beliefs>,
+    /// Chunks that are held.
+    pub holdings: Arc<Holdings>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Connections to peers, to the engine and to the store.
+    pub client: Client,
+    /// Bytes a second at which chunks may come.
+    pub bulk_rate: u64,
+}
+
 impl Stager {
     /// A stager that knows nothing yet.
-    pub fn new(
-        settings: &StagerSettings,
-        seeds: Seeds,
-        beliefs: Arc<Beliefs>,
-        holdings: Arc<Holdings>,
-        metrics: Arc<Metrics>,
-        engine: Engine,
-        store: Store,
-        client: Client,
-        bulk_rate: u64,
-    ) -> Self {
+    pub fn new(settings: &StagerSettings, shared: Shared) -> Self {
+        let client = shared.client;
         Self {
-            pacer: RefCell::new(Pacer::new(beliefs.clock.now(), bulk_rate)),
+            pacer: RefCell::new(Pacer::new(shared.beliefs.clock.now(), shared.bulk_rate)),
             settings: settings.mesh.clone(),
-            seeds,
+            seeds: shared.seeds,
             service: settings.service.clone(),
             version_within: settings.version_within,
-            beliefs,
-            holdings,
-            metrics,
-            engine,
+            beliefs: shared.beliefs,
+            holdings: shared.holdings,
+            metrics: shared.metrics,
+            engine: Engine::new(client.clone(), settings.engine),
+            store: Store::new(client.clone(), settings.mesh.store),
             client,
-            store,
             report: RefCell::default(),
             news: RefCell::default(),
             wanted: RefCell::default(),
--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -148,7 +148,7 @@
 
     /// Its entry in the platform's list.
     pub fn entry(&self, state: &str) -> Value {
-        let models = self.state().version.map(|version| held(version));
+        let models = self.state().version.map(held);
         let mut entry = json!({
             "service": self.options.service, "address": self.address.to_string(),
             "zone": self.options.data_centre, "version": "v1", "slots": 4, "state": state,
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -224,8 +224,8 @@
             .collect();
         let least: HashMap<SmolStr, u64> = self
             .named
-            .iter()
-            .filter_map(|(model, _)| Some((model.clone(), self.least_version(now, model)?)))
+            .keys()
+            .filter_map(|model| Some((model.clone(), self.least_version(now, model)?)))
             .collect();
         self.pools = table
             .declaration
--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -4,8 +4,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    Distribution, FetchPlan, Source, OWNER_PATIENCE, PARALLEL_DIRECT, PARALLEL_FROM_ORIGIN,
-    PARALLEL_PER_SOURCE, SURVEY_LIMIT,
+    Distribution, FetchPlan, Source, ORIGIN_SPACING, OWNER_PATIENCE, PARALLEL_DIRECT,
+    PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE, SURVEY_LIMIT,
 };
 use crate::{rendezvous, Moment};
 
@@ -31,6 +31,9 @@
         }
         if self.owners.fleet[chunk] == self.host {
             let holder = || self.any_holder(now, chunk, luck);
+            if now < self.started + ORIGIN_SPACING * chunk as u32 {
+                return holder();
+            }
             return self.origin(now).or_else(holder);
         }
         let expected = self.expected_holder(chunk);
