--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -17,6 +17,7 @@
   check FILE                               every fault of a declaration, with its place
   diff OLD NEW                             what changes from one declaration to the next
   explain FILE --host H [--workspace W]    the values that hold, and what gave them
+  explain-request ID FILE...               what became of a request, from log files
   status --entry IP:PORT                   what every process does now
   audit --entry IP:PORT                    the audit trail of a process
   weights --entry IP:PORT [--watch]        which host serves and fetches which version
@@ -32,6 +33,7 @@
   balsamjunction check fleet.jsonc
   balsamjunction explain fleet.jsonc --host deck-model-3 --workspace selam
   balsamjunction weights --entry 10.0.0.7:7000 --watch
+  balsamjunction explain-request 9c41d07be2a35f68 edge-*.log
 
 Exit codes: 0 if all is well, 1 on faults or failure, 2 on bad use.";
 
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod diff;
 mod explain;
+mod explain_request;
 mod status;
 mod weights;
 
@@ -28,6 +29,7 @@
             host,
             workspace,
         } => explain::run(file, host, workspace.as_ref(), json, out),
+        Command::ExplainRequest { id, files } => explain_request::run(id, files, json, out),
         Command::Status { entry } => system.block_on(status::run(*entry, json, out)),
         Command::Audit { entry } => system.block_on(audit::run(*entry, json, out)),
         Command::Weights { entry, watch } => {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -42,6 +42,13 @@
         /// What was written.
         value: SmolStr,
     },
+    /// No log line names the request.
+    #[display("balsamjunction: no line names request {id}; give the logs of every entry that may have had it")]
+    #[from(ignore)]
+    NoLines {
+        /// The request.
+        id: SmolStr,
+    },
     /// A file cannot be read.
     #[display("balsamjunction: {} cannot be read: {source}", path.display())]
     #[from(ignore)]
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -8,7 +8,15 @@
 use crate::{cli::Args, error::CliError};
 
 /// The names of the commands, for suggestions.
-const COMMANDS: [&str; 6] = ["check", "diff", "explain", "status", "audit", "weights"];
+const COMMANDS: [&str; 7] = [
+    "check",
+    "diff",
+    "explain",
+    "explain-request",
+    "status",
+    "audit",
+    "weights",
+];
 
 /// A command with what it needs.
 #[derive(Clone, Debug)]
@@ -34,6 +42,13 @@
         /// For which workspace.
         workspace: Option<SmolStr>,
     },
+    /// Shows what became of a request, and why.
+    ExplainRequest {
+        /// The request.
+        id: SmolStr,
+        /// Log files of the processes that may have had it.
+        files: Vec<PathBuf>,
+    },
     /// Shows what every process does.
     Status {
         /// The process to ask.
@@ -85,6 +100,16 @@
                 host: args.host.ok_or(CliError::Missing { what: "--host" })?,
                 workspace: args.workspace,
             },
+            "explain-request" => {
+                let id = file("ID")?;
+                let files: Vec<PathBuf> = std::iter::once(file("FILE")?)
+                    .chain(words.by_ref().map(|word| PathBuf::from(word.as_str())))
+                    .collect();
+                Command::ExplainRequest {
+                    id: id.to_string_lossy().into(),
+                    files,
+                }
+            }
             "status" => Command::Status {
                 entry: address(args.entry)?,
             },
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -197,9 +197,14 @@
         self.processes.start(launch).expect("the daemon starts");
     }
 
+    /// What a process wrote to standard output.
+    pub fn log_path(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}.out"))
+    }
+
     /// The log lines of a process that name `event`.
     pub fn lines(&self, name: &str, event: &str) -> Vec<Value> {
-        let log = fs::read_to_string(self.dir.join(format!("{name}.out"))).unwrap_or_default();
+        let log = fs::read_to_string(self.log_path(name)).unwrap_or_default();
         let lines = log
             .lines()
             .filter_map(|line| serde_json::from_str(line).ok());
--- /dev/null
+++ b/crates/lab/tests/gateway/explained.rs
@@ -0,0 +1,91 @@
+//! From a request's id to the cause of its failure, by log lines alone.
+
+use std::{path::PathBuf, process::Command, time::Duration};
+
+use balsamjunction_lab::standin::published::EngineFault;
+use serde_json::Value;
+
+use crate::common::{engine, plain, until, Site};
+
+/// What the operators' tool says of a request.
+fn explained(site: &Site, id: &str) -> Value {
+    let own = std::env::current_exe().expect("a test has a program");
+    let tool: PathBuf = own.with_file_name("balsamjunction");
+    let tool = match tool.exists() {
+        true => tool,
+        false => own
+            .parent()
+            .and_then(|deps| Some(deps.parent()?.join("balsamjunction")))
+            .expect("the tool is built"),
+    };
+    let output = Command::new(tool)
+        .args(["explain-request", id, "--json"])
+        .arg(site.log_path("g1"))
+        .output()
+        .expect("the tool runs");
+    serde_json::from_slice(&output.stdout).unwrap_or_default()
+}
+
+async fn cause(site: &Site, id: &str) -> String {
+    until("the line of the final answer", async || {
+        site.lines("g1", "answered")
+            .iter()
+            .any(|line| line["id"] == id)
+    })
+    .await;
+    // The line about a broken stream follows that about its head.
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    explained(site, id)["cause"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+#[actix_rt::test]
+async fn a_refusal_is_traced_to_the_want_of_upstreams() {
+    let mut site = Site::start().await;
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+
+    let got = gateway.call("POST", "/order/new", "a1").await;
+
+    assert_eq!(got.status, 503);
+    let cause = cause(&site, "a1").await;
+    assert!(
+        cause.contains("No upstream") && cause.contains("has not run"),
+        "{cause}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_broken_stream_is_traced_to_its_engine_and_its_last_event() {
+    let mut site = Site::start().await;
+    let breaks = site.engine(engine("e1", 6, 20)).await;
+    breaks.fail(EngineFault::CutAfter(3));
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+
+    let got = gateway.generate("a1").await;
+
+    assert_eq!(got.body, None);
+    let cause = cause(&site, "a1").await;
+    assert!(
+        cause.contains("e1") && cause.contains("event \"3\""),
+        "{cause}"
+    );
+}
+
+#[actix_rt::test]
+async fn an_unknown_outcome_is_traced_to_the_answer_that_was_lost() {
+    let mut site = Site::start().await;
+    let lost = site.engine(plain("d1")).await;
+    lost.fail(EngineFault::AnswerLost);
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+
+    let got = gateway.call("POST", "/order/new", "a1").await;
+
+    assert_eq!(got.status, 502);
+    let cause = cause(&site, "a1").await;
+    assert!(cause.contains("may have run at upstream d1"), "{cause}");
+}
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of gateways and stagers: the real programs against stand-ins of the platform.
 
 mod common;
+mod explained;
 mod lifecycle;
 mod requests;
 mod streams;
