--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -5,7 +5,9 @@
     time::Duration,
 };
 
-use balsamjunction_directory::{Absorbed, Change, Directory, Proof, Replica, ReplicaUpdate};
+use balsamjunction_directory::{
+    Absorbed, Change, Directory, Proof, ProofAge, Replica, ReplicaUpdate,
+};
 use balsamjunction_policy::{crash::CrashList, membership::Membership, Moment};
 use balsamjunction_protocol::{
     mesh::{EngineStatus, MemberRecord, ProcessRole, WeightsNews},
@@ -99,6 +101,18 @@
         lock(&self.replica).prove(proof);
     }
 
+    /// How old the proof of the facts is, for peers.
+    pub fn proof_age(&self) -> Option<ProofAge> {
+        lock(&self.replica).proof_age(self.clock.now())
+    }
+
+    /// Takes over a peer's proof that was told at `told`, which spares a call to the store.
+    pub fn adopt(&self, told: Moment, proof: Option<ProofAge>) {
+        if let Some(proof) = proof {
+            lock(&self.replica).adopt(told, proof);
+        }
+    }
+
     fn update(&self, source: &str, change: impl FnOnce(&mut Replica, Moment) -> Absorbed) {
         let now = self.clock.now();
         let (absorbed, revision) = {
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -1,6 +1,6 @@
 //! What other processes and operators ask of this one.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{
     http::header::CONTENT_TYPE,
@@ -20,6 +20,9 @@
     metrics::Metrics,
 };
 
+/// Time for which a request may have been on its way, longer than any exchange that is not given up.
+const REQUEST_AGE: Duration = Duration::from_millis(400);
+
 /// Adds the routes; needs [`Beliefs`] and [`Metrics`] as data.
 pub fn routes(cfg: &mut ServiceConfig) {
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
@@ -32,6 +35,9 @@
 async fn sync(beliefs: Data<Beliefs>, body: Bytes) -> Result<HttpResponse, InnerError> {
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
+    // What is told in a request left its sender a while ago.
+    let told = beliefs.clock.now().saturating_sub(REQUEST_AGE);
+    beliefs.adopt(told, request.proof);
     beliefs.merge_members(request.members);
     let (members, same_members) =
         beliefs.members(
@@ -44,6 +50,7 @@
     message(&SyncAnswer {
         members,
         same_members,
+        proof: beliefs.proof_age(),
         update: pull.and_then(|pull| beliefs.answer_pull(pull)),
         weights: request.weights.then(|| beliefs.weights_news()).flatten(),
     })
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -78,6 +78,7 @@
         members,
         member_digest,
         pull,
+        proof: beliefs.proof_age(),
         weights,
     };
     let asked = beliefs.clock.now();
@@ -91,6 +92,7 @@
     if let Some(update) = answer.update.take() {
         beliefs.absorb(asked, update, &format!("peer {address}"));
     }
+    beliefs.adopt(asked, answer.proof);
     Ok(answer)
 }
 
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -13,14 +13,16 @@
 use super::Beliefs;
 use crate::events::Event;
 
-/// How long a watch waits. A watch may miss changes while it waits, so it is kept short.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// How long a watch waits. What it misses while it waits is found by proofs.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// A belief that is older than this is proved again, even if no change was heard of.
-const PROVE_AFTER: Duration = Duration::from_millis(600);
+const PROVE_AFTER: Duration = Duration::from_millis(900);
 /// How often the age of the belief is looked at.
 const PROVE_TICK: Duration = Duration::from_millis(150);
 /// A watch gets this long to bring a change that a proof has shown to exist.
 const WATCH_LAG: Duration = Duration::from_millis(200);
+/// Pause after changes came, so that those which follow at once come with one call.
+const GATHER: Duration = Duration::from_millis(60);
 /// Mean pause after a failed call, spread by half to both sides.
 const BACKOFF: Duration = Duration::from_millis(250);
 
@@ -94,6 +96,7 @@
                         asked,
                     };
                     self.beliefs.apply(watched.changes, proof, "store watch");
+                    actix_rt::time::sleep(GATHER).await;
                 }
                 Err(PlatformError::HistoryGone) => {
                     self.list().await;
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -17,5 +17,5 @@
     },
     fact::{Fact, HeldModel, Subject, UpstreamRecord, UpstreamState},
     lookup::{Directory, KeyHolder, RouteTable},
-    replica::{Absorbed, Change, Proof, Replica, ReplicaPull, ReplicaUpdate},
+    replica::{Absorbed, Change, Proof, ProofAge, Replica, ReplicaPull, ReplicaUpdate},
 };
--- a/crates/directory/src/replica.rs
+++ b/crates/directory/src/replica.rs
@@ -38,6 +38,15 @@
     pub asked: Duration,
 }
 
+/// How old a peer's proof is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofAge {
+    /// The revision up to which the peer is complete.
+    pub at: u64,
+    /// How long ago that was proved, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Asks a peer for what is newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaPull {
@@ -155,6 +164,26 @@
         self.proved = self.proved.max(Some(proof.asked));
     }
 
+    /// How old the proof of this copy is, for peers.
+    pub fn proof_age(&self, now: Duration) -> Option<ProofAge> {
+        let age = now.saturating_sub(self.proved?);
+        Some(ProofAge {
+            at: self.at,
+            age_ms: age.as_millis() as u64,
+        })
+    }
+
+    /// Takes over a peer's proof that was told at `told`, if it is of what this copy knows.
+    pub fn adopt(&mut self, told: Duration, proof: ProofAge) {
+        if proof.at == self.at {
+            let asked = told.saturating_sub(Duration::from_millis(proof.age_ms));
+            self.prove(Proof {
+                at: proof.at,
+                asked,
+            });
+        }
+    }
+
     fn put(&mut self, now: Duration, change: Change) -> bool {
         let learned = now.saturating_sub(Duration::from_millis(change.known_ms));
         if let Some(known) = self.entries.get_mut(&change.subject) {
--- a/crates/directory/tests/replica.rs
+++ b/crates/directory/tests/replica.rs
@@ -207,3 +207,20 @@
     assert!(table.holder("k3").is_none());
     assert!(table.keyed());
 }
+
+#[test]
+fn a_proof_of_a_peer_counts_only_for_what_is_known_here() {
+    let mut source = Replica::default();
+    source.apply(at(1_000), vec![version(9, 3)], proof(9, 1_000));
+    let age = source.proof_age(at(1_300)).expect("it is proved");
+    let mut same = Replica::default();
+    same.apply(at(0), vec![version(9, 3)], proof(9, 0));
+    let mut behind = Replica::default();
+    behind.apply(at(0), vec![version(5, 2)], proof(5, 0));
+
+    same.adopt(at(50_000), age);
+    behind.adopt(at(50_000), age);
+
+    assert_eq!(same.proved(), Some(at(49_700)));
+    assert_eq!(behind.proved(), Some(at(0)));
+}
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use balsamjunction_directory::{Declaration, ReplicaPull, ReplicaUpdate};
+use balsamjunction_directory::{Declaration, ProofAge, ReplicaPull, ReplicaUpdate};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use strum::Display;
@@ -77,6 +77,9 @@
     /// Asks for newer facts, if the sender's own are not fresh.
     #[serde(default)]
     pub pull: Option<ReplicaPull>,
+    /// How old the sender's facts are, if it is an entry.
+    #[serde(default)]
+    pub proof: Option<ProofAge>,
     /// Asks for what a sidecar needs to know.
     #[serde(default)]
     pub weights: bool,
@@ -90,6 +93,9 @@
     /// Whether the peer believes the same processes to be up as the sender.
     #[serde(default)]
     pub same_members: bool,
+    /// How old the peer's facts are.
+    #[serde(default)]
+    pub proof: Option<ProofAge>,
     /// Newer facts, if they were asked for and the peer has any.
     #[serde(default)]
     pub update: Option<ReplicaUpdate>,
