--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -27,9 +27,9 @@
 /// would only delay the first whole chunk, and with it everybody who waits for it.
 const PARALLEL_FROM_ORIGIN: usize = 1;
 /// Owners of a chunk begin to draw it this long after the owner of the one before. The origin takes
-/// few connections, and a whole chunk early is worth more to all than many halves; 32 KiB take 26 ms
-/// on a link of 10 Mbit/s.
-const ORIGIN_SPACING: Moment = Moment::from_millis(20);
+/// few connections, and a whole chunk early is worth more to all than many halves. 32 KiB take 26 ms
+/// on a link of 10 Mbit/s, so 64 owners never hold more than 40 connections.
+const ORIGIN_SPACING: Moment = Moment::from_millis(11);
 /// Chunks that one host fetches at once if all come from the origin.
 const PARALLEL_DIRECT: usize = 4;
 /// Chunks that one host fetches at once from one peer.
--- a/crates/policy/src/version_queue.rs
+++ b/crates/policy/src/version_queue.rs
@@ -6,12 +6,13 @@
 
 /// A version of which nothing came is left alone for this long if another one is wanted, too.
 const LEAVE_STALLED: Moment = Moment::from_secs(2);
-/// Part of its chunks from which on a version is finished before a newer one is begun.
-const FINISH_FROM: f64 = 0.5;
+/// Part of its chunks from which on a version is finished before a newer one is begun. There is time
+/// for both one after the other, and the newer one may not come at all.
+const FINISH_FROM: f64 = 0.2;
 
 /// The order of fetches where versions overtake each other.
 ///
-/// The newest version goes first. One that is half there is finished all the same, and an older one
+/// The newest version goes first. One that is well begun is finished all the same, and an older one
 /// goes on while the newest does not come, for instance because its origin is down.
 #[derive(Clone, Debug)]
 pub struct VersionQueue<V> {
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -15,10 +15,11 @@
 }
 
 #[test]
-fn a_version_that_is_half_there_is_finished_first() {
+fn a_version_that_is_well_begun_is_finished_first() {
     let queue = VersionQueue::default();
 
     assert!(!queue.gives_way(at(0), &2, &[3, 2], 32, 64));
+    assert!(!queue.gives_way(at(0), &2, &[3, 2], 13, 64));
 }
 
 #[test]
