--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -34,6 +34,8 @@
 /// Chunks that do not have their hash, in a fetch that stalled, after which its manifest is read
 /// again.
 const SUSPICIOUS_CHUNKS: u64 = 4;
+/// Chunks that are named in the line about a stalled fetch.
+const TOLD_CHUNKS: usize = 4;
 /// A fetch to which nothing was added for this long lacks chunks that nobody sends now.
 const STALL: Duration = Duration::from_millis(1_500);
 
@@ -108,12 +110,12 @@
 }
 
 /// How a fetch ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FetchEnd {
     /// Every chunk is held.
     Complete,
-    /// Nobody sends what is missing.
-    Stalled,
+    /// Nobody sends what is missing: some of those chunks with their owners.
+    Stalled(String),
     /// A newer version is to be fetched first.
     Overtaken,
 }
@@ -156,7 +158,9 @@
                 // More likely the manifest is wrong than every sender.
                 stager.holdings.close(id);
             }
-            return FetchEnd::Stalled;
+            let lacking = plan.lacking().take(TOLD_CHUNKS);
+            let lacking: Vec<String> = lacking.map(|(n, host)| format!("{n} of {host}")).collect();
+            return FetchEnd::Stalled(lacking.join(", "));
         }
         plan.set_participants(participants(stager));
         for action in plan.next(stager.now()) {
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -63,8 +63,8 @@
         match fetch::fetch_all(&stager, &queue, &id, &manifest).await {
             FetchEnd::Complete => told(&stager, &id, "fetched", String::new()),
             FetchEnd::Overtaken => told(&stager, &id, "overtaken", String::new()),
-            FetchEnd::Stalled => {
-                told(&stager, &id, "stalled", String::new());
+            FetchEnd::Stalled(lacking) => {
+                told(&stager, &id, "stalled", lacking);
                 queue.stalled(stager.now(), &id);
             }
         }
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -186,6 +186,12 @@
         self.missing
     }
 
+    /// Chunks not held yet, each with the host that draws it from the origin.
+    pub fn lacking(&self) -> impl Iterator<Item = (usize, &SmolStr)> {
+        let lacking = self.held.iter().enumerate().filter(|(_, held)| !**held);
+        lacking.filter_map(|(chunk, _)| Some((chunk, self.owners.fleet.get(chunk)?)))
+    }
+
     /// The chunks that are held.
     pub fn map(&self) -> ChunkMap {
         let mut map = ChunkMap::empty(self.held.len());
@@ -211,7 +217,9 @@
                 Some((m.host.clone(), (address, m.data_centre.clone())))
             })
             .collect();
-        self.owners = Owners::assign(&self.version, self.held.len(), &self.data_centre, &live);
+        let fresh = Owners::assign(&self.version, self.held.len(), &self.data_centre, &live);
+        let names: HashSet<&SmolStr> = live.iter().map(|m| &m.host).collect();
+        self.owners.replace_gone(fresh, &names);
         self.put_owned_first();
     }
 
--- a/crates/policy/src/fetch/owners.rs
+++ b/crates/policy/src/fetch/owners.rs
@@ -1,5 +1,7 @@
 //! Which host fetches a chunk first.
 
+use std::collections::HashSet;
+
 use balsamjunction_protocol::MemberDocument;
 use smol_str::SmolStr;
 
@@ -15,6 +17,26 @@
 }
 
 impl Owners {
+    /// Takes over the owners of `fresh` for chunks whose owner is not among the `live`.
+    ///
+    /// Other chunks stay with their owners, who may be at work on them: a host that joins would begin
+    /// anew.
+    pub fn replace_gone(&mut self, fresh: Self, live: &HashSet<&SmolStr>) {
+        if self.fleet.is_empty() {
+            *self = fresh;
+            return;
+        }
+        let keep = |old: &mut Vec<SmolStr>, new: Vec<SmolStr>| {
+            for (old, new) in old.iter_mut().zip(new) {
+                if !live.contains(old) {
+                    *old = new;
+                }
+            }
+        };
+        keep(&mut self.fleet, fresh.fleet);
+        keep(&mut self.local, fresh.local);
+    }
+
     /// Shares `chunks` chunks of a version evenly over the live hosts.
     ///
     /// The fleet's owner also owns the chunk in its own data centre, so it is sent there once.
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -254,6 +254,51 @@
     }
 }
 
+/// Chunks that the first of `hosts` draws from the origin while nobody else holds any; another host
+/// joins after `joins` turns, if at all.
+fn drawn_by_first(hosts: usize, joins: Option<usize>) -> BTreeSet<usize> {
+    let participants = |count| participants(0, 1, members(count, 1, &BTreeSet::new()));
+    let rng = Pcg64Mcg::seed_from_u64(5);
+    let mut plan = FetchPlan::new(
+        Moment::ZERO,
+        "v2".into(),
+        CHUNKS,
+        Distribution::Owners,
+        participants(hosts),
+        rng,
+    );
+    let mut drawn = BTreeSet::new();
+    // Within the patience that hosts have with each other's owners.
+    for turn in 0..60 {
+        let now = TURN * turn as u32;
+        if joins == Some(turn) {
+            plan.set_participants(participants(hosts + 1));
+        }
+        for action in plan.next(now) {
+            match action {
+                FetchAction::Probe { host, .. } => {
+                    plan.probed(now, &host, Some(HaveAnswer::default()));
+                }
+                FetchAction::Fetch { chunk, source } => {
+                    drawn.insert(chunk);
+                    plan.arrived(now, chunk, &source);
+                }
+            }
+        }
+    }
+    drawn
+}
+
+#[test]
+fn a_host_that_joins_takes_no_chunk_from_its_owner() {
+    let before = drawn_by_first(4, None);
+
+    let after = drawn_by_first(4, Some(2));
+
+    assert!(!before.is_empty());
+    assert_eq!(before, after);
+}
+
 fn version(name: &str) -> Option<SmolStr> {
     Some(name.into())
 }
