--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    Distribution, FetchPlan, Source, ORIGIN_SPACING, OWNER_PATIENCE, PARALLEL_DIRECT,
+    Distribution, FetchPlan, Source, HEDGE_AFTER, ORIGIN_SPACING, OWNER_PATIENCE, PARALLEL_DIRECT,
     PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE, SURVEY_LIMIT,
 };
 use crate::{rendezvous, Moment};
@@ -44,7 +44,47 @@
             let holder = self.any_holder(now, chunk, luck);
             return holder.or_else(|| self.stand_in(now, chunk));
         }
-        None
+        match self.hedging(now) {
+            true => self.hedge(now, chunk, luck),
+            false => None,
+        }
+    }
+
+    /// Whether owners had the time to draw their chunks.
+    pub(super) fn hedging(&self, now: Moment) -> bool {
+        now.saturating_sub(self.started) > HEDGE_AFTER
+    }
+
+    /// Takes an owner's place, if this host is the first to do so: for the data centre if the chunk is
+    /// held afar, and for the fleet if nobody is known to hold it.
+    fn hedge(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
+        let held_afar = self.views.values().any(|view| view.held.has(chunk));
+        if !held_afar {
+            let first = self.is_first_at_work(now, chunk, |_| true);
+            return first.then(|| self.origin(now)).flatten();
+        }
+        let first = self.is_first_at_work(now, chunk, |dc| *dc == self.data_centre);
+        first.then(|| self.any_holder(now, chunk, luck)).flatten()
+    }
+
+    /// Whether this host is the first rank among those of some data centres that are seen to fetch the
+    /// version.
+    fn is_first_at_work(
+        &self,
+        now: Moment,
+        chunk: usize,
+        within: impl Fn(&SmolStr) -> bool,
+    ) -> bool {
+        let key = format!("{}/{chunk}/hedge", self.version);
+        let at_work = |host: &SmolStr| {
+            let view = self.views.get(host);
+            view.is_some_and(|v| now >= v.avoid_until && v.held.0.iter().any(|bits| *bits != 0))
+        };
+        let peers = self.peers.iter();
+        let peers = peers.filter(|(host, (_, dc))| within(dc) && at_work(host));
+        let hosts = peers.map(|(host, _)| host.as_str());
+        let first = rendezvous::owner(key.as_bytes(), hosts.chain([self.host.as_str()]));
+        first == Some(self.host.as_str())
     }
 
     /// Whether the peers of the own data centre had the time to say what they hold. Before that, a
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -44,6 +44,9 @@
 const AVOID_FAILED: Moment = Moment::from_secs(2);
 /// Time for which a source that sent a corrupt chunk is passed over.
 const AVOID_CORRUPT: Moment = Moment::from_secs(60);
+/// Time after which a chunk that nobody is known to hold is drawn by another host than its owner. The
+/// owner may be up and at work on something else.
+const HEDGE_AFTER: Moment = Moment::from_millis(1_200);
 /// Time after which the next rank takes over an owner's chunk that does not come.
 const OWNER_PATIENCE: Moment = Moment::from_secs(2);
 
@@ -297,7 +300,7 @@
         let local = local.filter(|(_, (_, data_centre))| *data_centre == self.data_centre);
         wanted.extend(local.map(|(host, _)| host.clone()));
         let stalled = now.saturating_sub(self.last_progress.max(self.started)) > OWNER_PATIENCE;
-        if stalled {
+        if stalled || self.hedging(now) {
             wanted.extend(self.peers.keys().cloned());
         }
         wanted.shuffle(&mut self.rng);
