--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -15,13 +15,12 @@
 
 use super::{
     admission::InProgress,
-    call,
     context::{Flight, GatewayContext},
     events_stream::EventSplitter,
     run::Run,
     send::Sent,
 };
-use crate::{events::Event, metrics::RequestLabels};
+use crate::{events::Event, http::end_to_end, metrics::RequestLabels};
 
 /// Part by which the time to come back is spread, so that callers do not come back together.
 const SPREAD: f64 = 0.5;
@@ -262,7 +261,7 @@
 
 fn copy_headers(from: &HeaderMap, to: &mut HttpResponseBuilder) {
     for (name, value) in from {
-        if call::passed_on(name.as_str()) {
+        if end_to_end(name.as_str()) {
             to.append_header((name.as_str(), value.as_bytes()));
         }
     }
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -14,19 +14,8 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const ONE_CONNECTION: [&str; 10] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
+use crate::http::end_to_end;
+
 /// Headers that only the system sets.
 const OURS: [&str; 6] = [
     headers::KEY,
@@ -37,11 +26,6 @@
     headers::DEADLINE_MS,
 ];
 
-/// Whether a header is passed on as it is.
-pub fn passed_on(name: &str) -> bool {
-    !ONE_CONNECTION.contains(&name)
-}
-
 /// A caller's request with what was decided about it on arrival.
 pub struct Call {
     /// The caller's id of this attempt.
@@ -95,7 +79,7 @@
     let mut copied = HeaderMap::with_capacity(req.headers().len() + 4);
     for (name, value) in req.headers() {
         let name = name.as_str();
-        if !passed_on(name) || OURS.contains(&name) {
+        if !end_to_end(name) || OURS.contains(&name) {
             continue;
         }
         let name = HeaderName::from_bytes(name.as_bytes());
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -12,8 +12,8 @@
 /// An answer as the client gives it.
 pub type Answer = ClientResponse;
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1), and our own.
-const NOT_CARRIED: [&str; 14] = [
+/// Headers that concern one connection or one message on it only (RFC 9110, section 7.6.1).
+const ONE_CONNECTION: [&str; 11] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -25,13 +25,17 @@
     "upgrade",
     "content-length",
     "expect",
-    "host",
-    "balsam-envelope",
-    "balsam-reply",
 ];
+/// Headers that entries and sidecars set themselves.
+const OURS: [&str; 3] = ["host", "balsam-envelope", "balsam-reply"];
+
+/// Whether a header concerns more than one connection.
+pub fn end_to_end(name: &str) -> bool {
+    !ONE_CONNECTION.contains(&name)
+}
 
 fn carried(name: &HeaderName) -> bool {
-    !NOT_CARRIED.contains(&name.as_str())
+    end_to_end(name.as_str()) && !OURS.contains(&name.as_str())
 }
 
 /// Copies an answer's headers.
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use awc::Client;
+use awc::{Client, ClientResponse};
 use balsamjunction_lab::{
     bench::{
         address::Addresses,
@@ -301,6 +301,20 @@
         }
     }
 
+    /// A generation whose events the test reads as they come.
+    pub async fn open_stream(&self, id: &str) -> ClientResponse {
+        let url = format!("http://{}/draft/now", self.callers);
+        let sent = client()
+            .post(url)
+            .insert_header(("host", "floor.example"))
+            .insert_header(("authorization", format!("Bearer {KEY}")))
+            .insert_header(("balsamjunction-attempt-id", id))
+            .insert_header(("balsamjunction-model", "m1"))
+            .insert_header(("balsamjunction-token-usage", "100,500"))
+            .send_body("x");
+        sent.await.expect("the gateway answers")
+    }
+
     pub async fn generate(&self, id: &str) -> Got {
         let key = format!("Bearer {KEY}");
         let headers = [
--- a/crates/lab/tests/gateway/streams.rs
+++ b/crates/lab/tests/gateway/streams.rs
@@ -5,7 +5,7 @@
 use balsamjunction_lab::standin::published::EngineFault;
 use futures_util::StreamExt;
 
-use crate::common::{client, engine, event_ids, until, Site, KEY};
+use crate::common::{engine, event_ids, until, Site, KEY};
 
 #[actix_rt::test]
 async fn events_are_passed_on_as_they_come() {
@@ -14,16 +14,7 @@
     let gateway = site.gateway("g1", &[]);
     gateway.until_ready().await;
 
-    let url = format!("http://{}/draft/now", gateway.callers);
-    let sent = client()
-        .post(url)
-        .insert_header(("host", "floor.example"))
-        .insert_header(("authorization", format!("Bearer {KEY}")))
-        .insert_header(("balsamjunction-attempt-id", "a1"))
-        .insert_header(("balsamjunction-model", "m1"))
-        .insert_header(("balsamjunction-token-usage", "100,50"))
-        .send_body("x");
-    let mut got = sent.await.expect("the gateway answers");
+    let mut got = gateway.open_stream("a1").await;
     let first = got
         .next()
         .await
@@ -89,16 +80,7 @@
     let gateway = site.gateway("g1", &[]);
     gateway.until_ready().await;
 
-    let url = format!("http://{}/draft/now", gateway.callers);
-    let sent = client()
-        .post(url)
-        .insert_header(("host", "floor.example"))
-        .insert_header(("authorization", format!("Bearer {KEY}")))
-        .insert_header(("balsamjunction-attempt-id", "a1"))
-        .insert_header(("balsamjunction-model", "m1"))
-        .insert_header(("balsamjunction-token-usage", "100,500"))
-        .send_body("x");
-    let mut got = sent.await.expect("the gateway answers");
+    let mut got = gateway.open_stream("a1").await;
     got.next()
         .await
         .expect("an event comes")
