--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -25,7 +25,7 @@
     run,
 };
 
-/// A caller that states no patience waits as long as its route allows.
+/// A route without a time limit would otherwise leave its callers no time at all.
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(1);
 /// A process that knows no configuration expects one within about this time.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -113,7 +113,6 @@
             route_homes: self.route.homes.clone(),
             workspace_homes: holder.map(|h| h.homes.clone()).unwrap_or_default(),
             wanted_by: self.came + target,
-            deadline: self.deadline(),
             tried: Vec::new(),
         }
     }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -41,8 +41,6 @@
     pub workspace_homes: Vec<SmolStr>,
     /// When its first event is wanted.
     pub wanted_by: Moment,
-    /// When nobody waits for it any more.
-    pub deadline: Moment,
     /// Upstreams that have had it.
     pub tried: Vec<UpstreamKey>,
 }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -12,8 +12,6 @@
 const OTHERS_HELD_S: f64 = 1.0;
 /// After that it loses half of its weight in this time.
 const OTHERS_HALF_LIFE_S: f64 = 0.7;
-/// An upstream that turned a request away is taken to be full for a while.
-const FULL_MARK: f64 = 1.0;
 /// Part of its rate of failures that an upstream keeps with each outcome.
 const FAILURE_MEMORY: f64 = 0.75;
 /// Rate of failures above which an upstream is left out.
@@ -195,7 +193,8 @@
             }
             Ending::Abandoned => {}
             Ending::TurnedAway => {
-                let slots = f64::from(self.record.slots) * FULL_MARK;
+                // It is taken to be full until its load is seen again.
+                let slots = f64::from(self.record.slots);
                 self.others = self.others.max(slots - self.own_requests as f64);
                 self.others_seen = now;
             }
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -182,7 +182,6 @@
         model: Some(MODEL.into()),
         prompt_tokens: 900.0,
         wanted_by: now + at(400),
-        deadline: now + at(6_000),
         ..Demand::default()
     }
 }
@@ -193,7 +192,6 @@
         model: None,
         prompt_tokens: 0.0,
         wanted_by: now + at(100),
-        deadline: now + at(1_000),
         ..Demand::default()
     }
 }
