A host that finishes an older version draws the chunks it owns of the newest beside

Change: chunks that a host owns fleet-wide are drawn beside the older version; whoever holds only what it owns is not the first to take an owner's place.

--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -126,13 +126,33 @@
     queue: &VersionQueue<VersionId>,
     id: &VersionId,
     manifest: &Manifest,
+) -> FetchEnd {
+    let chunks = manifest.digests.len();
+    let overtaken = |held| queue.gives_way(stager.now(), id, &stager.missing(), held, chunks);
+    carry_out(stager, id, manifest, Distribution::Owners, overtaken).await
+}
+
+/// Draws the chunks that this host owes the others, until it fetches the version itself.
+pub async fn fetch_own(stager: &Rc<Stager>, id: &VersionId, manifest: &Manifest) -> FetchEnd {
+    let overtaken = |_| stager.fetches(id) || stager.missing().first() != Some(id);
+    carry_out(stager, id, manifest, Distribution::OwnChunks, overtaken).await
+}
+
+/// Does what a plan says until it is done, nothing comes any more, or `overtaken` says so of the number
+/// of chunks that are held.
+async fn carry_out(
+    stager: &Rc<Stager>,
+    id: &VersionId,
+    manifest: &Manifest,
+    distribution: Distribution,
+    overtaken: impl Fn(usize) -> bool,
 ) -> FetchEnd {
     let chunks = manifest.digests.len();
     let mut plan = FetchPlan::new(
         stager.now(),
         format_smolstr!("{}@{}", id.model, id.version),
         chunks,
-        Distribution::Owners,
+        distribution,
         participants(stager),
         Pcg64Mcg::from_rng(&mut rand::rng()),
     );
@@ -144,9 +164,8 @@
     let mut last_missing = plan.missing();
     let mut last_progress = stager.now();
     let corrupt = stager.metrics.corrupt_chunks.get();
-    while plan.missing() > 0 {
-        let held = chunks - plan.missing();
-        if queue.gives_way(stager.now(), id, &stager.missing(), held, chunks) {
+    while plan.outstanding() > 0 {
+        if overtaken(chunks - plan.missing()) {
             return FetchEnd::Overtaken;
         }
         if plan.missing() < last_missing {
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -98,6 +98,7 @@
     actix_rt::spawn(state::report_loop(stager.clone()));
     actix_rt::spawn(state::news_loop(stager.clone()));
     actix_rt::spawn(reach::fetch_loop(stager.clone()));
+    actix_rt::spawn(reach::own_chunks_loop(stager.clone()));
     actix_rt::spawn(reach::turn_loop(stager.clone()));
 
     process::stop_signal().await?;
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -60,7 +60,10 @@
             }
             looked = Some((id.clone(), born));
         }
-        match fetch::fetch_all(&stager, &queue, &id, &manifest).await {
+        *stager.fetching.borrow_mut() = Some(id.clone());
+        let end = fetch::fetch_all(&stager, &queue, &id, &manifest).await;
+        *stager.fetching.borrow_mut() = None;
+        match end {
             FetchEnd::Complete => told(&stager, &id, "fetched", String::new()),
             FetchEnd::Overtaken => told(&stager, &id, "overtaken", String::new()),
             FetchEnd::Stalled(lacking) => {
@@ -72,6 +75,34 @@
     }
 }
 
+/// Draws the chunks of the newest version that the others expect of this host while it is still at work
+/// on an older one.
+///
+/// The origin may be gone by the time that the older version is finished.
+pub async fn own_chunks_loop(stager: Rc<Stager>) {
+    let mut done = None;
+    let mut asked = 0;
+    loop {
+        actix_rt::time::sleep(IDLE).await;
+        let Some(id) = stager.missing().first().cloned() else {
+            continue;
+        };
+        let elsewhere = stager.fetching.borrow().is_some() && !stager.fetches(&id);
+        if done.as_ref() == Some(&id) || !elsewhere {
+            continue;
+        }
+        let Some(manifest) = fetch::find_manifest(&stager, &id, asked).await else {
+            asked += 1;
+            continue;
+        };
+        if fetch::fetch_own(&stager, &id, &manifest).await == FetchEnd::Complete {
+            told(&stager, &id, "own-chunks", String::new());
+            done = Some(id);
+            asked = 0;
+        }
+    }
+}
+
 /// Brings the engine to the newest version that is held whole, for as long as the process runs.
 pub async fn turn_loop(stager: Rc<Stager>) {
     loop {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -70,6 +70,8 @@
     report: RefCell<Option<EngineReport>>,
     news: RefCell<Option<(WeightsNews, Moment)>>,
     wanted: RefCell<Vec<(VersionId, Moment)>>,
+    /// The version that is fetched now, if any is.
+    pub fetching: RefCell<Option<VersionId>>,
     /// Whether an order was given that the engine has not carried out yet.
     pub turning: Cell<bool>,
 }
@@ -109,6 +111,7 @@
             report: RefCell::default(),
             news: RefCell::default(),
             wanted: RefCell::default(),
+            fetching: RefCell::default(),
             turning: Cell::new(false),
         }
     }
@@ -159,6 +162,11 @@
         wanted
     }
 
+    /// Whether a version is the one that is fetched now.
+    pub fn fetches(&self, id: &VersionId) -> bool {
+        self.fetching.borrow().as_ref() == Some(id)
+    }
+
     /// The engine's start, in milliseconds since the Unix epoch; nothing if it does not report.
     pub fn engine_born(&self) -> Option<u64> {
         Some(self.report.borrow().as_ref()?.born_ms)
--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -76,9 +76,13 @@
         within: impl Fn(&SmolStr) -> bool,
     ) -> bool {
         let key = format!("{}/{chunk}/hedge", self.version);
+        // A host that holds nothing but what it owns may be at work on another version.
         let at_work = |host: &SmolStr| {
-            let view = self.views.get(host);
-            view.is_some_and(|v| now >= v.avoid_until && v.held.0.iter().any(|bits| *bits != 0))
+            let Some(view) = self.views.get(host) else {
+                return false;
+            };
+            let mut owned = self.owners.fleet.iter().enumerate();
+            now >= view.avoid_until && owned.any(|(n, owner)| owner != host && view.held.has(n))
         };
         let peers = self.peers.iter();
         let peers = peers.filter(|(host, (_, dc))| within(dc) && at_work(host));
@@ -124,7 +128,7 @@
 
     fn origin(&self, now: Moment) -> Option<Source> {
         let most = match self.distribution {
-            Distribution::Owners => PARALLEL_FROM_ORIGIN,
+            Distribution::Owners | Distribution::OwnChunks => PARALLEL_FROM_ORIGIN,
             Distribution::Direct => PARALLEL_DIRECT,
         };
         let free = self.from_origin < most && now >= self.origin_avoid_until;
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -69,6 +69,9 @@
 pub enum Distribution {
     /// By owners, as described above.
     Owners,
+    /// Only the chunks that this host draws from the origin for all others. A host that is at work on
+    /// another version owes the fleet these all the same.
+    OwnChunks,
     /// Every host draws every chunk from the origin; the baseline of measurements.
     Direct,
 }
@@ -189,6 +192,25 @@
         self.missing
     }
 
+    /// Chunks not held yet that this plan is to fetch.
+    pub fn outstanding(&self) -> usize {
+        match self.distribution {
+            Distribution::Owners | Distribution::Direct => self.missing,
+            Distribution::OwnChunks => {
+                let lacking = self.lacking();
+                lacking.filter(|(_, owner)| **owner == self.host).count()
+            }
+        }
+    }
+
+    /// Whether a chunk is among those that this plan is to fetch.
+    fn wants(&self, chunk: usize) -> bool {
+        !self.held[chunk]
+            && !self.fetching.contains(&chunk)
+            && (self.distribution != Distribution::OwnChunks
+                || self.owners.fleet[chunk] == self.host)
+    }
+
     /// Chunks not held yet, each with the host that draws it from the origin.
     pub fn lacking(&self) -> impl Iterator<Item = (usize, &SmolStr)> {
         let lacking = self.held.iter().enumerate().filter(|(_, held)| !**held);
@@ -251,7 +273,7 @@
                 break;
             }
             let chunk = self.order[n];
-            if self.held[chunk] || self.fetching.contains(&chunk) {
+            if !self.wants(chunk) {
                 continue;
             }
             let luck = self.rng.random();
@@ -273,7 +295,7 @@
     fn is_full(&self) -> bool {
         let from_peers = self.fetching.len() - self.from_origin;
         match self.distribution {
-            Distribution::Owners => from_peers >= PARALLEL_FROM_PEERS,
+            Distribution::Owners | Distribution::OwnChunks => from_peers >= PARALLEL_FROM_PEERS,
             Distribution::Direct => self.from_origin >= PARALLEL_DIRECT,
         }
     }
