Others draw an owner's chunk only when the owner is known not to draw it; manifests are asked for every 15 ms

Ruled out: a host that finishes another version (its chunk came). Change: what a host holds is told with the chunks that it is at work to draw; its place is taken only if it has just said that it does not draw the chunk, is silent or gone, or after 3 s.

--- a/crates/daemon/src/sidecar/weights/http.rs
+++ b/crates/daemon/src/sidecar/weights/http.rs
@@ -50,6 +50,7 @@
         map: context.chunks.map(version),
         serving: context.versions().serving.as_ref() == Some(version),
         uploads: pacing.uploads(),
+        ..HaveAnswer::default()
     }
 }
 
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -10,7 +10,7 @@
     },
     version_queue::VersionQueue,
 };
-use balsamjunction_protocol::{header, paths, HaveAnswer};
+use balsamjunction_protocol::{header, paths, ChunkMap, HaveAnswer};
 use bytes::Bytes;
 use log::debug;
 use rand::SeedableRng;
@@ -29,8 +29,6 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest answer of a peer.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// One question for a manifest counts as this many of the plan's, since they are put faster here.
-const QUESTION_WEIGHT: u32 = 3;
 /// Chunks that do not have their hash, in a fetch that stalled, after which its manifest is read
 /// again.
 const SUSPICIOUS_CHUNKS: u64 = 4;
@@ -77,14 +75,7 @@
     let fellows = stager.fellows();
     let luck = rand::random();
     let host = &settings.host;
-    let source = manifest_source(
-        &name,
-        host,
-        &settings.data_centre,
-        &fellows,
-        asked * QUESTION_WEIGHT,
-        luck,
-    );
+    let source = manifest_source(&name, host, &settings.data_centre, &fellows, asked, luck);
     match (source, stager.origin()) {
         (Source::Peer { address, .. }, _) => {
             let path = paths::MANIFEST;
@@ -160,12 +151,23 @@
     for chunk in (0..chunks).filter(|chunk| held.has(*chunk)) {
         plan.arrived(stager.now(), chunk, &Source::Origin);
     }
+    let end = follow(stager, id, &mut plan, overtaken).await;
+    stager.holdings.set_drawing(id, ChunkMap::empty(chunks));
+    end
+}
+
+async fn follow(
+    stager: &Rc<Stager>,
+    id: &VersionId,
+    plan: &mut FetchPlan,
+    overtaken: impl Fn(usize) -> bool,
+) -> FetchEnd {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let mut last_missing = plan.missing();
     let mut last_progress = stager.now();
     let corrupt = stager.metrics.corrupt_chunks.get();
     while plan.outstanding() > 0 {
-        if overtaken(chunks - plan.missing()) {
+        if overtaken(plan.held()) {
             return FetchEnd::Overtaken;
         }
         if plan.missing() < last_missing {
@@ -182,13 +184,14 @@
             return FetchEnd::Stalled(lacking.join(", "));
         }
         plan.set_participants(participants(stager));
+        stager.holdings.set_drawing(id, plan.owed());
         for action in plan.next(stager.now()) {
             actix_rt::spawn(act(stager.clone(), id.clone(), action, tx.clone()));
         }
         let first = actix_rt::time::timeout(TURN, rx.recv()).await;
         let mut outcome = first.ok().flatten();
         while let Some(arrived) = outcome {
-            take(stager, id, &mut plan, arrived);
+            take(stager, id, plan, arrived);
             outcome = rx.try_recv().ok();
         }
     }
@@ -263,7 +266,10 @@
             if !wait.is_zero() {
                 actix_rt::time::sleep(wait).await;
             }
+            let began = stager.now();
             let fetched = fetch(&stager, &id, chunk, &source).await;
+            let took = stager.now().saturating_sub(began).as_millis();
+            debug!("chunk {chunk} of {id:?} took {took} ms from {source:?}");
             let (buf, held) = match fetched {
                 Ok((buf, held)) => (Ok(buf), held),
                 Err(e) => (Err(e), None),
--- a/crates/daemon/src/stager/holdings.rs
+++ b/crates/daemon/src/stager/holdings.rs
@@ -26,6 +26,7 @@
     id: VersionId,
     manifest: Manifest,
     chunks: Vec<Option<Bytes>>,
+    drawing: ChunkMap,
 }
 
 /// Checked chunks, shared with the threads that send them.
@@ -55,6 +56,7 @@
         versions.push_back(Held {
             id: id.clone(),
             manifest,
+            drawing: ChunkMap::empty(chunks.len()),
             chunks,
         });
         if versions.len() > MAX_VERSIONS {
@@ -113,6 +115,17 @@
         self.with(id, |held| held.chunks.get(chunk).cloned().flatten())?
     }
 
+    /// Notes which chunks of a version this host is at work to draw from the origin.
+    pub fn set_drawing(&self, id: &VersionId, drawing: ChunkMap) {
+        self.with(id, |held| held.drawing = drawing);
+    }
+
+    /// Which chunks of a version this host is at work to draw from the origin.
+    pub fn drawing(&self, id: &VersionId) -> ChunkMap {
+        self.with(id, |held| held.drawing.clone())
+            .unwrap_or_default()
+    }
+
     /// Which chunks of a version are held.
     pub fn map(&self, id: &VersionId) -> ChunkMap {
         let map = self.with(id, |held| {
--- a/crates/daemon/src/stager/http.rs
+++ b/crates/daemon/src/stager/http.rs
@@ -85,6 +85,7 @@
 fn what_is_held(holdings: &Holdings, uploads: &Uploads, id: &VersionId) -> HaveAnswer {
     HaveAnswer {
         map: holdings.map(id),
+        drawing: holdings.drawing(id),
         serving: false,
         uploads: (MAX_UPLOADS - uploads.permits.available_permits()) as u32,
     }
--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -21,7 +21,10 @@
 /// Pause after a step failed.
 const RETRY: Duration = Duration::from_millis(200);
 /// Questions for a manifest after which another version goes first, if one is wanted, too.
-const QUESTIONS_UNTIL_STALLED: u32 = 6;
+const QUESTIONS_UNTIL_STALLED: u32 = 20;
+/// Pause between questions for a manifest. It passes through two or three hosts, and nothing can be
+/// fetched before it is there.
+const MANIFEST_RETRY: Duration = Duration::from_millis(15);
 /// Part of the time for a change of version after which engines that serve begin to change; chunks
 /// take about that long to arrive.
 const TURNS_FROM: f64 = 0.28;
@@ -47,7 +50,7 @@
             if *questions > QUESTIONS_UNTIL_STALLED {
                 queue.stalled(stager.now(), &id);
             }
-            actix_rt::time::sleep(IDLE).await;
+            actix_rt::time::sleep(MANIFEST_RETRY).await;
             continue;
         };
         // The engine may have this version staged already, since before this process started.
--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -4,8 +4,9 @@
 use smol_str::SmolStr;
 
 use super::{
-    Distribution, FetchPlan, Source, HEDGE_AFTER, ORIGIN_SPACING, OWNER_PATIENCE, PARALLEL_DIRECT,
-    PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE, SURVEY_LIMIT,
+    Distribution, FetchPlan, Source, DRAWING_PATIENCE, HEDGE_AFTER, ORIGIN_SPACING,
+    OWNER_NEWS_LIFE, OWNER_PATIENCE, PARALLEL_DIRECT, PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE,
+    SURVEY_LIMIT,
 };
 use crate::{rendezvous, Moment};
 
@@ -60,6 +61,10 @@
     fn hedge(&self, now: Moment, chunk: usize, luck: u64) -> Option<Source> {
         let held_afar = self.views.values().any(|view| view.held.has(chunk));
         if !held_afar {
+            if !self.is_left_undone(now, chunk) {
+                // The origin is busy, and would only be busier.
+                return None;
+            }
             let first = self.is_first_at_work(now, chunk, |_| true);
             return first.then(|| self.origin(now)).flatten();
         }
@@ -67,6 +72,22 @@
         first.then(|| self.any_holder(now, chunk, luck)).flatten()
     }
 
+    /// Whether the owner of a chunk surely does not draw it now: it is silent, or has just said so.
+    fn is_left_undone(&self, now: Moment, chunk: usize) -> bool {
+        let owner = &self.owners.fleet[chunk];
+        let late = now.saturating_sub(self.started) >= DRAWING_PATIENCE;
+        if late || !self.peers.contains_key(owner) {
+            return true;
+        }
+        let Some(view) = self.views.get(owner) else {
+            return false;
+        };
+        let fresh = view
+            .answered
+            .is_some_and(|at| now.saturating_sub(at) < OWNER_NEWS_LIFE);
+        now < view.avoid_until || (fresh && !view.drawing.has(chunk))
+    }
+
     /// Whether this host is the first rank among those of some data centres that are seen to fetch the
     /// version.
     fn is_first_at_work(
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -47,6 +47,11 @@
 /// Time after which a chunk that nobody is known to hold is drawn by another host than its owner. The
 /// owner may be up and at work on something else.
 const HEDGE_AFTER: Moment = Moment::from_millis(1_200);
+/// An owner that has said so lately does not draw a chunk; what it said longer ago may be outdated.
+const OWNER_NEWS_LIFE: Moment = Moment::from_millis(400);
+/// Time for which chunks are left to a host that says that it is at work to draw them. A copy of 2 MB takes
+/// 1.7 s on an origin's link of 10 Mbit/s.
+const DRAWING_PATIENCE: Moment = Moment::from_millis(3_000);
 /// Time after which the next rank takes over an owner's chunk that does not come.
 const OWNER_PATIENCE: Moment = Moment::from_secs(2);
 
@@ -118,8 +123,10 @@
 #[derive(Clone, Debug, Default)]
 struct PeerView {
     held: ChunkMap,
+    drawing: ChunkMap,
     uploads: u32,
     asked: Option<Moment>,
+    answered: Option<Moment>,
     asking: bool,
     fetching: usize,
     avoid_until: Moment,
@@ -196,13 +203,27 @@
     pub fn outstanding(&self) -> usize {
         match self.distribution {
             Distribution::Owners | Distribution::Direct => self.missing,
-            Distribution::OwnChunks => {
-                let lacking = self.lacking();
-                lacking.filter(|(_, owner)| **owner == self.host).count()
-            }
+            Distribution::OwnChunks => self.owed_chunks().count(),
         }
     }
 
+    fn owed_chunks(&self) -> impl Iterator<Item = usize> + '_ {
+        let owed = self.lacking().filter(|(_, owner)| **owner == self.host);
+        owed.map(|(chunk, _)| chunk)
+    }
+
+    /// Chunks that this host is to draw from the origin for all, and does not hold yet.
+    pub fn owed(&self) -> ChunkMap {
+        let mut map = ChunkMap::empty(self.held.len());
+        self.owed_chunks().for_each(|chunk| map.set(chunk));
+        map
+    }
+
+    /// How many chunks are held.
+    pub fn held(&self) -> usize {
+        self.held.len() - self.missing
+    }
+
     /// Whether a chunk is among those that this plan is to fetch.
     fn wants(&self, chunk: usize) -> bool {
         !self.held[chunk]
@@ -354,7 +375,10 @@
         let view = self.views.entry(host.clone()).or_default();
         view.asking = false;
         match answer {
-            Some(answer) => self.learned(host, answer),
+            Some(answer) => {
+                view.answered = Some(now);
+                self.learned(host, answer);
+            }
             None => view.avoid_until = now + AVOID_FAILED,
         }
     }
@@ -363,6 +387,7 @@
     pub fn learned(&mut self, host: &SmolStr, answer: HaveAnswer) {
         let view = self.views.entry(host.clone()).or_default();
         view.held = answer.map;
+        view.drawing = answer.drawing;
         view.uploads = answer.uploads;
     }
 
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -1,13 +1,13 @@
 //! Fetch plans of many hosts together, and the turnover of an engine.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use balsamjunction_policy::{
     fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
     turnover::{Stage, Turnover, TurnoverAction, TurnoverEvent},
     Moment,
 };
-use balsamjunction_protocol::{HaveAnswer, MemberDocument, MemberState};
+use balsamjunction_protocol::{ChunkMap, HaveAnswer, MemberDocument, MemberState};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -46,6 +46,11 @@
     owning: BTreeSet<usize>,
     /// When the origin goes down.
     origin_until: Moment,
+    /// Turns that the origin takes for a chunk.
+    origin_turns: u32,
+    /// Chunks that the origin is asked for and has not sent, with those who asked, and its next send.
+    origin_queue: VecDeque<(usize, usize)>,
+    origin_sends: Moment,
     from_origin: usize,
     between: usize,
     rng: Pcg64Mcg,
@@ -79,6 +84,9 @@
             busy: BTreeSet::new(),
             owning: BTreeSet::new(),
             origin_until: Moment::MAX,
+            origin_turns: 0,
+            origin_queue: VecDeque::new(),
+            origin_sends: Moment::ZERO,
             from_origin: 0,
             between: 0,
             rng,
@@ -115,6 +123,7 @@
 
     fn turn(&mut self) {
         self.now += TURN;
+        self.origin_sends_one();
         let hosts: Vec<usize> = self.plans.keys().copied().collect();
         for n in hosts {
             if self.busy.contains(&n) {
@@ -129,12 +138,28 @@
         }
     }
 
+    fn origin_sends_one(&mut self) {
+        if self.now < self.origin_sends {
+            return;
+        }
+        if let Some((n, chunk)) = self.origin_queue.pop_front() {
+            self.origin_sends = self.now + TURN * self.origin_turns;
+            let now = self.now;
+            self.plan(n).arrived(now, chunk, &Source::Origin);
+        }
+    }
+
     fn carry_out(&mut self, n: usize, action: FetchAction) {
         match action {
             FetchAction::Probe { host, .. } => {
                 let other: usize = host[1..].parse().expect("hosts are numbered");
+                let at_work = !self.busy.contains(&other);
                 let answer = self.plans.get(&other).map(|plan| HaveAnswer {
                     map: plan.map(),
+                    drawing: match at_work {
+                        true => plan.owed(),
+                        false => ChunkMap::default(),
+                    },
                     ..HaveAnswer::default()
                 });
                 let now = self.now;
@@ -157,7 +182,10 @@
                 return;
             }
             self.from_origin += 1;
-            self.plan(n).arrived(now, chunk, source);
+            match self.origin_turns {
+                0 => self.plan(n).arrived(now, chunk, source),
+                _ => self.origin_queue.push_back((n, chunk)),
+            }
             return;
         };
         let other: usize = host[1..].parse().expect("hosts are numbered");
@@ -314,12 +342,23 @@
 
     burst.run(95);
 
-
     assert_eq!(burst.missing(), 0);
     assert_eq!(burst.from_origin, CHUNKS);
     assert!(burst.plans[&2].missing() > 0, "host 2 took others' chunks");
 }
 
+#[test]
+fn a_busy_origin_is_not_asked_a_second_time_for_what_an_owner_draws() {
+    let mut burst = Burst::start(8, 2, Distribution::Owners, 3);
+    // A copy takes 1.9 s, longer than a host waits for an owner that does nothing.
+    burst.origin_turns = 2;
+
+    burst.run(150);
+
+    assert_eq!(burst.missing(), 0);
+    assert_eq!(burst.from_origin, CHUNKS);
+}
+
 /// Chunks that the first of `hosts` draws from the origin while nobody else holds any; another host
 /// joins after `joins` turns, if at all.
 fn drawn_by_first(hosts: usize, joins: Option<usize>) -> BTreeSet<usize> {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -165,6 +165,9 @@
     /// Chunks that the sidecar sends now.
     #[serde(default)]
     pub uploads: u32,
+    /// Chunks that the sidecar is at work to draw from the origin.
+    #[serde(default)]
+    pub drawing: ChunkMap,
 }
 
 /// Asks an earlier owner of an idempotency key to give it up.
