--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use balsamjunction_policy::{
-    fetch::{Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source},
+    fetch::{
+        manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants, Source,
+    },
     turnover::{Stage, Turnover, TurnoverAction, TurnoverEvent},
     Moment,
 };
@@ -347,6 +349,62 @@
     assert!(burst.plans[&2].missing() > 0, "host 2 took others' chunks");
 }
 
+/// Rounds of questions until every host of the data centres `within` has a manifest, and how many of
+/// them were put to the origin.
+fn manifest_rounds(within: &[usize]) -> (u32, u32) {
+    let all = members(18, 3, &BTreeSet::new());
+    let asking: Vec<usize> = (0..18).filter(|n| within.contains(&(n % 3))).collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut holding: BTreeSet<SmolStr> = BTreeSet::new();
+    let mut to_origin = 0;
+    for asked in 0..100 {
+        let before = holding.clone();
+        for n in &asking {
+            let own = host(*n);
+            if before.contains(&own) {
+                continue;
+            }
+            let data_centre = format!("dc{}", n % 3);
+            let luck = rng.random();
+            match manifest_source("m@2", &own, &data_centre, &all, asked, luck) {
+                Source::Origin => {
+                    to_origin += 1;
+                    holding.insert(own);
+                }
+                Source::Peer { host, .. } if before.contains(&host) => {
+                    holding.insert(own);
+                }
+                Source::Peer { .. } => {}
+            }
+        }
+        if holding.len() == asking.len() {
+            return (asked + 1, to_origin);
+        }
+    }
+    (u32::MAX, to_origin)
+}
+
+#[test]
+fn a_manifest_reaches_all_hosts_with_one_question_to_the_origin() {
+    let (rounds, to_origin) = manifest_rounds(&[0, 1, 2]);
+
+    assert_eq!(to_origin, 1);
+    assert!(rounds <= 12, "{rounds} rounds");
+}
+
+#[test]
+fn data_centres_do_not_wait_for_one_that_has_not_heard_of_the_version() {
+    // Each data centre is left out once, so that the host which asks for the fleet is, too.
+    for missing in 0..3 {
+        let within: Vec<usize> = (0..3).filter(|n| *n != missing).collect();
+
+        let (rounds, to_origin) = manifest_rounds(&within);
+
+        assert!(to_origin <= 2, "{to_origin} questions to the origin");
+        assert!(rounds <= 16, "{rounds} rounds without dc{missing}");
+    }
+}
+
 #[test]
 fn a_busy_origin_is_not_asked_a_second_time_for_what_an_owner_draws() {
     let mut burst = Burst::start(8, 2, Distribution::Owners, 3);
