Two entries read the store for all others

Change: two entries, in different data centres and not turned away by the store lately, watch and prove, and push changes to the others; those ask them for proof, and read by themselves after 1.2 s without any. Proofs are taken from answers only: what is told unasked may have been on its way for long, held up by a partition, and would prove too much (the old exchange took proofs from requests).

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -72,7 +72,8 @@
     });
 
     let store = Store::new(client.clone(), settings.mesh.store);
-    actix_rt::spawn(mesh::read_loop(beliefs.clone(), store));
+    actix_rt::spawn(mesh::read_loop(beliefs.clone(), store, client.clone()));
+    actix_rt::spawn(mesh::facts_loop(beliefs.clone(), client.clone()));
     actix_rt::spawn(mesh::push_versions(beliefs.clone(), client.clone()));
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
@@ -143,6 +144,7 @@
         incarnation: clock.started_ms(),
         beat: 0,
         leaving: false,
+        reads_store: false,
         engine: None,
     }
 }
--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -13,7 +13,7 @@
     mesh::{EngineStatus, MemberRecord, ProcessRole, WeightsNews},
     Crash,
 };
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 use crate::{
     clock::Clock,
@@ -35,6 +35,7 @@
     members: Mutex<Membership>,
     crashes: Mutex<CrashList>,
     changes: watch::Sender<u64>,
+    behind: Notify,
 }
 
 impl Beliefs {
@@ -48,6 +49,7 @@
             members: Mutex::new(Membership::new(own)),
             crashes: Mutex::default(),
             changes: watch::channel(0).0,
+            behind: Notify::new(),
         }
     }
 
@@ -113,6 +115,22 @@
         }
     }
 
+    /// Takes changes after `since` that a peer told unasked.
+    pub fn hear(&self, since: u64, update: ReplicaUpdate) {
+        self.update("peer's news", |replica, now| {
+            let heard = replica.hear(now, since, update);
+            if heard.is_none() {
+                self.behind.notify_one();
+            }
+            heard.unwrap_or_default()
+        });
+    }
+
+    /// Waits until a peer told changes that do not join what is known.
+    pub async fn until_behind(&self) {
+        self.behind.notified().await;
+    }
+
     fn update(&self, source: &str, change: impl FnOnce(&mut Replica, Moment) -> Absorbed) {
         let now = self.clock.now();
         let (absorbed, revision) = {
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -1,6 +1,6 @@
 //! What other processes and operators ask of this one.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use actix_web::{
     http::header::CONTENT_TYPE,
@@ -9,7 +9,7 @@
 };
 use balsamjunction_protocol::{
     header,
-    mesh::{CrashNews, SyncAnswer, SyncRequest},
+    mesh::{ChangeNews, CrashNews, SyncAnswer, SyncRequest},
     paths,
 };
 
@@ -20,13 +20,11 @@
     metrics::Metrics,
 };
 
-/// Time for which a request may have been on its way, longer than any exchange that is not given up.
-const REQUEST_AGE: Duration = Duration::from_millis(400);
-
 /// Adds the routes; needs [`Beliefs`] and [`Metrics`] as data.
 pub fn routes(cfg: &mut ServiceConfig) {
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
         .route(paths::SYNC, web::post().to(sync))
+        .route(paths::CHANGES, web::post().to(changes))
         .route(paths::BROKEN, web::post().to(broken))
         .route(paths::METRICS, web::get().to(metrics))
         .route(paths::LIVE, web::get().to(HttpResponse::Ok));
@@ -35,9 +33,6 @@
 async fn sync(beliefs: Data<Beliefs>, body: Bytes) -> Result<HttpResponse, InnerError> {
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
-    // What is told in a request left its sender a while ago.
-    let told = beliefs.clock.now().saturating_sub(REQUEST_AGE);
-    beliefs.adopt(told, request.proof);
     beliefs.merge_members(request.members);
     let (members, same_members) =
         beliefs.members(
@@ -56,6 +51,13 @@
     })
 }
 
+async fn changes(beliefs: Data<Beliefs>, body: Bytes) -> Result<HttpResponse, InnerError> {
+    let news: ChangeNews = header::from_bytes(&body)?;
+    check_version(news.v)?;
+    beliefs.hear(news.since, news.update);
+    message(&Done {})
+}
+
 async fn broken(beliefs: Data<Beliefs>, body: Bytes) -> Result<HttpResponse, InnerError> {
     let news: CrashNews = header::from_bytes(&body)?;
     check_version(news.v)?;
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -5,11 +5,12 @@
 use awc::Client;
 use balsamjunction_directory::ReplicaPull;
 use balsamjunction_protocol::{
-    mesh::{CrashNews, ProcessRole, SyncAnswer, SyncRequest},
+    mesh::{ChangeNews, CrashNews, ProcessRole, SyncAnswer, SyncRequest},
     paths, Crash, PROTOCOL_VERSION,
 };
 use log::debug;
-use rand::Rng;
+use rand::{seq::IteratorRandom, Rng};
+use serde::Serialize;
 
 use super::Beliefs;
 use crate::{
@@ -18,67 +19,115 @@
     reload::Seeds,
 };
 
-/// Mean time between exchanges, spread by half to both sides.
+/// Mean time between exchanges of views, spread by half to both sides.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
-/// The same while this process cannot prove its facts at the store.
-const URGENT_INTERVAL: Duration = Duration::from_millis(150);
-/// A belief that is older than this is asked for at peers, too.
-const ASK_PEERS_AFTER: Duration = Duration::from_millis(1_000);
+/// Mean time between looks at the age of the facts, spread by half to both sides.
+const FACTS_TICK: Duration = Duration::from_millis(200);
+/// Facts that are older than this are asked for at an entry that reads the store.
+const ASK_PEERS_AFTER: Duration = Duration::from_millis(400);
 /// A peer that does not answer in this time is passed over.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// What an exchange is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Purpose {
+    /// To learn who is up, and facts, if any are asked for.
+    Views(Option<ReplicaPull>),
+    /// To learn facts.
+    Facts(ReplicaPull),
+    /// To learn what a sidecar needs to know.
+    Weights,
+}
+
+async fn pause(mean: Duration) {
+    let part = rand::rng().random_range(0.5..1.5);
+    actix_rt::time::sleep(mean.mul_f64(part)).await;
+}
+
 /// Exchanges views for as long as the process runs.
 pub async fn exchange_loop(beliefs: Arc<Beliefs>, client: Client, seeds: Seeds) {
     // A process that has just started knows facts, but not for how long they have held.
-    let mut met = false;
+    let mut pull = Some(ReplicaPull::default());
     loop {
-        let stale = beliefs.age().is_none_or(|age| age >= ASK_PEERS_AFTER);
         let target = beliefs.members(|members, now| {
             members.beat();
             members.expire(now);
             members.exchange_target(now, ProcessRole::Entry, &seeds.get(), &mut rand::rng())
         });
         if let Some(address) = target {
-            let pull = match met {
-                true => stale.then(|| ReplicaPull { at: beliefs.at() }),
-                false => Some(ReplicaPull::default()),
-            };
-            match exchange_once(&beliefs, &client, address, pull, false).await {
-                Ok(_) => met = true,
+            match exchange_once(&beliefs, &client, address, Purpose::Views(pull)).await {
+                Ok(_) => pull = None,
                 Err(e) => debug!("no exchange with {address}: {e}"),
             }
         }
-        let mean = match stale {
-            true => URGENT_INTERVAL,
-            false => EXCHANGE_INTERVAL,
+        pause(EXCHANGE_INTERVAL).await;
+    }
+}
+
+/// Asks entries that read the store, whenever the facts are not fresh, for as long as the process runs.
+pub async fn facts_loop(beliefs: Arc<Beliefs>, client: Client) {
+    let mut behind = false;
+    loop {
+        let fresh = beliefs.age().is_some_and(|age| age < ASK_PEERS_AFTER);
+        let source = match fresh && !behind {
+            true => None,
+            false => fact_source(&beliefs),
+        };
+        if let Some(address) = source {
+            let pull = ReplicaPull { at: beliefs.at() };
+            let asked = exchange_once(&beliefs, &client, address, Purpose::Facts(pull)).await;
+            if let Err(e) = asked {
+                debug!("no facts from {address}: {e}");
+            }
+        }
+        behind = tokio::select! {
+            () = pause(FACTS_TICK) => false,
+            () = beliefs.until_behind() => true,
         };
-        let part = rand::rng().random_range(0.5..1.5);
-        actix_rt::time::sleep(mean.mul_f64(part)).await;
     }
 }
 
+/// An entry that reads the store, or at times any, in case those are not what they seem.
+fn fact_source(beliefs: &Beliefs) -> Option<SocketAddr> {
+    let rng = &mut rand::rng();
+    let any = rng.random_ratio(1, 4);
+    beliefs.members(|members, now| {
+        let own = members.own().address;
+        let readers = members.readers(now).into_iter().map(|r| r.address);
+        let reader = readers.filter(|address| *address != own).choose(rng);
+        let entries = members.live(now, ProcessRole::Entry);
+        let entry = entries.map(|record| record.address).choose(rng);
+        match any {
+            true => entry,
+            false => reader.or(entry),
+        }
+    })
+}
+
 /// Exchanges views with one peer, and takes over what it knows better.
 pub async fn exchange_once(
     beliefs: &Beliefs,
     client: &Client,
     address: SocketAddr,
-    pull: Option<ReplicaPull>,
-    weights: bool,
+    purpose: Purpose,
 ) -> Result<SyncAnswer, PeerError> {
+    let weights = matches!(purpose, Purpose::Weights);
     let (members, member_digest) = beliefs.members(|members, now| {
-        let all = match weights {
-            // A sidecar only tells of itself; entries know the others.
-            true => vec![members.own().clone()],
-            false => members.records(now),
+        let told = match purpose {
+            Purpose::Views(_) => members.records(now),
+            Purpose::Facts(_) | Purpose::Weights => vec![members.own().clone()],
         };
-        (all, members.digest(now))
+        (told, members.digest(now))
     });
     let request = SyncRequest {
         v: PROTOCOL_VERSION,
         members,
         member_digest,
-        pull,
-        proof: beliefs.proof_age(),
+        pull: match purpose {
+            Purpose::Views(pull) => pull,
+            Purpose::Facts(pull) => Some(pull),
+            Purpose::Weights => None,
+        },
         weights,
     };
     let asked = beliefs.clock.now();
@@ -96,29 +145,47 @@
     Ok(answer)
 }
 
-/// Tells all entries of requests that broke upstreams, since their callers may come straight back.
-pub async fn tell_broken(beliefs: &Beliefs, client: &Client, crashes: Vec<Crash>) {
-    let entries: Vec<SocketAddr> = beliefs.members(|members, now| {
-        let entries = members.live(now, ProcessRole::Entry);
-        entries.map(|record| record.address).collect()
-    });
-    let news = CrashNews {
-        v: PROTOCOL_VERSION,
-        crashes,
+/// Tells all other entries of changes after the revision `since`.
+pub async fn tell_changes(beliefs: Arc<Beliefs>, client: Client, since: u64) {
+    let Some(update) = beliefs.answer_pull(&ReplicaPull { at: since }) else {
+        return;
     };
-    let calls = entries.into_iter().map(|address| {
-        let news = &news;
-        async move {
-            let told: Result<Done, _> =
-                client::call(client, address, paths::BROKEN, news, PEER_TIMEOUT).await;
-            if let Err(e) = told {
-                debug!("{address} was not told of a crash: {e}");
-            }
+    if update.at == since {
+        return;
+    }
+    let v = PROTOCOL_VERSION;
+    let news = ChangeNews { v, since, update };
+    tell_all(&beliefs, &client, ProcessRole::Entry, paths::CHANGES, &news).await;
+}
+
+/// Sends a message to all other processes of a role at once.
+async fn tell_all<Q: Serialize>(
+    beliefs: &Beliefs,
+    client: &Client,
+    role: ProcessRole,
+    path: &str,
+    news: &Q,
+) {
+    let addresses: Vec<SocketAddr> = beliefs.members(|members, now| {
+        let others = members.live(now, role);
+        others.map(|record| record.address).collect()
+    });
+    let calls = addresses.into_iter().map(|address| async move {
+        let told: Result<Done, _> = client::call(client, address, path, news, PEER_TIMEOUT).await;
+        if let Err(e) = told {
+            debug!("{address} was not told at {path}: {e}");
         }
     });
     futures_util::future::join_all(calls).await;
 }
 
+/// Tells all entries of requests that broke upstreams, since their callers may come straight back.
+pub async fn tell_broken(beliefs: &Beliefs, client: &Client, crashes: Vec<Crash>) {
+    let v = PROTOCOL_VERSION;
+    let news = CrashNews { v, crashes };
+    tell_all(beliefs, client, ProcessRole::Entry, paths::BROKEN, &news).await;
+}
+
 /// Tells the sidecars of the own data centre which versions are wanted, whenever that changes.
 pub async fn push_versions(beliefs: Arc<Beliefs>, client: Client) {
     let mut changes = beliefs.subscribe();
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -1,24 +1,36 @@
 //! Reads the platform's store.
 
-use std::{cell::RefCell, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    sync::Arc,
+    time::Duration,
+};
 
+use awc::Client;
 use balsamjunction_directory::{Change, Proof};
 use balsamjunction_platform::{
     store::{EVACUATIONS, EVERYTHING},
     PlatformError, Store,
 };
+use balsamjunction_policy::Moment;
 use log::debug;
 use rand::Rng;
 
-use super::Beliefs;
+use super::{peers::tell_changes, Beliefs};
 use crate::events::Event;
 
 /// How long a watch waits. What it misses while it waits is found by proofs.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// A belief that is older than this is proved again, even if no change was heard of.
-const PROVE_AFTER: Duration = Duration::from_millis(900);
-/// How often the age of the belief is looked at.
+/// An entry that reads for all proves its facts again when they are older than this.
+const PROVE_AFTER: Duration = Duration::from_millis(600);
+/// An entry that hears nothing fresh from those for this long reads by itself.
+const UNHEARD: Duration = Duration::from_millis(1_200);
+/// How often the age of the facts is looked at.
 const PROVE_TICK: Duration = Duration::from_millis(150);
+/// How often an entry that does not watch looks whether it should.
+const WATCH_TICK: Duration = Duration::from_millis(50);
+/// An entry that the store has turned away is not to read for others for this long.
+const TURNED_AWAY_FOR: Duration = Duration::from_secs(4);
 /// A watch gets this long to bring a change that a proof has shown to exist.
 const WATCH_LAG: Duration = Duration::from_millis(200);
 /// Pause after changes came, so that those which follow at once come with one call.
@@ -35,19 +47,24 @@
 struct Reader {
     beliefs: Arc<Beliefs>,
     store: Store,
+    client: Client,
     lost: RefCell<Option<String>>,
+    failed: Cell<Option<Moment>>,
 }
 
 /// Keeps the facts in step with the store for as long as the process runs.
-pub async fn read_loop(beliefs: Arc<Beliefs>, store: Store) {
+pub async fn read_loop(beliefs: Arc<Beliefs>, store: Store, client: Client) {
     let reader = Reader {
         beliefs,
         store,
+        client,
         lost: RefCell::default(),
+        failed: Cell::default(),
     };
     while !reader.list().await {
         pause(BACKOFF).await;
     }
+    reader.offer_to_read();
     futures_util::future::join(reader.watch_loop(), reader.prove_loop()).await;
 }
 
@@ -80,8 +97,21 @@
         }
     }
 
+    /// Whether this entry reads for all, or hears nothing from those that do.
+    fn is_needed(&self) -> bool {
+        self.beliefs.members(|members, now| members.is_reader(now)) || self.is_older_than(UNHEARD)
+    }
+
+    fn is_older_than(&self, bound: Duration) -> bool {
+        self.beliefs.age().is_none_or(|age| age >= bound)
+    }
+
     async fn watch_loop(&self) {
         loop {
+            if !self.is_needed() {
+                actix_rt::time::sleep(WATCH_TICK).await;
+                continue;
+            }
             let asked = self.beliefs.clock.now();
             let at = self.beliefs.at();
             match self.store.watch(EVERYTHING, at, WATCH_WAIT).await {
@@ -96,6 +126,7 @@
                         asked,
                     };
                     self.beliefs.apply(watched.changes, proof, "store watch");
+                    self.tell(at);
                     actix_rt::time::sleep(GATHER).await;
                 }
                 Err(PlatformError::HistoryGone) => {
@@ -113,7 +144,13 @@
     async fn prove_loop(&self) {
         loop {
             actix_rt::time::sleep(PROVE_TICK).await;
-            if self.beliefs.age().is_some_and(|age| age < PROVE_AFTER) {
+            let reads = self.beliefs.members(|members, now| members.is_reader(now));
+            let bound = match reads {
+                true => PROVE_AFTER,
+                false => UNHEARD,
+            };
+            self.offer_to_read();
+            if !self.is_older_than(bound) {
                 continue;
             }
             if !self.prove().await {
@@ -135,16 +172,38 @@
         if page.at > self.beliefs.at() {
             actix_rt::time::sleep(WATCH_LAG).await;
         }
-        if page.at > self.beliefs.at() {
-            return self.list().await;
+        let at = self.beliefs.at();
+        if page.at > at {
+            let listed = self.list().await;
+            self.tell(at);
+            return listed;
         }
         let at = self.beliefs.at();
         self.beliefs.prove(Proof { at, asked });
         true
     }
 
-    /// Tells once when the store is lost or regained.
+    /// Tells the other entries of changes after `since`.
+    fn tell(&self, since: u64) {
+        let told = tell_changes(self.beliefs.clone(), self.client.clone(), since);
+        actix_rt::spawn(told);
+    }
+
+    /// Lets the others count on this entry, unless the store has turned it away lately.
+    fn offer_to_read(&self) {
+        let now = self.beliefs.clock.now();
+        let failed = self.failed.get();
+        let well = failed.is_none_or(|at| now.saturating_sub(at) >= TURNED_AWAY_FOR);
+        self.beliefs
+            .members(|members, _| members.set_reads_store(well));
+    }
+
+    /// Notes how a call to the store ended, and tells once when the store is lost or regained.
     fn note(&self, e: Option<&PlatformError>) {
+        if e.is_some() {
+            self.failed.set(Some(self.beliefs.clock.now()));
+            self.offer_to_read();
+        }
         let mut lost = self.lost.borrow_mut();
         let (change, detail) = match (e, lost.is_some()) {
             (Some(e), false) => ("lost", e.to_string()),
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -117,6 +117,7 @@
         incarnation: clock.started_ms(),
         beat: 0,
         leaving: false,
+        reads_store: false,
         engine: Some(EngineStatus {
             address: settings.engine,
             service: settings.service.clone(),
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -27,7 +27,7 @@
 use super::holdings::{Holdings, VersionId};
 use crate::{
     events::Event,
-    mesh::{self, Beliefs},
+    mesh::{self, Beliefs, Purpose},
     metrics::Metrics,
     reload::Seeds,
 };
@@ -251,7 +251,8 @@
             entries.map(|record| record.address).collect()
         });
         let told = entries.into_iter().map(|address| async move {
-            let told = mesh::exchange_once(&self.beliefs, &self.client, address, None, true).await;
+            let told =
+                mesh::exchange_once(&self.beliefs, &self.client, address, Purpose::Weights).await;
             if let Err(e) = told {
                 debug!("{address} was not told: {e}");
             }
@@ -269,7 +270,8 @@
         });
         let asked = self.now();
         if let Some(address) = target {
-            let answer = mesh::exchange_once(&self.beliefs, &self.client, address, None, true);
+            let answer =
+                mesh::exchange_once(&self.beliefs, &self.client, address, Purpose::Weights);
             match answer.await {
                 Ok(answer) => {
                     if let Some(news) = answer.weights {
--- a/crates/directory/src/replica.rs
+++ b/crates/directory/src/replica.rs
@@ -270,6 +270,24 @@
         })
     }
 
+    /// Takes changes after `since` that a peer told unasked; tells whether they join what is known.
+    ///
+    /// They hold, but prove nothing: they may have been on their way for long.
+    pub fn hear(&mut self, now: Duration, since: u64, update: ReplicaUpdate) -> Option<Absorbed> {
+        if self.proved.is_none() || self.at < since || update.whole {
+            return None;
+        }
+        if update.at <= self.at {
+            return Some(Absorbed::default());
+        }
+        let mut absorbed = Absorbed::default();
+        for change in update.changes {
+            absorbed.changed += usize::from(self.put(now, change));
+        }
+        self.at = update.at;
+        Some(absorbed)
+    }
+
     /// Takes a peer's answer to a question that was sent at `asked`.
     ///
     /// The proof is as old as the peer says, counted from before the question was sent.
--- a/crates/directory/tests/replica.rs
+++ b/crates/directory/tests/replica.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use balsamjunction_directory::{
-    Change, Declaration, Directory, Fact, Proof, Replica, ReplicaPull, Route, RouteKind,
-    RouteTable, Subject, Target, Workspace,
+    Change, Declaration, Directory, Fact, Proof, Replica, ReplicaPull, ReplicaUpdate, Route,
+    RouteKind, RouteTable, Subject, Target, Workspace,
 };
 
 fn at(ms: u64) -> Duration {
@@ -224,3 +224,43 @@
     assert_eq!(same.proved(), Some(at(49_700)));
     assert_eq!(behind.proved(), Some(at(0)));
 }
+
+#[test]
+fn changes_that_are_told_unasked_join_what_is_known_but_prove_nothing() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 0));
+    let update = |since| {
+        let mut sender = Replica::default();
+        sender.replace(at(0), vec![version(3, 1)], 5, proof(5, 0));
+        sender.apply(at(10), vec![version(8, 2)], proof(9, 10));
+        let pull = ReplicaPull { at: since };
+        sender
+            .answer(at(20), &pull)
+            .expect("the sender knows facts")
+    };
+
+    let joined = replica.hear(at(900), 5, update(5));
+
+    assert_eq!(joined.map(|absorbed| absorbed.changed), Some(1));
+    assert_eq!(wanted(&replica), Some(2));
+    assert_eq!(replica.at(), 9);
+    assert_eq!(replica.proved(), Some(at(0)));
+}
+
+#[test]
+fn changes_that_do_not_join_what_is_known_are_not_taken() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 0));
+    let later = ReplicaUpdate {
+        at: 9,
+        age_ms: 0,
+        whole: false,
+        changes: vec![version(9, 2)],
+    };
+
+    let joined = replica.hear(at(900), 7, later);
+
+    assert_eq!(joined, None);
+    assert_eq!(wanted(&replica), Some(1));
+    assert_eq!(replica.at(), 5);
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -9,12 +9,17 @@
 use rand::{seq::IteratorRandom, Rng};
 use smol_str::SmolStr;
 
-use crate::{rendezvous::weight, Moment};
+use crate::{
+    rendezvous::{ranked, weight},
+    Moment,
+};
 
 /// A process whose beat is not heard of for this long gets no calls.
 const SUSPECT_AFTER: Moment = Moment::from_millis(2_500);
 /// A suspected process still counts in shares of a common bound for this long, since it may work on.
 const COUNT_FOR: Moment = Moment::from_secs(6);
+/// Names the duty of reading the store in rankings.
+const READER_KEY: &[u8] = b"store-reader";
 /// A process that is silent for this long is forgotten.
 const FORGET_AFTER: Moment = Moment::from_secs(30);
 
@@ -45,6 +50,42 @@
         &self.own
     }
 
+    /// Says whether the store answers this process.
+    pub fn set_reads_store(&mut self, reads: bool) {
+        if std::mem::replace(&mut self.own.reads_store, reads) != reads {
+            self.own.beat += 1;
+        }
+    }
+
+    /// The entries that read the store for all others: two, in different data centres if possible, of
+    /// those that the store answers.
+    ///
+    /// Views may differ for a while. Then more than two read, or for a moment none does, and the others
+    /// notice by the age of what they know.
+    pub fn readers(&self, now: Moment) -> Vec<&MemberRecord> {
+        let own = (self.own.role == ProcessRole::Entry).then_some(&self.own);
+        let entries = self.live(now, ProcessRole::Entry).chain(own);
+        let entries = entries.filter(|record| record.reads_store && !record.leaving);
+        let by_host: HashMap<&str, &MemberRecord> = entries
+            .map(|record| (record.host.as_str(), record))
+            .collect();
+        let order = ranked(READER_KEY, by_host.keys().copied());
+        let mut order = order.iter().map(|host| by_host[host]);
+        let Some(first) = order.next() else {
+            return Vec::new();
+        };
+        let rest: Vec<&MemberRecord> = order.collect();
+        let elsewhere = rest.iter().find(|r| r.data_centre != first.data_centre);
+        let second = elsewhere.or(rest.first());
+        std::iter::once(first).chain(second.copied()).collect()
+    }
+
+    /// Whether this process reads the store for all others.
+    pub fn is_reader(&self, now: Moment) -> bool {
+        let mut readers = self.readers(now).into_iter();
+        readers.any(|record| record.host == self.own.host)
+    }
+
     /// Counts a beat of this process.
     pub fn beat(&mut self) {
         self.own.beat += 1;
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -26,6 +26,7 @@
         incarnation: 1,
         beat: 0,
         leaving: false,
+        reads_store: true,
         engine: None,
     }
 }
@@ -78,6 +79,41 @@
     assert_eq!(view.live(at(2_600), ProcessRole::Entry).count(), 0);
 }
 
+/// Of `count` entries that all know each other, those that read the store; `change` alters records.
+fn readers(count: usize, change: impl Fn(&mut MemberRecord)) -> Vec<MemberRecord> {
+    let mut records: Vec<_> = (0..count).map(entry).collect();
+    records.iter_mut().for_each(change);
+    let views = records.iter().map(|own| {
+        let mut view = Membership::new(own.clone());
+        view.merge(at(0), records.clone());
+        view
+    });
+    let reading = views.filter(|view| view.is_reader(at(10)));
+    reading.map(|view| view.own().clone()).collect()
+}
+
+#[test]
+fn two_entries_of_different_data_centres_read_the_store_for_all() {
+    for count in [2, 4, 14] {
+        let reading = readers(count, |_| {});
+
+        assert_eq!(reading.len(), 2, "of {count}");
+        assert_ne!(reading[0].data_centre, reading[1].data_centre);
+    }
+}
+
+#[test]
+fn an_entry_that_the_store_turns_away_does_not_read_for_others() {
+    let usual: Vec<_> = readers(14, |_| {}).into_iter().map(|r| r.host).collect();
+
+    let reading = readers(14, |record| {
+        record.reads_store = !usual.contains(&record.host)
+    });
+
+    assert_eq!(reading.len(), 2);
+    assert!(reading.iter().all(|record| !usual.contains(&record.host)));
+}
+
 #[test]
 fn a_process_that_leaves_gets_no_calls_and_a_restart_brings_it_back() {
     let mut view = Membership::new(entry(0));
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -38,6 +38,9 @@
     /// Whether it is about to stop.
     #[serde(default)]
     pub leaving: bool,
+    /// For an entry: whether the store answers it.
+    #[serde(default)]
+    pub reads_store: bool,
     /// For a sidecar: what it knows of its engine.
     #[serde(default)]
     pub engine: Option<EngineStatus>,
@@ -77,9 +80,6 @@
     /// Asks for newer facts, if the sender's own are not fresh.
     #[serde(default)]
     pub pull: Option<ReplicaPull>,
-    /// How old the sender's facts are, if it is an entry.
-    #[serde(default)]
-    pub proof: Option<ProofAge>,
     /// Asks for what a sidecar needs to know.
     #[serde(default)]
     pub weights: bool,
@@ -129,6 +129,19 @@
     }
 }
 
+/// Tells a peer at once of facts that have changed.
+///
+/// It proves nothing about the present, since it may have been on its way for long.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChangeNews {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// The revision that the changes follow.
+    pub since: u64,
+    /// The changes.
+    pub update: ReplicaUpdate,
+}
+
 /// Tells a peer at once of requests that broke upstreams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashNews {
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -10,6 +10,8 @@
 pub const CRASH: &str = "/peer/crash";
 /// Exchange of views between processes that find each other through seeds.
 pub const SYNC: &str = "/mesh/sync";
+/// Changes of facts, from entries that read the store to all others.
+pub const CHANGES: &str = "/mesh/changes";
 /// News of versions, from an entry to sidecars.
 pub const NEWS: &str = "/mesh/news";
 /// Report of requests that broke upstreams, among entries.
