Every arrival of a request beyond its first takes a retry, also after upstreams that turned it away

Change: whatever reaches an upstream after the first arrival takes a retry; one that was taken and reached nobody is kept for the next upstream. The trick that set the number of asked upstreams is gone.

--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -42,6 +42,8 @@
     Answer(Box<Sent>, Flight),
     /// It surely did not run.
     NotRun,
+    /// It surely did not run, and no retry is left for another upstream.
+    NoRetryLeft,
     /// It may have run.
     Unknown,
 }
@@ -55,6 +57,10 @@
     demand: Demand,
     asked: u32,
     ran: u32,
+    /// Whether an upstream has had the request, if only to turn it away.
+    arrived: bool,
+    /// Whether a retry was taken from the allowance that has reached no upstream yet.
+    holds_retry: bool,
 }
 
 /// Serves a request that was admitted.
@@ -104,6 +110,8 @@
             demand,
             asked: 0,
             ran: 0,
+            arrived: false,
+            holds_retry: false,
         }
     }
 
@@ -157,10 +165,9 @@
                     }
                     return Ok((sent, flight));
                 }
-                Attempted::NotRun => {
-                    if self.asked >= MAX_ASKED {
-                        return Err(self.give_up(Reason::TurnedAway, RETRY_AFTER));
-                    }
+                Attempted::NotRun if self.asked < MAX_ASKED => {}
+                Attempted::NotRun | Attempted::NoRetryLeft => {
+                    return Err(self.give_up(Reason::TurnedAway, RETRY_AFTER));
                 }
                 Attempted::Unknown => {
                     self.ran += 1;
@@ -174,10 +181,16 @@
 
     /// Takes a retry for a request that may have run, if its kind, its route and the allowance let
     /// it run again.
-    pub fn may_repeat(&self) -> bool {
+    pub fn may_repeat(&mut self) -> bool {
         self.call.route.repeatable()
             && self.ran < self.call.route.max_attempts
-            && self.context.spend_retry(&self.call.service)
+            && self.take_retry()
+    }
+
+    /// Takes a retry from the allowance, unless one is held that has reached no upstream.
+    fn take_retry(&mut self) -> bool {
+        self.holds_retry = self.holds_retry || self.context.spend_retry(&self.call.service);
+        self.holds_retry
     }
 
     fn refused(&self, refused: &Refused) -> GivenUp {
@@ -217,11 +230,12 @@
                 return Attempted::NotRun;
             }
         };
-        if self.asked > 1 && self.ran == 0 && !self.context.spend_retry(&self.call.service) {
-            // Another upstream has turned the request away, and no retry is left.
-            self.asked = MAX_ASKED;
-            return Attempted::NotRun;
+        // Every arrival beyond the first counts, also after upstreams that turned the request away.
+        if self.arrived && !self.take_retry() {
+            return Attempted::NoRetryLeft;
         }
+        self.arrived = true;
+        self.holds_retry = false;
         let req = self.request(&target, resume_after);
         let silence = self.silence();
         let sent = actix_rt::time::timeout(silence, send::send(tcp, req)).await;
--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -75,6 +75,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: EngineFault,
+    arrivals: usize,
     runs: Vec<Run>,
     staged: BTreeMap<usize, Bytes>,
     version: Option<u64>,
@@ -126,6 +127,11 @@
         self.state().fault = fault;
     }
 
+    /// Requests that came, those among them that were turned away.
+    pub fn arrivals(&self) -> usize {
+        self.state().arrivals
+    }
+
     /// Requests that were worked on.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -231,6 +237,7 @@
 }
 
 async fn work(state: &Arc<Mutex<State>>, options: &EngineOptions, req: Request<Incoming>) -> Reply {
+    lock(state).arrivals += 1;
     let id = header(&req, "balsamjunction-attempt-id").unwrap_or_default();
     let expected = header(&req, "balsamjunction-expect-instance");
     if expected.is_some_and(|expected| expected != options.id.as_str()) {
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -24,6 +24,8 @@
     pub store: Store,
     pub origin: Origin,
     pub processes: Processes,
+    /// The bound on retries beside those that requests earn.
+    pub retry_slack: f64,
     addresses: Addresses,
     dir: PathBuf,
     config: Value,
@@ -118,6 +120,7 @@
         Self {
             store: Store::start().await.expect("the store starts"),
             processes: Processes::new(dir.clone()),
+            retry_slack: 20.0,
             config: config(origin.address),
             origin,
             addresses,
@@ -165,7 +168,7 @@
             "readiness_listen": gateway.readiness.to_string(),
             "inner_listen": gateway.inner.to_string(), "store": store.to_string(),
             "seeds": addresses_of(seeds), "revoke_within_ms": 2000, "grace_s": 8,
-            "version_within_ms": 3000,
+            "version_within_ms": 3000, "retry_slack": self.retry_slack,
         });
         self.launch(name, "gateway", &settings);
         gateway
--- a/crates/lab/tests/gateway/streams.rs
+++ b/crates/lab/tests/gateway/streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use balsamjunction_lab::standin::published::EngineFault;
+use balsamjunction_lab::standin::published::{Engine, EngineFault};
 use futures_util::StreamExt;
 
 use crate::common::{engine, event_ids, until, Site, KEY};
@@ -116,3 +116,28 @@
 
     assert!(!engine.runs()[0].finished);
 }
+
+#[actix_rt::test]
+async fn upstreams_that_turn_a_broken_stream_away_use_up_the_retries() {
+    let mut site = Site::start().await;
+    site.retry_slack = 5.0;
+    let breaks = site.engine(engine("e1", 6, 20)).await;
+    breaks.fail(EngineFault::CutAfter(3));
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+    let mut full = Vec::new();
+    for n in 2..8 {
+        let other = site.engine(engine(&format!("e{n}"), 6, 20)).await;
+        other.fail(EngineFault::Full);
+        full.push(other);
+    }
+
+    for n in 0..8 {
+        gateway.generate(&format!("a{n}")).await;
+    }
+
+    let arrivals: usize = full.iter().map(Engine::arrivals).sum();
+    let beyond_first = breaks.arrivals() + arrivals - 8;
+    // Eight requests earn 1.6 more.
+    assert!(beyond_first <= 6, "{beyond_first} arrivals beyond the first");
+}
