Metrics of gateways and stagers at an address of their own; request lines are sampled under load

Cause: queue wait, pauses, estimates against what came, ages, membership and dropped lines were not visible, no port was named in the deploy file, and the log's volume was bounded by its queue alone. Beyond 240 lines of requests a second, the lines of one request in eight are written, the same ones in every process; all lines of calls that may run once stay. Tests: metrics_show_facts_..., under_load_the_lines_of_calls_that_may_run_once_all_stay. Cost of the log: not measured yet.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -9,20 +9,35 @@
     sync::{
         atomic::{AtomicU64, Ordering},
         mpsc::{sync_channel, Receiver, SyncSender, TrySendError},
+        Mutex,
     },
     time::Duration,
 };
 
+use balsamjunction_policy::{rendezvous, sliding::SlidingCount};
+use prometheus_client::metrics::counter::Counter;
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::clock::Clock;
+use crate::{
+    clock::Clock,
+    metrics::{Gauges, Metrics},
+    sync::lock,
+};
 
 /// Lines that may wait to be written; about 500 KB.
 const MAX_QUEUED: usize = 2_048;
 /// How long lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
 
+/// Lines about requests that may be written in a second before they are sampled. A gateway of 0.19
+/// cores carries about 60 requests a second, of two lines each.
+const REQUEST_LINES_PER_S: usize = 240;
+/// Above that, the lines of one request in this many are written.
+const SAMPLED_ONE_IN: u64 = 8;
+/// Seeds the choice, so that all processes choose the same requests.
+const SAMPLE_KEY: &[u8] = b"log-sample";
+
 /// A decision or a change of belief.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
@@ -66,6 +81,9 @@
         attempt: u32,
         /// When the first event was expected, in milliseconds.
         expected_ms: u64,
+        /// Whether it may run once at most.
+        #[serde(skip_serializing_if = "is_false")]
+        once: bool,
     },
     /// An attempt at an upstream failed.
     AttemptFailed {
@@ -77,6 +95,9 @@
         ending: &'static str,
         /// What was seen.
         detail: String,
+        /// Whether it may run once at most.
+        #[serde(skip_serializing_if = "is_false")]
+        once: bool,
     },
     /// A request got its final answer.
     Answered {
@@ -94,6 +115,9 @@
         belief_age_ms: u64,
         /// The version of the configuration that decided.
         configuration: u64,
+        /// Whether it may run once at most.
+        #[serde(skip_serializing_if = "is_false")]
+        once: bool,
     },
     /// A stream ended before its last event.
     StreamBroken {
@@ -121,6 +145,34 @@
     },
 }
 
+impl Event {
+    /// The request whose lines may be left out together under load; nothing if the line must stay.
+    ///
+    /// All lines stay of a request that may run once at most: whoever asks what became of it asks for
+    /// what may have run.
+    fn sampled_with(&self) -> Option<&SmolStr> {
+        match self {
+            Self::Sent { id, once, .. }
+            | Self::AttemptFailed { id, once, .. }
+            | Self::Answered { id, once, .. } => (!once).then_some(id),
+            Self::Process { .. }
+            | Self::Belief { .. }
+            | Self::Dependency { .. }
+            | Self::StreamBroken { .. }
+            | Self::Weights { .. } => None,
+        }
+    }
+}
+
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+/// Whether a request's lines are among those that are written under load.
+fn is_chosen(id: &str) -> bool {
+    rendezvous::weight(SAMPLE_KEY, id).is_multiple_of(SAMPLED_ONE_IN)
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
@@ -133,7 +185,10 @@
 pub struct Events {
     clock: Clock,
     queue: SyncSender<String>,
+    recent: Mutex<SlidingCount>,
+    untold: AtomicU64,
     dropped: AtomicU64,
+    sampled: AtomicU64,
 }
 
 impl Events {
@@ -144,30 +199,68 @@
         Self {
             clock,
             queue,
+            recent: Mutex::new(SlidingCount::new(Duration::from_secs(1))),
+            untold: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
+            sampled: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether a line is written under the load of this moment.
+    fn is_kept(&self, event: &Event) -> bool {
+        let Some(id) = event.sampled_with() else {
+            return true;
+        };
+        let now = self.clock.now();
+        let mut recent = lock(&self.recent);
+        if recent.count(now) < REQUEST_LINES_PER_S {
+            recent.add(now);
+            return true;
         }
+        is_chosen(id)
     }
 
-    /// Queues one line, or counts it as dropped.
+    fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+        self.untold.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Queues one line, or counts it as left out or dropped.
     pub fn emit(&self, event: &Event) {
+        if !self.is_kept(event) {
+            self.sampled.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let at_ms = self.clock.unix_ms();
         let Ok(mut line) = serde_json::to_string(&Line { at_ms, event }) else {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.drop_line();
             return;
         };
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
+        let untold = self.untold.swap(0, Ordering::Relaxed);
+        if untold > 0 {
             line.push_str(&format!(
-                "\n{{\"at_ms\":{at_ms},\"event\":\"lines-dropped\",\"count\":{dropped}}}"
+                "\n{{\"at_ms\":{at_ms},\"event\":\"lines-dropped\",\"count\":{untold}}}"
             ));
         }
         line.push('\n');
         if let Err(TrySendError::Full(_)) = self.queue.try_send(line) {
-            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+            self.untold.fetch_add(untold, Ordering::Relaxed);
+            self.drop_line();
         }
     }
 }
 
+impl Gauges for Events {
+    fn refresh(&self, metrics: &Metrics) {
+        let told = |counter: &Counter, total: &AtomicU64| {
+            let total = total.load(Ordering::Relaxed);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        };
+        told(&metrics.mesh.dropped_lines, &self.dropped);
+        told(&metrics.mesh.sampled_lines, &self.sampled);
+    }
+}
+
 fn write_lines(lines: &Receiver<String>) {
     let mut stdout = std::io::stdout();
     while let Ok(first) = lines.recv() {
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -56,6 +56,7 @@
     reason: Reason,
     retry_after: Option<Duration>,
     route: SmolStr,
+    once: bool,
 }
 
 impl Turned {
@@ -65,6 +66,7 @@
             reason,
             retry_after: None,
             route: SmolStr::default(),
+            once: false,
         }
     }
 
@@ -96,6 +98,7 @@
                 reason: turned.reason,
                 retry_after: turned.retry_after,
                 came,
+                once: turned.once,
             };
             return answer::own(&context, &given);
         }
@@ -127,6 +130,7 @@
     let (route, holder) = find(req, context, &table)?;
     let turned = |mut turned: Turned| {
         turned.route = route.name.clone();
+        turned.once = !route.repeatable();
         turned
     };
     let stated_patience = call::stated_patience(req);
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -77,6 +77,8 @@
     pub retry_after: Option<Duration>,
     /// When the request came.
     pub came: Moment,
+    /// Whether it may run once at most.
+    pub once: bool,
 }
 
 /// Writes the line about a request's final answer.
@@ -98,6 +100,7 @@
         took_ms: took.as_millis() as u64,
         belief_age_ms: age.as_millis() as u64,
         configuration: context.beliefs.configuration(),
+        once: given.once,
     });
 }
 
@@ -130,6 +133,8 @@
     target: Option<UpstreamRecord>,
     splitter: Option<EventSplitter>,
     seen_event: bool,
+    last_event: Moment,
+    longest_pause: Duration,
     _in_progress: InProgress,
 }
 
@@ -145,6 +150,8 @@
             sent,
             flight,
             seen_event: false,
+            last_event: Moment::ZERO,
+            longest_pause: Duration::ZERO,
             _in_progress: in_progress,
         }
     }
@@ -182,6 +189,10 @@
                             false => Ending::Served,
                         });
                         self.run.context.beliefs.served(self.run.call.fingerprint);
+                        if self.splitter.is_some() {
+                            let mesh = &self.run.context.metrics.mesh;
+                            mesh.longest_pause.observe(self.longest_pause.as_secs_f64());
+                        }
                         return Ok(None);
                     }
                     "ended within an event".to_owned()
@@ -213,9 +224,14 @@
             let Ok(buf) = frame.into_data() else {
                 continue;
             };
+            let now = self.run.context.now();
             if !std::mem::replace(&mut self.seen_event, true) {
                 self.flight.first_event();
+            } else {
+                let pause = now.saturating_sub(self.last_event);
+                self.longest_pause = self.longest_pause.max(pause);
             }
+            self.last_event = now;
             return Ok(Some(buf));
         }
     }
@@ -280,6 +296,7 @@
             reason: Reason::Upstream,
             retry_after: None,
             came: relay.run.call.came,
+            once: relay.run.call.may_run_once(),
         },
     );
     let mut response = start(&relay.run.context, status);
--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -92,6 +92,11 @@
 }
 
 impl Call {
+    /// Whether it may run once at most.
+    pub fn may_run_once(&self) -> bool {
+        !self.route.repeatable()
+    }
+
     /// When nobody waits for the answer any more.
     pub fn deadline(&self) -> Moment {
         self.came + self.patience
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -11,15 +11,24 @@
 
 use balsamjunction_policy::{
     allowance::{RetryAllowance, RetryBound},
-    dispatch::{Chosen, Demand, Dispatcher, Ending, Refused, UpstreamKey, Verdict, WaitKey},
+    dispatch::{
+        Chosen, Demand, Dispatcher, Ending, Refused, UpstreamCondition, UpstreamKey, Verdict,
+        WaitKey,
+    },
     Moment,
 };
 use balsamjunction_protocol::mesh::ProcessRole;
 use balsamjunction_settings::GatewaySettings;
 use smol_str::SmolStr;
+use strum::IntoEnumIterator;
 use tokio::sync::{oneshot, Notify};
 
-use crate::{mesh::Beliefs, metrics::Metrics, process::Lifecycle, sync::lock};
+use crate::{
+    mesh::Beliefs,
+    metrics::{Gauges, Metrics, ServiceLabels, StateLabels},
+    process::Lifecycle,
+    sync::lock,
+};
 
 /// How often requests that wait are looked at.
 const GRANT_TICK: Duration = Duration::from_millis(8);
@@ -138,7 +147,11 @@
             }
         };
         self.wake.notify_one();
-        waiting.verdict().await
+        let since = self.now();
+        let verdict = waiting.verdict().await;
+        let waited = self.now().saturating_sub(since);
+        self.metrics.mesh.queue_wait.observe(waited.as_secs_f64());
+        verdict
     }
 
     /// Gives requests that wait their verdicts, if there are any.
@@ -202,6 +215,29 @@
     }
 }
 
+impl Gauges for GatewayContext {
+    fn refresh(&self, metrics: &Metrics) {
+        self.beliefs.refresh(metrics);
+        let now = self.now();
+        let census = lock(&self.dispatch).dispatcher.census(now);
+        for condition in UpstreamCondition::iter() {
+            let count = census.get(&condition).copied().unwrap_or_default();
+            let state = condition.to_string();
+            let gauge = metrics.mesh.upstreams.get_or_create(&StateLabels { state });
+            gauge.set(count as i64);
+        }
+        let entries = self.entries();
+        for (service, allowance) in lock(&self.allowances).iter_mut() {
+            let service = service.to_string();
+            let left = metrics
+                .mesh
+                .retries_left
+                .get_or_create(&ServiceLabels { service });
+            left.set(allowance.left(now, entries) as i64);
+        }
+    }
+}
+
 /// Keeps the dispatcher in step with beliefs.
 pub async fn follow_beliefs(context: Arc<GatewayContext>) {
     let mut changes = context.beliefs.subscribe();
@@ -322,6 +358,11 @@
         let now = self.context.now();
         let metrics = &self.context.metrics;
         metrics.first_byte.observe(took.as_secs_f64());
+        let expected = self.chosen.expected_ms / 1e3;
+        if expected > 0.0 {
+            let ratio = took.as_secs_f64() / expected;
+            metrics.mesh.first_event_ratio.observe(ratio);
+        }
         lock(&self.context.dispatch).dispatcher.first_event(
             now,
             &self.chosen,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -31,7 +31,7 @@
     error::DaemonError,
     events::{Event, Events},
     mesh::{self, Beliefs},
-    metrics::Metrics,
+    metrics::{Gauges, Metrics},
     process::{self, BACKLOG},
     reload::{reload_loop, Seeds, SettingsFile},
 };
@@ -46,8 +46,13 @@
     let callers = process::listen(settings.listen)?;
     let readiness = process::listen(settings.readiness_listen)?;
     let inner = process::listen(settings.mesh.inner_listen)?;
+    let metrics_listener = settings
+        .mesh
+        .metrics_listen
+        .map(process::listen)
+        .transpose()?;
     let events = Arc::new(Events::start(clock));
-    let metrics = Arc::new(Metrics::default());
+    let metrics = Arc::new(Metrics::for_mesh());
     let beliefs = Arc::new(Beliefs::new(
         clock,
         events.clone(),
@@ -88,11 +93,14 @@
     actix_rt::spawn(context::follow_beliefs(context.clone()));
     actix_rt::spawn(context::grant_loop(context.clone()));
 
-    let inner_data = (Data::from(beliefs), Data::new(metrics));
+    let gauges: Arc<dyn Gauges> = context.clone();
+    let inner_data = (Data::from(beliefs), Data::new(metrics), Data::from(gauges));
+    let metrics_data = (inner_data.1.clone(), inner_data.2.clone());
     let inner_server = HttpServer::new(move || {
         App::new()
             .app_data(inner_data.0.clone())
             .app_data(inner_data.1.clone())
+            .app_data(inner_data.2.clone())
             .configure(mesh::http::routes)
     })
     .workers(1)
@@ -125,6 +133,7 @@
     for server in [inner_server, readiness_server, caller_server] {
         actix_rt::spawn(server);
     }
+    mesh::http::serve_metrics(metrics_listener, metrics_data)?;
     lifecycle::run_until_stopped(&context, settings.grace).await
 }
 
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -90,6 +90,7 @@
             reason: given.reason,
             retry_after: given.retry_after,
             came: run.call.came,
+            once: run.call.may_run_once(),
         },
     )
 }
@@ -182,9 +183,7 @@
     /// Takes a retry for a request that may have run, if its kind, its route and the allowance let
     /// it run again.
     pub fn may_repeat(&mut self) -> bool {
-        self.call.route.repeatable()
-            && self.ran < self.call.route.max_attempts
-            && self.take_retry()
+        self.call.route.repeatable() && self.ran < self.call.route.max_attempts && self.take_retry()
     }
 
     /// Takes a retry from the allowance, unless one is held that has reached no upstream.
@@ -221,6 +220,7 @@
             upstream: target.id.clone(),
             attempt: self.asked,
             expected_ms: flight.expected_ms() as u64,
+            once: self.call.may_run_once(),
         });
         let tcp = match send::connect(target.address).await {
             Ok(tcp) => tcp,
@@ -367,6 +367,7 @@
             upstream: target.id.clone(),
             ending,
             detail,
+            once: self.call.may_run_once(),
         });
     }
 }
--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -13,11 +13,13 @@
     mesh::{EngineStatus, MemberRecord, ProcessRole, WeightsNews},
     Crash,
 };
+use strum::IntoEnumIterator;
 use tokio::sync::{watch, Notify};
 
 use crate::{
     clock::Clock,
     events::{Event, Events},
+    metrics::{Gauges, MeshMetrics, Metrics, StateLabels},
     sync::lock,
 };
 
@@ -223,7 +225,38 @@
         lock(&self.crashes).refuses(fingerprint, CRASH_LIMIT)
     }
 
+    /// Sets the gauges of facts and members.
+    fn refresh_gauges(&self, metrics: &MeshMetrics) {
+        if let Some(age) = self.age() {
+            metrics.facts_age.set(age.as_secs_f64());
+        }
+        for role in ProcessRole::iter() {
+            let up = self.members(|members, now| members.live(now, role).count());
+            let state = role.to_string();
+            let gauge = metrics.members.get_or_create(&StateLabels { state });
+            gauge.set(up as i64);
+        }
+        for (model, (version, _)) in &self.directory().wanted {
+            let state = format!("wanted-{model}");
+            let gauge = metrics.weights.get_or_create(&StateLabels { state });
+            gauge.set(*version as i64);
+        }
+        let own = self.members(|members, _| members.own().engine.clone());
+        if let Some((model, version)) = own.and_then(|engine| engine.serving) {
+            let state = format!("serving-{model}");
+            let gauge = metrics.weights.get_or_create(&StateLabels { state });
+            gauge.set(version as i64);
+        }
+    }
+
     fn notify(&self) {
         self.changes.send_modify(|n| *n += 1);
     }
 }
+
+impl Gauges for Beliefs {
+    fn refresh(&self, metrics: &Metrics) {
+        self.refresh_gauges(&metrics.mesh);
+        self.events.refresh(metrics);
+    }
+}
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -1,11 +1,11 @@
 //! What other processes and operators ask of this one.
 
-use std::sync::Arc;
+use std::{net::TcpListener, sync::Arc};
 
 use actix_web::{
     http::header::CONTENT_TYPE,
     web::{self, Bytes, Data, ServiceConfig},
-    HttpResponse,
+    App, HttpResponse, HttpServer,
 };
 use balsamjunction_protocol::{
     header,
@@ -15,12 +15,13 @@
 
 use super::Beliefs;
 use crate::{
+    error::DaemonError,
     fleet::spread::Done,
     inner::{check_version, message, InnerError, MAX_MESSAGE_BYTES, OPENMETRICS},
-    metrics::Metrics,
+    metrics::{Gauges, Metrics},
 };
 
-/// Adds the routes; needs [`Beliefs`] and [`Metrics`] as data.
+/// Adds the routes; needs [`Beliefs`], [`Metrics`] and [`Gauges`] as data.
 pub fn routes(cfg: &mut ServiceConfig) {
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
         .route(paths::SYNC, web::post().to(sync))
@@ -30,6 +31,25 @@
         .route(paths::LIVE, web::get().to(HttpResponse::Ok));
 }
 
+/// Serves the metrics, and nothing else, at an address of their own, if there is one.
+pub fn serve_metrics(
+    listener: Option<TcpListener>,
+    data: (Data<Arc<Metrics>>, Data<dyn Gauges>),
+) -> Result<(), DaemonError> {
+    let Some(listener) = listener else {
+        return Ok(());
+    };
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.0.clone())
+            .app_data(data.1.clone())
+            .route(paths::METRICS, web::get().to(metrics))
+    });
+    let server = server.workers(1).disable_signals().listen(listener)?;
+    actix_rt::spawn(server.run());
+    Ok(())
+}
+
 async fn sync(beliefs: Data<Beliefs>, body: Bytes) -> Result<HttpResponse, InnerError> {
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
@@ -65,7 +85,11 @@
     message(&Done {})
 }
 
-async fn metrics(metrics: Data<Arc<Metrics>>) -> Result<HttpResponse, InnerError> {
+async fn metrics(
+    metrics: Data<Arc<Metrics>>,
+    gauges: Data<dyn Gauges>,
+) -> Result<HttpResponse, InnerError> {
+    gauges.refresh(&metrics);
     let text = metrics.encode()?;
     Ok(HttpResponse::Ok()
         .insert_header((CONTENT_TYPE, OPENMETRICS))
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,6 +16,9 @@
     registry::{Registry, Unit},
 };
 
+/// Begins every metric's name.
+const PREFIX: &str = "balsamjunction";
+
 /// Labels of the request counter.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -27,6 +30,91 @@
     pub refusal: String,
 }
 
+/// A label that names a service.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
+/// A label that names a state.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct StateLabels {
+    /// The state, or the role of a process.
+    pub state: String,
+}
+
+/// Metrics that only gateways and stagers have.
+#[derive(Debug)]
+pub struct MeshMetrics {
+    /// Time for which requests waited for an upstream, of those that waited.
+    pub queue_wait: Histogram,
+    /// Longest pause between two events of each stream.
+    pub longest_pause: Histogram,
+    /// Time to the first event as a multiple of what was expected.
+    pub first_event_ratio: Histogram,
+    /// Retries that are left in the window, by service.
+    pub retries_left: Family<ServiceLabels, Gauge>,
+    /// Age of the facts.
+    pub facts_age: Gauge<f64, AtomicU64>,
+    /// Processes that are believed to be up, by role.
+    pub members: Family<StateLabels, Gauge>,
+    /// Upstreams by state.
+    pub upstreams: Family<StateLabels, Gauge>,
+    /// Versions of weights: what is wanted, and what the engine on this host serves.
+    pub weights: Family<StateLabels, Gauge>,
+    /// Log lines that found the queue full.
+    pub dropped_lines: Counter,
+    /// Log lines that were left out under load.
+    pub sampled_lines: Counter,
+}
+
+impl MeshMetrics {
+    fn new(r: &mut Registry) -> Self {
+        // From 1 ms to about 4 s.
+        let times = || Histogram::new(exponential_buckets(0.001, 2.0, 13));
+        let metrics = Self {
+            queue_wait: times(),
+            longest_pause: times(),
+            first_event_ratio: Histogram::new(exponential_buckets(0.25, 1.5, 12)),
+            retries_left: Family::default(),
+            facts_age: Gauge::default(),
+            members: Family::default(),
+            upstreams: Family::default(),
+            weights: Family::default(),
+            dropped_lines: Counter::default(),
+            sampled_lines: Counter::default(),
+        };
+        let m = &metrics;
+        let seconds = Unit::Seconds;
+        let waits = "Waits for an upstream";
+        r.register_with_unit("queue_wait", waits, seconds.clone(), m.queue_wait.clone());
+        let pauses = "Longest pause of a stream";
+        r.register_with_unit("pause", pauses, seconds.clone(), m.longest_pause.clone());
+        let ratio = "First event against the estimate";
+        r.register("first_event_ratio", ratio, m.first_event_ratio.clone());
+        let left = "Retries left in the window";
+        r.register("retries_left", left, m.retries_left.clone());
+        let age = "Age of the facts";
+        r.register_with_unit("facts_age", age, seconds, m.facts_age.clone());
+        let up = "Processes believed to be up, by role";
+        r.register("members", up, m.members.clone());
+        r.register("upstreams", "Upstreams by state", m.upstreams.clone());
+        r.register("weights", "Versions of weights", m.weights.clone());
+        let dropped = "Log lines that found the queue full";
+        r.register("dropped_lines", dropped, m.dropped_lines.clone());
+        let sampled = "Log lines left out under load";
+        r.register("sampled_lines", sampled, m.sampled_lines.clone());
+        metrics
+    }
+}
+
+/// Brings gauges up to date right before they are read, so that nobody pays for them otherwise.
+pub trait Gauges: Send + Sync {
+    /// Sets the gauges that this knows.
+    fn refresh(&self, metrics: &Metrics);
+}
+
 /// All metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -55,14 +143,32 @@
     pub peer_bytes: Counter,
     /// Chunks whose hash did not match.
     pub corrupt_chunks: Counter,
+    /// What only gateways and stagers fill.
+    pub mesh: MeshMetrics,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
+        let registry = Registry::with_prefix(PREFIX);
+        // Other roles do not show what only gateways and stagers fill.
+        Self::new(registry, MeshMetrics::new(&mut Registry::default()))
+    }
+}
+
+impl Metrics {
+    /// Metrics of a gateway or a stager.
+    pub fn for_mesh() -> Self {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let mesh = MeshMetrics::new(&mut registry);
+        Self::new(registry, mesh)
+    }
+
+    fn new(registry: Registry, mesh: MeshMetrics) -> Self {
         // From 1 ms to about 16 s.
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let mut metrics = Self {
-            registry: Registry::with_prefix("balsamjunction"),
+            mesh,
+            registry,
             requests: Family::default(),
             retries: Counter::default(),
             ejections: Counter::default(),
@@ -79,9 +185,7 @@
         metrics.register();
         metrics
     }
-}
 
-impl Metrics {
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests by outcome", self.requests.clone());
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -24,7 +24,7 @@
     error::DaemonError,
     events::{Event, Events},
     mesh::{self, Beliefs},
-    metrics::Metrics,
+    metrics::{Gauges, Metrics},
     process,
     reload::{reload_loop, Seeds, SettingsFile},
 };
@@ -39,8 +39,13 @@
 pub async fn serve(settings: StagerSettings, file: SettingsFile) -> Result<(), DaemonError> {
     let clock = Clock::start();
     let inner = process::listen(settings.mesh.inner_listen)?;
+    let metrics_listener = settings
+        .mesh
+        .metrics_listen
+        .map(process::listen)
+        .transpose()?;
     let events = Arc::new(Events::start(clock));
-    let metrics = Arc::new(Metrics::default());
+    let metrics = Arc::new(Metrics::for_mesh());
     let own = member_record(&settings, clock);
     let beliefs = Arc::new(Beliefs::new(clock, events.clone(), own));
     let holdings = Arc::new(Holdings::default());
@@ -53,13 +58,16 @@
 
     let bulk_rate = (settings.link_bytes_per_s as f64 * BULK_PART) as u64;
     let (news_tx, news_rx) = mpsc::unbounded_channel();
+    let gauges: Arc<dyn Gauges> = beliefs.clone();
     let data = (
         Data::from(beliefs.clone()),
         Data::from(holdings.clone()),
         Data::new(Uploads::new(clock, bulk_rate)),
         Data::new(metrics.clone()),
         Data::new(NewsQueue(news_tx)),
+        Data::from(gauges),
     );
+    let metrics_data = (data.3.clone(), data.5.clone());
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.0.clone())
@@ -67,6 +75,7 @@
             .app_data(data.2.clone())
             .app_data(data.3.clone())
             .app_data(data.4.clone())
+            .app_data(data.5.clone())
             .configure(mesh::http::routes)
             .configure(http::routes)
     })
@@ -75,6 +84,7 @@
     .listen(inner)?
     .run();
     actix_rt::spawn(server);
+    mesh::http::serve_metrics(metrics_listener, metrics_data)?;
 
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -37,6 +37,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub inner: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 /// What a caller got.
@@ -161,12 +162,14 @@
             callers: SocketAddr::new(ip, 8080),
             readiness: SocketAddr::new(ip, 8081),
             inner: SocketAddr::new(ip, 7000),
+            metrics: SocketAddr::new(ip, 9464),
         };
         let settings = json!({
             "host": name, "data_centre": "addis-a", "regions": {"addis-a": "addis"},
             "listen": gateway.callers.to_string(),
             "readiness_listen": gateway.readiness.to_string(),
-            "inner_listen": gateway.inner.to_string(), "store": store.to_string(),
+            "inner_listen": gateway.inner.to_string(),
+            "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
             "seeds": addresses_of(seeds), "revoke_within_ms": 2000, "grace_s": 8,
             "version_within_ms": 3000, "retry_slack": self.retry_slack,
         });
@@ -255,6 +258,19 @@
         got.is_ok_and(|got| got.status().is_success())
     }
 
+    /// The value of a metric without labels, or the sum over its labels.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.metrics);
+        let mut got = client().get(url).send().await.ok()?;
+        let text = String::from_utf8(got.body().await.ok()?.to_vec()).ok()?;
+        let lines = text.lines().filter(|line| !line.starts_with('#'));
+        let values: Vec<f64> = lines
+            .filter(|line| line.split(['{', ' ']).next() == Some(name))
+            .filter_map(|line| line.rsplit(' ').next()?.parse().ok())
+            .collect();
+        (!values.is_empty()).then(|| values.iter().sum())
+    }
+
     pub async fn until_ready(&self) {
         until("a gateway that is ready", async || self.ready().await).await;
     }
--- a/crates/lab/tests/gateway/explained.rs
+++ b/crates/lab/tests/gateway/explained.rs
@@ -3,6 +3,7 @@
 use std::{path::PathBuf, process::Command, time::Duration};
 
 use balsamjunction_lab::standin::published::EngineFault;
+use futures_util::{stream, StreamExt};
 use serde_json::Value;
 
 use crate::common::{engine, plain, until, Site};
@@ -89,3 +90,64 @@
     let cause = cause(&site, "a1").await;
     assert!(cause.contains("may have run at upstream d1"), "{cause}");
 }
+
+#[actix_rt::test]
+async fn metrics_show_facts_members_upstreams_and_how_estimates_hold() {
+    let mut site = Site::start().await;
+    site.engine(engine("e1", 3, 20)).await;
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+    until("the upstream", async || {
+        gateway.metric("balsamjunction_upstreams").await == Some(1.0)
+    })
+    .await;
+
+    gateway.generate("a1").await;
+
+    let metric = async |name: &str| gateway.metric(&format!("balsamjunction_{name}")).await;
+    let age = metric("facts_age_seconds")
+        .await
+        .expect("facts have an age");
+    assert!((0.0..2.0).contains(&age), "{age} s");
+    assert_eq!(metric("first_event_ratio_count").await, Some(1.0));
+    assert_eq!(metric("pause_seconds_count").await, Some(1.0));
+    assert_eq!(metric("requests_total").await, Some(1.0));
+    assert_eq!(metric("dropped_lines_total").await, Some(0.0));
+    // Four fifths of the slack and of what one request earns.
+    assert_eq!(metric("retries_left").await, Some(16.0));
+}
+
+#[actix_rt::test]
+async fn under_load_the_lines_of_calls_that_may_run_once_all_stay() {
+    let mut site = Site::start().await;
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+
+    let calls = (0..900).map(|n| {
+        let gateway = &gateway;
+        async move {
+            // One in ten may run once at most.
+            let (path, id) = match n % 10 {
+                0 => ("/order/new", format!("once{n}")),
+                _ => ("/stock/1", format!("many{n}")),
+            };
+            gateway.call("POST", path, &id).await.status
+        }
+    });
+    let calls = stream::iter(calls).buffer_unordered(30);
+    let statuses: Vec<u16> = calls.collect().await;
+
+    assert!(statuses.iter().all(|status| *status == 503), "no upstream");
+    let sampled = gateway.metric("balsamjunction_sampled_lines_total").await;
+    assert!(sampled > Some(0.0), "nothing was left out");
+    let answered = |prefix: &str| {
+        let lines = site.lines("g1", "answered");
+        let of = lines.iter().filter(|line| {
+            let id = line["id"].as_str().unwrap_or_default();
+            id.starts_with(prefix)
+        });
+        of.count()
+    };
+    until("the lines", async || answered("once") == 90).await;
+    assert!(answered("many") < 810);
+}
--- a/crates/lab/tests/gateway/streams.rs
+++ b/crates/lab/tests/gateway/streams.rs
@@ -139,5 +139,8 @@
     let arrivals: usize = full.iter().map(Engine::arrivals).sum();
     let beyond_first = breaks.arrivals() + arrivals - 8;
     // Eight requests earn 1.6 more.
-    assert!(beyond_first <= 6, "{beyond_first} arrivals beyond the first");
+    assert!(
+        beyond_first <= 6,
+        "{beyond_first} arrivals beyond the first"
+    );
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -121,6 +121,24 @@
     pub old_version_for: Moment,
 }
 
+/// Whether an upstream gets requests, for status pages.
+#[derive(
+    Clone, Copy, Debug, strum::Display, strum::EnumIter, PartialEq, Eq, Hash, PartialOrd, Ord,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum UpstreamCondition {
+    /// It leaves, or its data centre is evacuated.
+    Closed,
+    /// It takes other weights now.
+    Turning,
+    /// It failed repeatedly and is left out for a while.
+    Suspended,
+    /// It was started a short while ago.
+    Cold,
+    /// It gets requests.
+    InUse,
+}
+
 /// A view of an upstream, for senders and for status pages.
 #[derive(Clone, Debug)]
 pub struct UpstreamView {
@@ -270,6 +288,15 @@
         binding.next().map(|(version, _)| *version)
     }
 
+    /// How many upstreams are in each state; one that is in several counts in the first that applies.
+    pub fn census(&self, now: Moment) -> HashMap<UpstreamCondition, usize> {
+        let mut census = HashMap::new();
+        for upstream in self.upstreams.values() {
+            *census.entry(upstream.condition(now)).or_default() += 1;
+        }
+        census
+    }
+
     /// An upstream, unless it is gone.
     pub fn view(&self, key: UpstreamKey) -> Option<UpstreamView> {
         let upstream = self.upstreams.get(key)?;
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -4,7 +4,7 @@
 use balsamjunction_protocol::mesh::EngineStatus;
 use smol_str::SmolStr;
 
-use super::Ending;
+use super::{Ending, UpstreamCondition};
 use crate::{estimate::Occupancy, sliding::SlidingCount, Moment};
 
 /// What others have at an upstream is believed for this long after it was seen. Were it to fade at
@@ -122,6 +122,23 @@
         now < self.suspended_until
     }
 
+    /// What keeps requests from it, if anything does.
+    pub fn condition(&self, now: Moment) -> UpstreamCondition {
+        if !self.open {
+            return UpstreamCondition::Closed;
+        }
+        if self.turning {
+            return UpstreamCondition::Turning;
+        }
+        if self.suspended(now) {
+            return UpstreamCondition::Suspended;
+        }
+        match now < self.cold_until {
+            true => UpstreamCondition::Cold,
+            false => UpstreamCondition::InUse,
+        }
+    }
+
     /// Whether the bound on cold upstreams lets this entry send another request.
     pub fn may_send(&mut self, now: Moment, entries: usize) -> bool {
         if self.cold_per_s <= 0.0 {
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -5,12 +5,12 @@
 use balsamjunction_directory::{Declaration, ProofAge, ReplicaPull, ReplicaUpdate};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use strum::Display;
+use strum::{Display, EnumIter};
 
 use crate::Crash;
 
 /// What a process does.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, EnumIter, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum ProcessRole {
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -33,6 +33,8 @@
     pub data_centre: SmolStr,
     /// Where the system's processes reach this one.
     pub inner_listen: SocketAddr,
+    /// Where metrics are fetched, beside the inner address.
+    pub metrics_listen: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Entries to meet first; some may be gone.
@@ -158,12 +160,14 @@
     let host = fields.required_text("host");
     let data_centre = fields.required_text("data_centre");
     let inner_listen = fields.required_address("inner_listen");
+    let metrics_listen = fields.address("metrics_listen");
     let store = fields.required_address("store");
     let seeds = fields.addresses("seeds", faults);
     Some(MeshSettings {
         host,
         data_centre,
         inner_listen: inner_listen?,
+        metrics_listen,
         store: store?,
         seeds,
     })
