A newest version whose manifest is slow is waited for before an older one is fetched

Versions 2 and 3 were named within a second when the store came back; the busy origin took longer than 0.3 s for the manifest of 3, so a part of the 76 hosts went back to 2, both parts lacked owners, the origin sent 5.3 copies, and version 3 was complete at 40 s. Change: 1.5 s without a manifest, not twenty questions, before a version is left alone. Test: a_version_whose_manifest_takes_a_second_is_waited_for.

--- a/crates/daemon/src/stager/reach.rs
+++ b/crates/daemon/src/stager/reach.rs
@@ -20,8 +20,6 @@
 const IDLE: Duration = Duration::from_millis(50);
 /// Pause after a step failed.
 const RETRY: Duration = Duration::from_millis(200);
-/// Questions for a manifest after which another version goes first, if one is wanted, too.
-const QUESTIONS_UNTIL_STALLED: u32 = 20;
 /// Pause between questions for a manifest. It passes through two or three hosts, and nothing can be
 /// fetched before it is there.
 const MANIFEST_RETRY: Duration = Duration::from_millis(15);
@@ -47,9 +45,7 @@
         let questions = asked.entry(id.clone()).or_default();
         *questions += 1;
         let Some(manifest) = fetch::find_manifest(&stager, &id, *questions - 1).await else {
-            if *questions > QUESTIONS_UNTIL_STALLED {
-                queue.stalled(stager.now(), &id);
-            }
+            queue.manifest_missing(stager.now(), &id);
             actix_rt::time::sleep(MANIFEST_RETRY).await;
             continue;
         };
--- a/crates/policy/src/version_queue.rs
+++ b/crates/policy/src/version_queue.rs
@@ -6,6 +6,9 @@
 
 /// A version of which nothing came is left alone for this long if another one is wanted, too.
 const LEAVE_STALLED: Moment = Moment::from_secs(2);
+/// A version whose manifest has not come for this long is left alone. A busy origin may take a second
+/// for it, and a fleet of which a part went back to the older version lacks owners in both.
+const MANIFEST_PATIENCE: Moment = Moment::from_millis(1_500);
 /// Part of its chunks from which on a version is finished before a newer one is begun. There is time
 /// for both one after the other, and the newer one may not come at all.
 const FINISH_FROM: f64 = 0.2;
@@ -17,12 +20,14 @@
 #[derive(Clone, Debug)]
 pub struct VersionQueue<V> {
     stalled: HashMap<V, Moment>,
+    without_manifest: HashMap<V, Moment>,
 }
 
 impl<V> Default for VersionQueue<V> {
     fn default() -> Self {
         Self {
             stalled: HashMap::new(),
+            without_manifest: HashMap::new(),
         }
     }
 }
@@ -33,6 +38,15 @@
         self.stalled.insert(version.clone(), now + LEAVE_STALLED);
     }
 
+    /// Notes that the manifest of a version was asked for and did not come.
+    pub fn manifest_missing(&mut self, now: Moment, version: &V) {
+        let since = *self.without_manifest.entry(version.clone()).or_insert(now);
+        if now.saturating_sub(since) > MANIFEST_PATIENCE {
+            self.without_manifest.remove(version);
+            self.stalled(now, version);
+        }
+    }
+
     fn left_alone(&self, now: Moment, version: &V) -> bool {
         self.stalled.get(version).is_some_and(|until| now < *until)
     }
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -32,6 +32,29 @@
     assert_eq!(queue.next(at(2_100), &[3, 2]), Some(&3));
 }
 
+#[test]
+fn a_version_whose_manifest_takes_a_second_is_waited_for() {
+    let mut queue = VersionQueue::default();
+
+    for ms in (100..1_100).step_by(15) {
+        queue.manifest_missing(at(ms), &3);
+    }
+
+    assert_eq!(queue.next(at(1_100), &[3, 2]), Some(&3));
+}
+
+#[test]
+fn a_version_whose_manifest_does_not_come_is_left_alone_for_a_while() {
+    let mut queue = VersionQueue::default();
+
+    for ms in (100..1_700).step_by(15) {
+        queue.manifest_missing(at(ms), &3);
+    }
+
+    assert_eq!(queue.next(at(1_700), &[3, 2]), Some(&2));
+    assert_eq!(queue.next(at(3_700), &[3, 2]), Some(&3));
+}
+
 /// A fetch that gives way at once to a version that is left alone would begin again at once, for
 /// ever, and nothing else of its process would run.
 #[test]
