Engines that have started again get nothing until the list says so

Change: a sidecar's word that its engine started later than the list says closes the entry. What sidecars say is looked up by address instead of searched for each upstream. Test: an_engine_that_has_started_again_gets_nothing_until_the_list_says_so.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -7,7 +7,7 @@
 mod pool;
 mod upstream;
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
 use balsamjunction_protocol::mesh::EngineStatus;
@@ -207,6 +207,8 @@
         let Some(table) = &directory.table else {
             return;
         };
+        let told: HashMap<SocketAddr, &EngineStatus> =
+            engines.iter().map(|s| (s.address, s)).collect();
         let mut found = HashMap::new();
         let mut members: HashMap<SmolStr, Vec<UpstreamKey>> = HashMap::new();
         for (record, learned) in &directory.upstreams {
@@ -216,13 +218,14 @@
             let id = (record.id.clone(), record.born_ms);
             let key = self.by_id.get(&id).copied();
             let key = key.unwrap_or_else(|| self.upstreams.insert(Upstream::new(record.clone())));
-            let status = engines
-                .iter()
-                .find(|s| s.address == record.address && s.born_ms == record.born_ms);
+            let told = told.get(&record.address);
+            let status = told.filter(|s| s.born_ms == record.born_ms).copied();
+            // The engine has started again, and the list does not say so yet. Its id is another one now.
+            let replaced = told.is_some_and(|s| s.born_ms > record.born_ms);
             let evacuated = directory.evacuated.contains(&record.data_centre);
             if let Some(upstream) = self.upstreams.get_mut(key) {
                 upstream.update(record, *learned, service, status);
-                upstream.open = record.state == UpstreamState::Ready && !evacuated;
+                upstream.open = record.state == UpstreamState::Ready && !evacuated && !replaced;
             }
             found.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -431,6 +431,39 @@
         assert!(world.sent(at(10), order(at(10))).is_some());
     }
 
+    #[test]
+    fn an_engine_that_has_started_again_gets_nothing_until_the_list_says_so() {
+        let mut world = World::new();
+        let old = engine("old", "addis-a");
+        world.put(at(0), old.clone());
+        let status = EngineStatus {
+            address: old.address,
+            service: old.service.clone(),
+            born_ms: 2,
+            serving: Some((MODEL.into(), 1)),
+            turning: false,
+            pace_percent: 100,
+        };
+
+        world.configure(at(1), std::slice::from_ref(&status), 1);
+        let before = world.offer(at(2), generation(at(2)));
+        let again = UpstreamRecord {
+            id: "new".into(),
+            born_ms: 2,
+            ..old.clone()
+        };
+        world.put(at(3), again);
+        world.change(at(3), Subject::Upstream(old.id), None);
+        world.configure(at(3), &[status], 1);
+        let after = world.sent_to(at(4), generation(at(4)));
+
+        assert!(matches!(
+            before,
+            Verdict::Refuse(refused) if refused.reason == RefusalReason::NoUpstream
+        ));
+        assert_eq!(after.as_deref(), Some("new"));
+    }
+
     #[test]
     fn a_slow_engine_gets_less_by_its_own_report() {
         let mut world = World::new();
