A gateway that has started again leaves the slack of retries alone for one window

All gateways lost power in mid-window; each came back without the count of what it had spent and, seeing only itself, with the whole slack of 132 instead of a fourteenth. Change: after a start that is not the system's first, retries come from own requests alone until a window has passed. Test: entries_that_all_start_again_do_not_spend_the_slack_a_second_time.

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -58,6 +58,7 @@
     dispatch: Mutex<Dispatch>,
     allowances: Mutex<HashMap<SmolStr, RetryAllowance>>,
     retry_bound: RetryBound,
+    slack_from: Moment,
     wake: Notify,
 }
 
@@ -75,6 +76,10 @@
         dispatcher: Dispatcher,
         retry_bound: RetryBound,
     ) -> Self {
+        let slack_from = match settings.first_start {
+            true => Moment::ZERO,
+            false => beliefs.clock.now() + retry_bound.window,
+        };
         Self {
             host: settings.mesh.host.clone(),
             beliefs,
@@ -89,6 +94,7 @@
             }),
             allowances: Mutex::default(),
             retry_bound,
+            slack_from,
             wake: Notify::new(),
         }
     }
@@ -186,7 +192,7 @@
         let mut allowances = lock(&self.allowances);
         allowances
             .entry(service.clone())
-            .or_insert_with(|| RetryAllowance::new(self.retry_bound))
+            .or_insert_with(|| RetryAllowance::new(self.retry_bound, self.slack_from))
             .request(now);
     }
 
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -171,7 +171,7 @@
             "inner_listen": gateway.inner.to_string(),
             "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
             "seeds": addresses_of(seeds), "revoke_within_ms": 2000, "grace_s": 8,
-            "version_within_ms": 3000, "retry_slack": self.retry_slack,
+            "version_within_ms": 3000, "retry_slack": self.retry_slack, "first_start": true,
         });
         self.launch(name, "gateway", &settings);
         gateway
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -23,15 +23,20 @@
 #[derive(Clone, Debug)]
 pub struct RetryAllowance {
     bound: RetryBound,
+    slack_from: Moment,
     requests: SlidingCount,
     retries: SlidingCount,
 }
 
 impl RetryAllowance {
-    /// A share of `bound`.
-    pub fn new(bound: RetryBound) -> Self {
+    /// A share of `bound`, of whose slack nothing is used before `slack_from`.
+    ///
+    /// A process that has started again does not know what the one before it spent in the window, nor at
+    /// first with how many others it shares the slack.
+    pub fn new(bound: RetryBound, slack_from: Moment) -> Self {
         Self {
             bound,
+            slack_from,
             requests: SlidingCount::new(bound.window),
             retries: SlidingCount::new(bound.window),
         }
@@ -45,7 +50,10 @@
     /// Retries that are left, with `entries` to share the slack.
     pub fn left(&mut self, now: Moment, entries: usize) -> usize {
         let earned = self.bound.ratio * self.requests.count(now) as f64;
-        let slack = self.bound.slack / entries.max(1) as f64;
+        let slack = match now < self.slack_from {
+            true => 0.0,
+            false => self.bound.slack / entries.max(1) as f64,
+        };
         let bound = (USED_PART * (earned + slack)) as usize;
         bound.saturating_sub(self.retries.count(now))
     }
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -131,6 +131,38 @@
     assert_eq!(view.live(at(101), ProcessRole::Entry).count(), 1);
 }
 
+#[test]
+fn entries_that_all_start_again_do_not_spend_the_slack_a_second_time() {
+    let bound = RetryBound {
+        window: at(10_000),
+        ratio: 0.2,
+        slack: 132.0,
+    };
+    let spend_all = |shares: &mut Vec<RetryAllowance>, now: Moment, entries: usize| {
+        let mut spent = 0;
+        for share in shares {
+            while share.spend(now, entries) {
+                spent += 1;
+            }
+        }
+        spent
+    };
+    let mut shares: Vec<_> = (0..14).map(|_| RetryAllowance::new(bound, at(0))).collect();
+
+    let before = spend_all(&mut shares, at(20_000), 14);
+    let restarted = at(24_000);
+    let mut shares: Vec<_> = (0..14)
+        .map(|_| RetryAllowance::new(bound, restarted + bound.window))
+        .collect();
+    // Each sees only itself at first.
+    let after = spend_all(&mut shares, restarted, 1);
+    let later = spend_all(&mut shares, restarted + bound.window, 14);
+
+    assert!(before > 0);
+    assert!(before + after <= 132, "{before} and {after}");
+    assert!(later > 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 64,
@@ -145,7 +177,7 @@
         events in prop::collection::vec((0usize..4, any::<bool>(), 0u64..40), 1..600)
     ) {
         let bound = RetryBound { window: at(10_000), ratio: 0.2, slack: 20.0 };
-        let mut shares: Vec<_> = (0..4).map(|_| RetryAllowance::new(bound)).collect();
+        let mut shares: Vec<_> = (0..4).map(|_| RetryAllowance::new(bound, at(0))).collect();
         let mut requests = SlidingCount::new(bound.window);
         let mut retries = SlidingCount::new(bound.window);
         let mut now = at(0);
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -55,6 +55,9 @@
     /// Time after which a key that was taken away must not work any more, if that is to hold also
     /// while this process is cut off.
     pub revoke_within: Option<Duration>,
+    /// Whether the whole system starts for the first time, so that no process before this one has used
+    /// up anything of a common bound.
+    pub first_start: bool,
     /// Time that a stop may take.
     pub grace: Duration,
     /// Retries to a service for each of its requests in a window.
@@ -118,6 +121,7 @@
             readiness_listen: readiness_listen?,
             regions,
             revoke_within: strict.then_some(revoke),
+            first_start: fields.boolean("first_start").unwrap_or(false),
             grace: seconds(fields, "grace_s", 8.0),
             retry_ratio: fields
                 .decimal("retry_ratio", (0, 10), "per request")
