--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -103,6 +103,12 @@
             )
         }
         "overload" => "Every upstream was too busy to begin it in its wanted time; it has not run.".to_owned(),
+        "turned-away" | "no-upstream" if sends > 0 => {
+            let failed = last("attempt-failed").map_or("", |step| text(step, "detail"));
+            format!(
+                "All {sends} upstreams that were asked turned it away, at last {upstream} ({failed}); it has not run."
+            )
+        }
         "no-upstream" => "No upstream of its service was left that may serve it; it has not run.".to_owned(),
         "out-of-time" => format!("Its time was over before upstream {upstream} answered; it may have run."),
         "stale-facts" => format!(
--- a/crates/lab/tests/gateway/explained.rs
+++ b/crates/lab/tests/gateway/explained.rs
@@ -91,6 +91,26 @@
     assert!(cause.contains("may have run at upstream d1"), "{cause}");
 }
 
+#[actix_rt::test]
+async fn a_request_that_every_upstream_turned_away_is_traced_to_them() {
+    let mut site = Site::start().await;
+    for id in ["d1", "d2"] {
+        let full = site.engine(plain(id)).await;
+        full.fail(EngineFault::Full);
+    }
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+
+    let got = gateway.call("POST", "/stock/1", "a1").await;
+
+    assert_eq!(got.status, 503);
+    let cause = cause(&site, "a1").await;
+    assert!(
+        cause.contains("All 2 upstreams") && cause.contains("has not run"),
+        "{cause}"
+    );
+}
+
 #[actix_rt::test]
 async fn metrics_show_facts_members_upstreams_and_how_estimates_hold() {
     let mut site = Site::start().await;
