Clocks start above zero, so that what is older than a process is not taken for fresh

Cause: ages that reach back before the start of a process were cut off at zero. A gateway that learned facts 2.5 s old in its first moments took them for as old as itself and admitted keys (revocation hole; seen by reading, shown by the test). Change: a process's clock shows an hour at its start. What took zero for the start now asks the clock. Test: facts_that_were_old_when_a_process_started_admit_no_key (200 before, 503 now).

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -8,7 +8,12 @@
     time::{clock_gettime, ClockId},
 };
 
-/// Gives the time since the process started, which never goes back.
+/// What the clock shows when the process starts. What a process learns then may be older than itself:
+/// a proof, a version that has long been wanted. Times before the start must be told apart, so they
+/// have to be above zero.
+const AT_START: Duration = Duration::from_secs(3_600);
+
+/// Gives a time that never goes back.
 ///
 /// Time for which the host is suspended counts, since beliefs age in it.
 #[derive(Clone, Copy, Debug)]
@@ -26,7 +31,7 @@
 }
 
 impl Clock {
-    /// Starts at zero.
+    /// Starts at an hour.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
@@ -35,8 +40,12 @@
         }
     }
 
-    /// Time since the start.
+    /// The time.
     pub fn now(&self) -> Moment {
+        AT_START + self.since_start()
+    }
+
+    fn since_start(&self) -> Duration {
         since_boot().saturating_sub(self.started)
     }
 
@@ -52,6 +61,6 @@
 
     /// Milliseconds since the Unix epoch.
     pub fn unix_ms(&self) -> u64 {
-        (self.started_unix + self.now()).as_millis() as u64
+        (self.started_unix + self.since_start()).as_millis() as u64
     }
 }
--- a/crates/daemon/src/sidecar/context.rs
+++ b/crates/daemon/src/sidecar/context.rs
@@ -100,7 +100,7 @@
         let once = OnceConfig {
             repeat_window: Moment::from_millis(ValueKey::RepeatWindowMs.built_in()),
             started_ms: clock.started_ms(),
-            started: Moment::ZERO,
+            started: clock.now(),
         };
         Self {
             gate: Arc::new(Gatekeeper::new(clock, config, settings.gate)),
@@ -114,7 +114,7 @@
             owners: Mutex::default(),
             post: Mutex::default(),
             versions: Mutex::default(),
-            last_turn_us: AtomicU64::new(0),
+            last_turn_us: AtomicU64::new(clock.now().as_micros() as u64),
             stale: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
         }
--- a/crates/lab/tests/gateway/lifecycle.rs
+++ b/crates/lab/tests/gateway/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, time::Duration};
 
+use balsamjunction_lab::standin::published::StoreFault;
 use nix::sys::signal::Signal;
 
 use crate::common::{engine, event_ids, plain, until, Site};
@@ -82,3 +83,28 @@
         None
     );
 }
+
+#[actix_rt::test]
+async fn facts_that_were_old_when_a_process_started_admit_no_key() {
+    let mut site = Site::start().await;
+    site.engine(plain("d1")).await;
+    let first = site.gateway("g1", &[]);
+    first.until_ready().await;
+    until("a call that is served", async || {
+        first.call("POST", "/stock/1", "a0").await.status == 200
+    })
+    .await;
+    site.store.fail(StoreFault::Down);
+    // Longer than a key that was taken away may work.
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+
+    let second = site.gateway("g2", &[first]);
+    until("facts from the other gateway", async || {
+        !site.lines("g2", "belief").is_empty()
+    })
+    .await;
+
+    let got = second.call("POST", "/stock/1", "a1").await;
+    assert_eq!(got.status, 503, "{:?}", got.body);
+    assert!(!second.ready().await);
+}
