A randomized soak of gateways and stagers with an oracle outside

Troubles that overlap: kills, stops, pauses and reloads of gateways, kills and pauses of stagers, sick upstreams, links that delay, swallow one way, fall silent or reset, upstreams that leave, the store down or deaf, new versions and configurations, keys taken away. The judge reads what callers got and what upstreams saw: doubled runs, false 'not run', answers that only look whole, keys that work too long, unchecked weights; and that everything recovers.

--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -68,6 +68,8 @@
     pub target: String,
     /// The body.
     pub body: Bytes,
+    /// When it came.
+    pub came: Instant,
     /// Whether the whole answer was taken.
     pub finished: bool,
 }
@@ -310,6 +312,7 @@
         headers,
         target,
         body: buf.to_bytes(),
+        came: Instant::now(),
         finished: false,
     });
     Ok(state.runs.len() - 1)
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -26,6 +26,8 @@
     pub processes: Processes,
     /// The bound on retries beside those that requests earn.
     pub retry_slack: f64,
+    /// Time after which a process that has ended is started again, if it is.
+    pub restart_after: Option<Duration>,
     addresses: Addresses,
     dir: PathBuf,
     config: Value,
@@ -122,6 +124,7 @@
             store: Store::start().await.expect("the store starts"),
             processes: Processes::new(dir.clone()),
             retry_slack: 20.0,
+            restart_after: None,
             config: config(origin.address),
             origin,
             addresses,
@@ -199,7 +202,10 @@
         let path = self.settings_path(name);
         fs::write(&path, settings.to_string()).expect("settings can be written");
         let launch = Launch::daemon(name).expect("the daemon is built");
-        let launch = launch.arg(role).option("--settings", path.display());
+        let mut launch = launch.arg(role).option("--settings", path.display());
+        if let Some(pause) = self.restart_after {
+            launch = launch.restart_after(pause);
+        }
         self.processes.start(launch).expect("the daemon starts");
     }
 
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -4,5 +4,6 @@
 mod explained;
 mod lifecycle;
 mod requests;
+mod soak;
 mod streams;
 mod weights;
