Chunks of the origin come one after the other, busy senders say so, and of two holders the idler is asked

The origin served up to 64 draws at once, so that hardly a chunk was whole before 1.9 s; then hosts queued up to 40 deep at the few senders that had last said to be idle. Change: draws are spaced by the rate that the origin declares; a sender keeps six waiting and tells others to come back; of two holders at random the less busy one is asked, and its count tells those that wait.

--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -37,6 +37,9 @@
 /// A fetch to which nothing was added for this long lacks chunks that nobody sends now.
 const STALL: Duration = Duration::from_millis(1_500);
 
+/// A peer answers with this status if it keeps enough others waiting.
+const BUSY: u16 = 503;
+
 enum Outcome {
     Chunk {
         chunk: usize,
@@ -146,7 +149,8 @@
         distribution,
         participants(stager),
         Pcg64Mcg::from_rng(&mut rand::rng()),
-    );
+    )
+    .with_origin_rate(manifest.chunk_bytes as usize, stager.origin_kbit_s());
     let held = stager.holdings.map(id);
     for chunk in (0..chunks).filter(|chunk| held.has(*chunk)) {
         plan.arrived(stager.now(), chunk, &Source::Origin);
@@ -232,7 +236,11 @@
                 }
                 Err(e) => {
                     debug!("chunk {chunk} of {id:?} did not come: {e}");
-                    plan.failed(now, chunk, &source, FetchFailure::Unavailable);
+                    let failure = match e {
+                        PlatformError::Status { status: BUSY } => FetchFailure::Busy,
+                        _ => FetchFailure::Unavailable,
+                    };
+                    plan.failed(now, chunk, &source, failure);
                 }
             }
         }
--- a/crates/daemon/src/stager/http.rs
+++ b/crates/daemon/src/stager/http.rs
@@ -1,6 +1,9 @@
 //! Hands chunks on to other hosts.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    atomic::{AtomicUsize, Ordering},
+    Arc, Mutex,
+};
 
 use actix_web::{
     body::SizedStream,
@@ -24,6 +27,9 @@
 
 /// Chunks that are sent at once; more would only delay each of them, and live answers with them.
 const MAX_UPLOADS: usize = 2;
+/// Requests for chunks that wait for their turn. More would wait for over a quarter of a second each at
+/// 39 ms a chunk, while others hold the chunk by then.
+const MAX_WAITING: usize = 6;
 /// A chunk goes out in pieces of this length, so that live answers fit in between.
 const PIECE_BYTES: usize = 8 * 1024;
 /// Tells with each chunk which others the sender holds, so that the receiver need not ask.
@@ -32,6 +38,7 @@
 /// Chunks that are being sent, and the rate at which they are.
 pub struct Uploads {
     permits: Arc<Semaphore>,
+    waiting: Arc<AtomicUsize>,
     pacer: Arc<Mutex<Pacer>>,
     clock: Clock,
 }
@@ -41,15 +48,32 @@
     pub fn new(clock: Clock, rate: u64) -> Self {
         Self {
             permits: Arc::new(Semaphore::new(MAX_UPLOADS)),
+            waiting: Arc::default(),
             pacer: Arc::new(Mutex::new(Pacer::new(clock.now(), rate))),
             clock,
         }
     }
 
+    /// Chunks that are sent or wait to be sent.
+    fn count(&self) -> usize {
+        MAX_UPLOADS - self.permits.available_permits() + self.waiting.load(Ordering::Acquire)
+    }
+
+    /// A place among the chunks that are sent; nothing if too many wait for one.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        let permits = self.permits.clone();
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let _waiting = Waiting::start(&self.waiting)?;
+        // The semaphore is never closed, so a permit always comes.
+        permits.acquire_owned().await.ok()
+    }
+
     /// The bytes of a chunk at the rate that is left for it.
     fn paced(
         &self,
-        permit: Option<OwnedSemaphorePermit>,
+        permit: OwnedSemaphorePermit,
         buf: Bytes,
     ) -> impl Stream<Item = Result<Bytes, PayloadError>> + Unpin {
         let state = (permit, self.pacer.clone(), self.clock, buf);
@@ -68,6 +92,23 @@
     }
 }
 
+/// Counts as one that waits until it is dropped, also if its caller leaves.
+struct Waiting(Arc<AtomicUsize>);
+
+impl Waiting {
+    fn start(count: &Arc<AtomicUsize>) -> Option<Self> {
+        let more = |waiting: usize| (waiting < MAX_WAITING).then_some(waiting + 1);
+        let begun = count.fetch_update(Ordering::AcqRel, Ordering::Acquire, more);
+        begun.ok().map(|_| Self(count.clone()))
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Where news of versions go that entries push.
 pub struct NewsQueue(pub mpsc::UnboundedSender<WeightsNews>);
 
@@ -87,7 +128,7 @@
         map: holdings.map(id),
         drawing: holdings.drawing(id),
         serving: false,
-        uploads: (MAX_UPLOADS - uploads.permits.available_permits()) as u32,
+        uploads: uploads.count() as u32,
     }
 }
 
@@ -130,8 +171,9 @@
     let Some(buf) = holdings.get(&id, chunk) else {
         return HttpResponse::NotFound().finish();
     };
-    // The semaphore is never closed, so a permit always comes.
-    let permit = uploads.permits.clone().acquire_owned().await.ok();
+    let Some(permit) = uploads.place().await else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
     let held = what_is_held(&holdings, &uploads, &id);
     let mut response = HttpResponse::Ok();
     if let Ok(held) = header::to_header(&held) {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -189,6 +189,12 @@
         Some(WeightOrigin::new(self.client.clone(), address))
     }
 
+    /// What the origin's link carries, in kilobits a second; zero if that is not known.
+    pub fn origin_kbit_s(&self) -> u32 {
+        let news = self.news.borrow();
+        news.as_ref().map_or(0, |(news, _)| news.origin_kbit_s)
+    }
+
     /// Stagers of the same service that are up, this one included, in a fixed order.
     pub fn fellows(&self) -> Vec<MemberDocument> {
         let mut fellows: Vec<MemberDocument> = self.beliefs.members(|members, now| {
--- a/crates/directory/src/declaration.rs
+++ b/crates/directory/src/declaration.rs
@@ -152,6 +152,9 @@
     pub address: SmolStr,
     /// Connections that it accepts from all callers together.
     pub max_connections: u32,
+    /// What its link carries, in kilobits a second; zero if that is not declared.
+    #[serde(default)]
+    pub link_kbit_s: u32,
 }
 
 /// Who may call.
--- a/crates/policy/src/fetch/holders.rs
+++ b/crates/policy/src/fetch/holders.rs
@@ -4,12 +4,15 @@
 use smol_str::SmolStr;
 
 use super::{
-    Distribution, FetchPlan, Source, DRAWING_PATIENCE, HEDGE_AFTER, ORIGIN_SPACING,
-    OWNER_NEWS_LIFE, OWNER_PATIENCE, PARALLEL_DIRECT, PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE,
-    SURVEY_LIMIT,
+    Distribution, FetchPlan, Source, DRAWING_PATIENCE, HEDGE_AFTER, OWNER_NEWS_LIFE,
+    OWNER_PATIENCE, PARALLEL_DIRECT, PARALLEL_FROM_ORIGIN, PARALLEL_PER_SOURCE, SURVEY_LIMIT,
 };
 use crate::{rendezvous, Moment};
 
+/// Holders drawn at random of which the least busy one is asked. With all holders to choose from, every
+/// host would run to the one that last said that it was idle.
+const CHOICES: usize = 2;
+
 impl FetchPlan {
     /// From whom this host may fetch a chunk now; `luck` decides between even holders.
     pub(super) fn source_of(
@@ -32,7 +35,7 @@
         }
         if self.owners.fleet[chunk] == self.host {
             let holder = || self.any_holder(now, chunk, luck);
-            if now < self.started + ORIGIN_SPACING * chunk as u32 {
+            if now < self.started + self.origin_spacing * chunk as u32 {
                 return holder();
             }
             return self.origin(now).or_else(holder);
@@ -171,7 +174,7 @@
         self.peers.contains_key(host)
             && view.held.has(chunk)
             && view.fetching < PARALLEL_PER_SOURCE
-            && now >= view.avoid_until
+            && now >= view.avoid_until.max(view.busy_until)
     }
 
     /// Whether the plan's holder had its chance: it failed, or nothing came for a while.
@@ -211,12 +214,19 @@
         luck: u64,
     ) -> Option<Source> {
         let holders = hosts.filter(|host| self.can_send(now, host, chunk));
-        let best = holders.min_by_key(|host| {
-            let view = self.views.get(*host);
-            let busy = view.map_or(0, |view| view.uploads as usize + 2 * view.fetching);
-            (busy, rendezvous::weight(&luck.to_le_bytes(), host))
-        });
-        self.peer(best?)
+        let mut drawn: Vec<(u64, &SmolStr)> = holders
+            .map(|host| (rendezvous::weight(&luck.to_le_bytes(), host), host))
+            .collect();
+        drawn.sort_unstable();
+        let best = drawn
+            .into_iter()
+            .take(CHOICES)
+            .min_by_key(|(weight, host)| {
+                let view = self.views.get(*host);
+                let busy = view.map_or(0, |view| view.uploads as usize + 2 * view.fetching);
+                (busy, *weight)
+            });
+        self.peer(best?.1)
     }
 
     /// The origin, if this host is the first rank that is left to draw the chunk.
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -22,14 +22,19 @@
 use crate::Moment;
 
 /// Chunks that one host fetches from peers at once.
-const PARALLEL_FROM_PEERS: usize = 10;
+const PARALLEL_FROM_PEERS: usize = 8;
 /// Chunks that one host fetches from the origin at once. All hosts share the origin's link, so more
 /// would only delay the first whole chunk, and with it everybody who waits for it.
 const PARALLEL_FROM_ORIGIN: usize = 1;
-/// Owners of a chunk begin to draw it this long after the owner of the one before. The origin takes
-/// few connections, and a whole chunk early is worth more to all than many halves. 32 KiB take 26 ms
-/// on a link of 10 Mbit/s, so 64 owners never hold more than 40 connections.
-const ORIGIN_SPACING: Moment = Moment::from_millis(11);
+/// Owners of a chunk begin to draw it this long after the owner of the one before, if the origin's rate is
+/// not known. The origin takes few connections; with 32 KiB in 26 ms on a link of 10 Mbit/s, 64 owners
+/// never hold more than 40.
+const USUAL_ORIGIN_SPACING: Moment = Moment::from_millis(11);
+/// Part of the time that the origin needs for a chunk after which the next one is begun, so that its link
+/// is never idle and chunks still come one after the other instead of all at the end.
+const ORIGIN_SPACING_PART: f64 = 0.9;
+/// The longest time between two chunks of the origin that makes sense.
+const MOST_ORIGIN_SPACING: Moment = Moment::from_millis(200);
 /// Chunks that one host fetches at once if all come from the origin.
 const PARALLEL_DIRECT: usize = 4;
 /// Chunks that one host fetches at once from one peer.
@@ -42,6 +47,9 @@
 const SURVEY_LIMIT: Moment = Moment::from_millis(250);
 /// Time for which a source that failed is passed over.
 const AVOID_FAILED: Moment = Moment::from_secs(2);
+/// Mean time for which a busy source is not asked, spread by half. It sends a chunk of 32 KiB in 39 ms at
+/// nine tenths of a link of 7.6 Mbit/s.
+const AVOID_BUSY: Moment = Moment::from_millis(60);
 /// Time for which a source that sent a corrupt chunk is passed over.
 const AVOID_CORRUPT: Moment = Moment::from_secs(60);
 /// Time after which a chunk that nobody is known to hold is drawn by another host than its owner. The
@@ -107,6 +115,8 @@
     Unavailable,
     /// The chunk does not have its hash.
     Corrupt,
+    /// The source sends to as many others as it may keep waiting.
+    Busy,
 }
 
 /// Who takes part in a burst.
@@ -130,6 +140,7 @@
     asking: bool,
     fetching: usize,
     avoid_until: Moment,
+    busy_until: Moment,
 }
 
 /// The fetch plan of one version on one host.
@@ -149,6 +160,7 @@
     from_origin: usize,
     probes: usize,
     origin_avoid_until: Moment,
+    origin_spacing: Moment,
     started: Moment,
     last_progress: Moment,
     rng: Pcg64Mcg,
@@ -181,6 +193,7 @@
             from_origin: 0,
             probes: 0,
             origin_avoid_until: Moment::ZERO,
+            origin_spacing: USUAL_ORIGIN_SPACING,
             started: now,
             last_progress: now,
             rng,
@@ -189,6 +202,17 @@
         plan
     }
 
+    /// Spaces draws from the origin by the time that it takes for a chunk of `chunk_bytes` bytes on a
+    /// link of `kbit_s` kilobits a second; zero if that is not known.
+    pub fn with_origin_rate(mut self, chunk_bytes: usize, kbit_s: u32) -> Self {
+        if kbit_s > 0 {
+            let seconds = chunk_bytes as f64 * 8.0 / 1e3 / f64::from(kbit_s);
+            let spacing = Moment::from_secs_f64(seconds * ORIGIN_SPACING_PART);
+            self.origin_spacing = spacing.min(MOST_ORIGIN_SPACING);
+        }
+        self
+    }
+
     /// The version that is fetched.
     pub fn version(&self) -> &SmolStr {
         &self.version
@@ -406,6 +430,7 @@
         let avoid = match failure {
             FetchFailure::Unavailable => AVOID_FAILED,
             FetchFailure::Corrupt => AVOID_CORRUPT,
+            FetchFailure::Busy => AVOID_BUSY.mul_f64(self.rng.random_range(0.5..1.5)),
         };
         match source {
             Source::Origin => {
@@ -415,7 +440,12 @@
             }
             Source::Peer { host, .. } => {
                 let view = self.views.entry(host.clone()).or_default();
-                view.avoid_until = now + avoid;
+                match failure {
+                    FetchFailure::Busy => view.busy_until = now + avoid,
+                    FetchFailure::Unavailable | FetchFailure::Corrupt => {
+                        view.avoid_until = now + avoid;
+                    }
+                }
             }
         }
     }
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -113,6 +113,9 @@
     pub wanted: Vec<(SmolStr, u64)>,
     /// The origin of weights.
     pub origin: Option<SmolStr>,
+    /// What the origin's link carries, in kilobits a second; zero if that is not known.
+    #[serde(default)]
+    pub origin_kbit_s: u32,
     /// The model of each service of engines.
     pub models: Vec<(SmolStr, SmolStr)>,
 }
@@ -125,7 +128,10 @@
             let named = served.map(|m| (service.name.clone(), m.name.clone()));
             self.models.extend(named);
         }
-        self.origin = declaration.origin().map(|origin| origin.address.clone());
+        if let Some(origin) = declaration.origin() {
+            self.origin = Some(origin.address.clone());
+            self.origin_kbit_s = origin.link_kbit_s;
+        }
     }
 }
 
