--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -42,14 +42,14 @@
 /// How long an answer about held chunks is used before the peer is asked again.
 const PROBE_INTERVAL: Moment = Moment::from_millis(100);
 /// Probes that run at once.
-const MAX_PROBES: usize = 4;
+const MAX_PROBES: usize = 8;
 /// A peer nearby that has not said by then what it holds is not waited for.
 const SURVEY_LIMIT: Moment = Moment::from_millis(250);
 /// Time for which a source that failed is passed over.
 const AVOID_FAILED: Moment = Moment::from_secs(2);
 /// Mean time for which a busy source is not asked, spread by half. It sends a chunk of 32 KiB in 39 ms at
 /// nine tenths of a link of 7.6 Mbit/s.
-const AVOID_BUSY: Moment = Moment::from_millis(60);
+const AVOID_BUSY: Moment = Moment::from_millis(100);
 /// Time for which a source that sent a corrupt chunk is passed over.
 const AVOID_CORRUPT: Moment = Moment::from_secs(60);
 /// Time after which a chunk that nobody is known to hold is drawn by another host than its owner. The
@@ -370,6 +370,8 @@
         if stalled || self.hedging(now) {
             wanted.extend(self.peers.keys().cloned());
         }
+        // Sorted first, so that a seed decides alone.
+        wanted.sort_unstable();
         wanted.shuffle(&mut self.rng);
         for host in wanted {
             if self.probes >= MAX_PROBES {
