Entries that do not read for all call a store that is down less often; one answer makes an entry a reader again

Change: 1 s between failed calls of those that do not read for all; an answer ends the time for which an entry does not offer to read.

--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -37,6 +37,9 @@
 const GATHER: Duration = Duration::from_millis(60);
 /// Mean pause after a failed call, spread by half to both sides.
 const BACKOFF: Duration = Duration::from_millis(250);
+/// The same of an entry that does not read for all: while the store is down for everybody, each of many
+/// entries would otherwise call it several times a second.
+const PATIENT_BACKOFF: Duration = Duration::from_millis(1_000);
 
 /// Waits for `mean`, spread by half to both sides, so that processes do not act in step.
 async fn pause(mean: Duration) {
@@ -106,6 +109,16 @@
         self.beliefs.age().is_none_or(|age| age >= bound)
     }
 
+    /// Waits after a failed call.
+    async fn back_off(&self) {
+        let reads = self.beliefs.members(|members, now| members.is_reader(now));
+        pause(match reads {
+            true => BACKOFF,
+            false => PATIENT_BACKOFF,
+        })
+        .await;
+    }
+
     async fn watch_loop(&self) {
         loop {
             if !self.is_needed() {
@@ -134,7 +147,7 @@
                 }
                 Err(e) => {
                     self.note(Some(&e));
-                    pause(BACKOFF).await;
+                    self.back_off().await;
                 }
             }
         }
@@ -154,7 +167,7 @@
                 continue;
             }
             if !self.prove().await {
-                pause(BACKOFF).await;
+                self.back_off().await;
             }
         }
     }
@@ -200,10 +213,8 @@
 
     /// Notes how a call to the store ended, and tells once when the store is lost or regained.
     fn note(&self, e: Option<&PlatformError>) {
-        if e.is_some() {
-            self.failed.set(Some(self.beliefs.clock.now()));
-            self.offer_to_read();
-        }
+        self.failed.set(e.map(|_| self.beliefs.clock.now()));
+        self.offer_to_read();
         let mut lost = self.lost.borrow_mut();
         let (change, detail) = match (e, lost.is_some()) {
             (Some(e), false) => ("lost", e.to_string()),
