Nothing older than a held version is fetched; the soak in files by concern

Its stager kept three; it fetched the older ones beside the newest, forgot the newest for them, and began again, for ever, while the turn went back and forth between the two newest. Change: only versions newer than the newest that is held are fetched; the lowest is forgotten, not the one opened first.

--- a/crates/daemon/src/stager/holdings.rs
+++ b/crates/daemon/src/stager/holdings.rs
@@ -46,7 +46,7 @@
 }
 
 impl Holdings {
-    /// Starts to hold a version; the oldest one goes.
+    /// Starts to hold a version; the lowest one goes.
     pub fn open(&self, id: &VersionId, manifest: Manifest) {
         let mut versions = lock(&self.versions);
         if versions.iter().any(|held| held.id == *id) {
@@ -60,7 +60,8 @@
             chunks,
         });
         if versions.len() > MAX_VERSIONS {
-            versions.pop_front();
+            let lowest = (0..versions.len()).min_by_key(|n| versions[*n].id.version);
+            lowest.and_then(|n| versions.remove(n));
         }
     }
 
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -13,7 +13,7 @@
 use balsamjunction_platform::{
     store::EVERYTHING, Engine, EngineReport, PlatformError, Store, WeightOrigin,
 };
-use balsamjunction_policy::{pace::Pacer, Moment};
+use balsamjunction_policy::{pace::Pacer, version_queue::to_fetch, Moment};
 use balsamjunction_protocol::{
     mesh::{MemberRecord, ProcessRole, WeightsNews},
     MemberDocument, MemberState,
@@ -155,11 +155,9 @@
         current.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Wanted versions that are not held whole, newest first.
+    /// Wanted versions that are still to be fetched, newest first.
     pub fn missing(&self) -> Vec<VersionId> {
-        let mut wanted = self.wanted();
-        wanted.retain(|id| !self.holdings.complete(id));
-        wanted
+        to_fetch(self.wanted(), |id| self.holdings.complete(id))
     }
 
     /// Whether a version is the one that is fetched now.
--- a/crates/lab/tests/gateway/soak/mod.rs
+++ b/crates/lab/tests/gateway/soak/mod.rs
@@ -3,29 +3,28 @@
 //! Every run is named by its seed. `BALSAM_SOAK_SEEDS=1-50 BALSAM_SOAK_SECONDS=15` runs others than the
 //! few of the usual tests; see docs/DEVELOPING.md.
 
+mod callers;
 mod oracle;
 mod proxy;
+mod troubles;
 
 use std::{
     cell::RefCell,
     collections::HashMap,
-    fs::OpenOptions,
-    io::Write,
     ops::RangeInclusive,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use awc::Client;
-use balsamjunction_lab::standin::published::{Engine, EngineFault, StoreFault};
-use nix::sys::signal::Signal;
-use rand::{seq::IndexedRandom, Rng, SeedableRng};
+use balsamjunction_lab::standin::published::Engine;
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
 use self::{
-    oracle::{judge, Call, Kind},
-    proxy::{Harm, Proxy},
+    callers::{call, caller},
+    oracle::{judge, Kind},
+    proxy::Proxy,
 };
 use crate::common::{client, engine, plain, until, Gateway, Site, KEY};
 
@@ -42,46 +41,7 @@
 /// What the gateways' settings in the fixtures say.
 const REVOKE_WITHIN: Duration = Duration::from_millis(2_000);
 
-/// What can go wrong; each lasts a while and then ends.
-#[derive(Clone, Copy, Debug)]
-enum Trouble {
-    KillGateway,
-    StopGateway,
-    PauseGateway,
-    ReloadGateway,
-    KillStager,
-    PauseStager,
-    SickUpstream,
-    HarmedLink,
-    ResetLink,
-    UpstreamLeaves,
-    StoreDown,
-    DeafWatches,
-    NewVersion,
-    NewConfiguration,
-    KeyTakenAway,
-}
-
-const TROUBLES: [Trouble; 15] = [
-    Trouble::KillGateway,
-    Trouble::StopGateway,
-    Trouble::PauseGateway,
-    Trouble::ReloadGateway,
-    Trouble::KillStager,
-    Trouble::PauseStager,
-    Trouble::SickUpstream,
-    Trouble::HarmedLink,
-    Trouble::ResetLink,
-    Trouble::UpstreamLeaves,
-    Trouble::StoreDown,
-    Trouble::DeafWatches,
-    Trouble::NewVersion,
-    Trouble::NewConfiguration,
-    Trouble::KeyTakenAway,
-];
-
-type Undo = Box<dyn FnOnce(&mut Soak)>;
-
+/// The system, its platform and the links between them.
 struct Soak {
     site: Site,
     gateways: Vec<Gateway>,
@@ -137,159 +97,6 @@
         soak
     }
 
-    fn signal(&mut self, name: &str, signal: Signal) {
-        // A process that is just being started again gets no signal, which is as well.
-        if let Err(e) = self.site.processes.signal(name, signal) {
-            eprintln!("{name} gets no {signal}: {e}");
-        }
-    }
-
-    fn any_gateway(&mut self) -> String {
-        format!("g{}", self.rng.random_range(0..GATEWAYS))
-    }
-
-    fn any_stager(&mut self) -> String {
-        format!("s{}", self.rng.random_range(0..MODEL_ENGINES))
-    }
-
-    /// Begins a trouble; gives what ends it.
-    fn strike(&mut self, trouble: Trouble) -> Undo {
-        let nothing: Undo = Box::new(|_| {});
-        match trouble {
-            Trouble::KillGateway => {
-                let name = self.any_gateway();
-                self.signal(&name, Signal::SIGKILL);
-                nothing
-            }
-            Trouble::StopGateway => {
-                let name = self.any_gateway();
-                self.signal(&name, Signal::SIGTERM);
-                nothing
-            }
-            Trouble::PauseGateway => {
-                let name = self.any_gateway();
-                self.pause(name)
-            }
-            Trouble::ReloadGateway => {
-                let name = self.any_gateway();
-                let path = self.site.settings_path(&name);
-                let mut f = OpenOptions::new()
-                    .append(true)
-                    .open(path)
-                    .expect("settings are there");
-                writeln!(f, "// changed").expect("settings can be written");
-                self.signal(&name, Signal::SIGHUP);
-                nothing
-            }
-            Trouble::KillStager => {
-                let name = self.any_stager();
-                self.signal(&name, Signal::SIGKILL);
-                nothing
-            }
-            Trouble::PauseStager => {
-                let name = self.any_stager();
-                self.pause(name)
-            }
-            Trouble::SickUpstream => self.sicken(),
-            Trouble::HarmedLink => {
-                let harms = [
-                    Harm::Delay(Duration::from_millis(120)),
-                    Harm::CutThere,
-                    Harm::CutBack,
-                    Harm::Silence,
-                ];
-                let harm = *harms.choose(&mut self.rng).expect("there are some");
-                let n = self.rng.random_range(0..self.proxies.len());
-                self.proxies[n].set(harm);
-                Box::new(move |soak| soak.proxies[n].set(Harm::None))
-            }
-            Trouble::ResetLink => {
-                let n = self.rng.random_range(0..self.proxies.len());
-                self.proxies[n].reset_all();
-                nothing
-            }
-            Trouble::UpstreamLeaves => {
-                let n = self.rng.random_range(0..self.engines.len());
-                self.site.register(&self.engines[n], "draining");
-                Box::new(move |soak| soak.site.register(&soak.engines[n], "ready"))
-            }
-            Trouble::StoreDown => {
-                self.site.store.fail(StoreFault::Down);
-                Box::new(|soak| soak.site.store.fail(StoreFault::None))
-            }
-            Trouble::DeafWatches => {
-                self.site.store.fail(StoreFault::DeafWatches);
-                Box::new(|soak| soak.site.store.fail(StoreFault::None))
-            }
-            Trouble::NewVersion => {
-                self.version += 1;
-                let named = json!({"model": "m1", "version": self.version});
-                self.site.store.put("op/version/m1", &named);
-                nothing
-            }
-            Trouble::NewConfiguration => {
-                let timeout = self.rng.random_range(2_000..5_000);
-                self.site
-                    .configure(|config| config["routes"][0]["timeoutMs"] = json!(timeout));
-                nothing
-            }
-            Trouble::KeyTakenAway => {
-                if self.keys.len() > 2 {
-                    let key = self.keys.remove(0);
-                    let left = self.keys.clone();
-                    self.site
-                        .configure(|config| config["tenants"][0]["apiKeys"] = json!(left));
-                    self.revoked.insert(key, Instant::now());
-                }
-                nothing
-            }
-        }
-    }
-
-    fn pause(&mut self, name: String) -> Undo {
-        self.signal(&name, Signal::SIGSTOP);
-        Box::new(move |soak| soak.signal(&name, Signal::SIGCONT))
-    }
-
-    fn sicken(&mut self) -> Undo {
-        let faults = [
-            EngineFault::Full,
-            EngineFault::Failing,
-            EngineFault::AnswerLost,
-            EngineFault::Silent,
-            EngineFault::CutAfter(3),
-            EngineFault::Unsigned,
-            EngineFault::Crossed,
-        ];
-        let fault = *faults.choose(&mut self.rng).expect("there are some");
-        let n = self.rng.random_range(0..self.engines.len());
-        self.engines[n].fail(fault);
-        Box::new(move |soak| soak.engines[n].fail(EngineFault::None))
-    }
-
-    /// Series of troubles that overlap, for some seconds; all have ended afterwards.
-    async fn trouble(&mut self, seconds: u64) -> Vec<String> {
-        let started = Instant::now();
-        let mut told = Vec::new();
-        let mut lasting: Vec<(Instant, Undo)> = Vec::new();
-        while started.elapsed() < Duration::from_secs(seconds) {
-            let trouble = *TROUBLES.choose(&mut self.rng).expect("there are some");
-            told.push(format!("{:?} {trouble:?}", started.elapsed()));
-            let undo = self.strike(trouble);
-            let lasts = Duration::from_millis(self.rng.random_range(300..2_500));
-            lasting.push((Instant::now() + lasts, undo));
-            let pause = Duration::from_millis(self.rng.random_range(50..600));
-            actix_rt::time::sleep(pause).await;
-            let (over, on): (Vec<_>, Vec<_>) = lasting
-                .into_iter()
-                .partition(|(until, _)| Instant::now() >= *until);
-            lasting = on;
-            over.into_iter().for_each(|(_, undo)| undo(self));
-        }
-        lasting.into_iter().for_each(|(_, undo)| undo(self));
-        told
-    }
-
     /// Whether the system serves again, with the newest weights, once all troubles are over.
     async fn recovers(&self) {
         for gateway in &self.gateways {
@@ -316,71 +123,6 @@
     }
 }
 
-async fn call(client: &Client, gateway: Gateway, kind: Kind, id: String, key: String) -> Call {
-    let path = match kind {
-        Kind::Once => "/order/new",
-        Kind::Many => "/stock/1",
-        Kind::Stream => "/draft/now",
-    };
-    let mut request = client
-        .post(format!("http://{}{path}", gateway.callers))
-        .insert_header(("host", "floor.example"))
-        .insert_header(("balsamjunction-attempt-id", id.as_str()))
-        .insert_header(("balsamjunction-deadline-ms", "3000"))
-        .insert_header(("authorization", format!("Bearer {key}")));
-    if kind == Kind::Stream {
-        request = request
-            .insert_header(("balsamjunction-model", "m1"))
-            .insert_header(("balsamjunction-token-usage", "100,50"));
-    }
-    let sent = Instant::now();
-    let mut seen = Call {
-        id,
-        kind,
-        sent,
-        key,
-        status: None,
-        signature: None,
-        body: None,
-    };
-    // A caller that gets no answer knows nothing, which the judge allows.
-    if let Ok(mut got) = request
-        .timeout(Duration::from_secs(5))
-        .send_body("a call")
-        .await
-    {
-        seen.status = Some(got.status().as_u16());
-        let signature = got.headers().get("balsamjunction-server-signature");
-        seen.signature = signature.and_then(|value| Some(value.to_str().ok()?.to_owned()));
-        let body = got.body().await.ok();
-        seen.body = body.map(|buf| String::from_utf8_lossy(&buf).into_owned());
-    }
-    seen
-}
-
-/// A caller that keeps its connections, and goes on until `over`.
-async fn caller(
-    seed: u64,
-    gateways: Vec<Gateway>,
-    keys: Vec<String>,
-    over: Rc<RefCell<bool>>,
-) -> Vec<Call> {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let client = client();
-    let mut calls = Vec::new();
-    while !*over.borrow() {
-        let gateway = *gateways.choose(&mut rng).expect("there are some");
-        let kinds = [Kind::Once, Kind::Many, Kind::Stream];
-        let kind = *kinds.choose(&mut rng).expect("there are some");
-        let key = keys.choose(&mut rng).expect("there are some").clone();
-        let id = format!("{seed:x}-{}", calls.len());
-        calls.push(call(&client, gateway, kind, id, key).await);
-        let pause = Duration::from_millis(rng.random_range(2..30));
-        actix_rt::time::sleep(pause).await;
-    }
-    calls
-}
-
 async fn run(seed: u64, seconds: u64) {
     let mut soak = Soak::start(seed).await;
     let over = Rc::new(RefCell::new(false));
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -96,3 +96,26 @@
 
     until_served(&engines, 2).await;
 }
+
+#[actix_rt::test]
+async fn an_engine_that_serves_gets_the_newest_of_more_versions_than_are_kept() {
+    let mut site = Site::start().await;
+    let (_, engines) = fleet(&mut site, 2).await;
+    until("the first version", async || {
+        !site.lines("s0", "weights").is_empty()
+    })
+    .await;
+    site.origin.set_down(true);
+    for version in 2..6 {
+        name(&site, version);
+        let heard = async || {
+            let lines = site.lines("s0", "weights");
+            lines.iter().any(|line| line["version"] == version)
+        };
+        until("the version to be heard of", heard).await;
+    }
+
+    site.origin.set_down(false);
+
+    until_served(&engines, 5).await;
+}
--- a/crates/policy/src/version_queue.rs
+++ b/crates/policy/src/version_queue.rs
@@ -71,3 +71,13 @@
         !begun && self.next(now, missing).is_some_and(|next| next != version)
     }
 }
+
+/// Of versions that are `wanted`, sorted from the newest to the oldest, those still to be fetched: none that
+/// is older than one that is held whole.
+///
+/// An older one would take the place of a newer one among the few that are kept.
+pub fn to_fetch<V>(mut wanted: Vec<V>, held: impl Fn(&V) -> bool) -> Vec<V> {
+    let newer = wanted.iter().take_while(|version| !held(version)).count();
+    wanted.truncate(newer);
+    wanted
+}
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -1,6 +1,9 @@
 //! Versions that overtake each other.
 
-use balsamjunction_policy::{version_queue::VersionQueue, Moment};
+use balsamjunction_policy::{
+    version_queue::{to_fetch, VersionQueue},
+    Moment,
+};
 
 fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
@@ -70,3 +73,14 @@
         assert!(!queue.gives_way(at(200), next, &missing, 0, 64));
     }
 }
+
+/// With more versions wanted than are kept, a host that fetched older ones beside the newest would forget
+/// the newest for them and fetch it again, for ever.
+#[test]
+fn nothing_older_than_a_version_that_is_held_is_fetched() {
+    let held = |version: &u32| *version == 4;
+
+    assert_eq!(to_fetch(vec![5, 4, 3, 2, 1], held), [5]);
+    assert!(to_fetch(vec![4, 3, 2, 1], held).is_empty());
+    assert_eq!(to_fetch(vec![3, 2], held), [3, 2]);
+}
