--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -12,7 +12,7 @@
 use rand::{seq::IteratorRandom, Rng};
 use serde::Serialize;
 
-use super::Beliefs;
+use super::{pause, Beliefs};
 use crate::{
     client::{self, PeerError},
     fleet::spread::Done,
@@ -39,11 +39,6 @@
     Weights,
 }
 
-async fn pause(mean: Duration) {
-    let part = rand::rng().random_range(0.5..1.5);
-    actix_rt::time::sleep(mean.mul_f64(part)).await;
-}
-
 /// Exchanges views for as long as the process runs.
 pub async fn exchange_loop(beliefs: Arc<Beliefs>, client: Client, seeds: Seeds) {
     // A process that has just started knows facts, but not for how long they have held.
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -14,9 +14,8 @@
 };
 use balsamjunction_policy::Moment;
 use log::debug;
-use rand::Rng;
 
-use super::{peers::tell_changes, Beliefs};
+use super::{pause, peers::tell_changes, Beliefs};
 use crate::events::Event;
 
 /// How long a watch waits. What it misses while it waits is found by proofs.
@@ -41,12 +40,6 @@
 /// entries would otherwise call it several times a second.
 const PATIENT_BACKOFF: Duration = Duration::from_millis(1_000);
 
-/// Waits for `mean`, spread by half to both sides, so that processes do not act in step.
-async fn pause(mean: Duration) {
-    let part = rand::rng().random_range(0.5..1.5);
-    actix_rt::time::sleep(mean.mul_f64(part)).await;
-}
-
 struct Reader {
     beliefs: Arc<Beliefs>,
     store: Store,
