An upstream that answers for another one is closed until the list names a new start

Change: the first answer 421 closes an entry for good; a new start is another upstream. Test: one_whose_address_another_has_gets_nothing_more.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -225,7 +225,8 @@
             let evacuated = directory.evacuated.contains(&record.data_centre);
             if let Some(upstream) = self.upstreams.get_mut(key) {
                 upstream.update(record, *learned, service, status);
-                upstream.open = record.state == UpstreamState::Ready && !evacuated && !replaced;
+                let ready = record.state == UpstreamState::Ready && !evacuated;
+                upstream.open = ready && !replaced && !upstream.replaced;
             }
             found.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -42,6 +42,8 @@
     pub record: UpstreamRecord,
     /// Whether it takes new work at all.
     pub open: bool,
+    /// Whether another upstream has its address now, as that one has said.
+    pub replaced: bool,
     /// Whether it takes other weights now.
     pub turning: bool,
     /// Requests of this entry that run or wait there.
@@ -67,6 +69,7 @@
         Self {
             record,
             open: false,
+            replaced: false,
             turning: false,
             own_requests: 0,
             own_unread: 0.0,
@@ -216,7 +219,12 @@
                 self.others_seen = now;
             }
             Ending::Failed if self.turning => {}
-            Ending::Misdirected | Ending::Unreachable => self.suspend(now),
+            Ending::Misdirected => {
+                // One that starts again under the same id has another start, and is another upstream here.
+                self.replaced = true;
+                self.open = false;
+            }
+            Ending::Unreachable => self.suspend(now),
             Ending::Failed => {
                 self.failures = FAILURE_MEMORY * self.failures + (1.0 - FAILURE_MEMORY);
                 if self.failures > FAILURE_BOUND {
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -464,6 +464,29 @@
         assert_eq!(after.as_deref(), Some("new"));
     }
 
+    #[test]
+    fn one_whose_address_another_has_gets_nothing_more() {
+        let mut world = World::new();
+        world.put(at(0), plain("gone"));
+        let sent = world.sent(at(1), order(at(1))).expect("it looks well");
+
+        world
+            .dispatcher
+            .end(at(2), sent.upstream, 0.0, Ending::Misdirected);
+        let soon = world.sent(at(3), order(at(3)));
+        world.configure(at(5_000), &[], 1);
+        let later = world.sent(at(5_000), order(at(5_000)));
+        let again = UpstreamRecord {
+            born_ms: 2,
+            ..plain("gone")
+        };
+        world.put(at(5_001), again);
+        let new = world.sent(at(5_002), order(at(5_002)));
+
+        assert_eq!((soon, later), (None, None));
+        assert!(new.is_some());
+    }
+
     #[test]
     fn a_slow_engine_gets_less_by_its_own_report() {
         let mut world = World::new();
