Sidecars wait up to 250 ms for reports of a crash

The caller was answered after 50 ms, before busy sidecars had read the report, and its next call came first; the reports themselves are not lost, they wait in the sockets. Change: the answer to a caller whose request crashed an engine is held for up to 250 ms while reports are under way.

--- a/crates/daemon/src/fleet/spread.rs
+++ b/crates/daemon/src/fleet/spread.rs
@@ -38,8 +38,9 @@
 const BELIEF_LEASE: Duration = Duration::from_secs(3);
 /// Peers that learn of a crash at once.
 const MAX_CRASH_PEERS: usize = 64;
-/// The report of a crash must not hold back the caller's answer for longer.
-const CRASH_REPORT_TIMEOUT: Duration = Duration::from_millis(50);
+/// The report of a crash must not hold back the caller's answer for longer. A sidecar on a busy host takes
+/// over 50 ms to read it, and until then it may run the request a third time.
+const CRASH_REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// An empty answer.
 #[derive(Debug, Serialize, Deserialize)]
