One loop that tells processes something; one question whether an entry reads for all; an unused count removed

push_versions had its own copy of the loop that tells entries of changes and crashes, the reader asked three times in the same words whether it reads for all, and SlidingCount::time_until_below was called by nobody.

--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -150,22 +150,21 @@
     }
     let v = PROTOCOL_VERSION;
     let news = ChangeNews { v, since, update };
-    tell_all(&beliefs, &client, ProcessRole::Entry, paths::CHANGES, &news).await;
+    tell_entries(&beliefs, &client, paths::CHANGES, &news).await;
 }
 
-/// Sends a message to all other processes of a role at once.
-async fn tell_all<Q: Serialize>(
-    beliefs: &Beliefs,
-    client: &Client,
-    role: ProcessRole,
-    path: &str,
-    news: &Q,
-) {
-    let addresses: Vec<SocketAddr> = beliefs.members(|members, now| {
-        let others = members.live(now, role);
-        others.map(|record| record.address).collect()
+/// Sends a message to all other entries at once.
+async fn tell_entries<Q: Serialize>(beliefs: &Beliefs, client: &Client, path: &str, news: &Q) {
+    let entries = beliefs.members(|members, now| {
+        let entries = members.live(now, ProcessRole::Entry);
+        entries.map(|record| record.address).collect()
     });
-    let calls = addresses.into_iter().map(|address| async move {
+    tell(client, entries, path, news).await;
+}
+
+/// Sends a message to several processes at once; those that do not answer are passed over.
+async fn tell<Q: Serialize>(client: &Client, to: Vec<SocketAddr>, path: &str, news: &Q) {
+    let calls = to.into_iter().map(|address| async move {
         let told: Result<Done, _> = client::call(client, address, path, news, PEER_TIMEOUT).await;
         if let Err(e) = told {
             debug!("{address} was not told at {path}: {e}");
@@ -178,7 +177,7 @@
 pub async fn tell_broken(beliefs: &Beliefs, client: &Client, crashes: Vec<Crash>) {
     let v = PROTOCOL_VERSION;
     let news = CrashNews { v, crashes };
-    tell_all(beliefs, client, ProcessRole::Entry, paths::BROKEN, &news).await;
+    tell_entries(beliefs, client, paths::BROKEN, &news).await;
 }
 
 /// Tells the sidecars of the own data centre which versions are wanted, whenever that changes.
@@ -199,17 +198,6 @@
             let near = sidecars.filter(|record| record.data_centre == own);
             near.map(|record| record.address).collect()
         });
-        let calls = sidecars.into_iter().map(|address| {
-            let news = &news;
-            let client = &client;
-            async move {
-                let told: Result<Done, _> =
-                    client::call(client, address, paths::NEWS, news, PEER_TIMEOUT).await;
-                if let Err(e) = told {
-                    debug!("{address} was not told of a version: {e}");
-                }
-            }
-        });
-        futures_util::future::join_all(calls).await;
+        tell(&client, sidecars, paths::NEWS, &news).await;
     }
 }
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -93,9 +93,13 @@
         }
     }
 
+    fn reads_for_all(&self) -> bool {
+        self.beliefs.members(|members, now| members.is_reader(now))
+    }
+
     /// Whether this entry reads for all, or hears nothing from those that do.
     fn is_needed(&self) -> bool {
-        self.beliefs.members(|members, now| members.is_reader(now)) || self.is_older_than(UNHEARD)
+        self.reads_for_all() || self.is_older_than(UNHEARD)
     }
 
     fn is_older_than(&self, bound: Duration) -> bool {
@@ -104,8 +108,7 @@
 
     /// Waits after a failed call.
     async fn back_off(&self) {
-        let reads = self.beliefs.members(|members, now| members.is_reader(now));
-        pause(match reads {
+        pause(match self.reads_for_all() {
             true => BACKOFF,
             false => PATIENT_BACKOFF,
         })
@@ -150,8 +153,7 @@
     async fn prove_loop(&self) {
         loop {
             actix_rt::time::sleep(PROVE_TICK).await;
-            let reads = self.beliefs.members(|members, now| members.is_reader(now));
-            let bound = match reads {
+            let bound = match self.reads_for_all() {
                 true => PROVE_AFTER,
                 false => UNHEARD,
             };
--- a/crates/policy/src/sliding.rs
+++ b/crates/policy/src/sliding.rs
@@ -32,16 +32,6 @@
         self.events.len()
     }
 
-    /// Time until fewer than `limit` events are within the window.
-    pub fn time_until_below(&mut self, now: Moment, limit: usize) -> Moment {
-        self.expire(now);
-        if self.events.len() < limit || limit == 0 {
-            return Moment::ZERO;
-        }
-        let leaves = self.events[self.events.len() - limit] + self.window;
-        leaves.saturating_sub(now)
-    }
-
     fn expire(&mut self, now: Moment) {
         while self
             .events
