Log lines and a metric tell why an answer began on an overdue version

Now: sent has version and begin_within_ms, answered the engine's own word on the version, version-named the age of the news and the time since the proof before it; balsamjunction_overdue_answers_total counts answers that began too late. No decision changes: what was a list of versions in the dispatcher is a type of its own, asked as before.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -62,6 +62,19 @@
         /// How many facts are new, other or gone.
         changed: usize,
     },
+    /// A version of the weights was named.
+    VersionNamed {
+        /// The model.
+        model: SmolStr,
+        /// The version.
+        version: u64,
+        /// How long ago the naming is taken to have been, in milliseconds.
+        known_ms: u64,
+        /// Time since the facts were last proved before, in milliseconds: the naming cannot be older.
+        /// Absent if they never were.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        unproved_ms: Option<u64>,
+    },
     /// A dependency was lost or regained.
     Dependency {
         /// Which.
@@ -81,6 +94,13 @@
         attempt: u32,
         /// When the first event was expected, in milliseconds.
         expected_ms: u64,
+        /// The version of the weights that the upstream was taken to serve.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
+        /// Time left until the request must have begun on that version, in milliseconds, if a newer
+        /// one is named.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        begin_within_ms: Option<u64>,
         /// Whether it may run once at most.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -115,6 +135,9 @@
         belief_age_ms: u64,
         /// The version of the configuration that decided.
         configuration: u64,
+        /// The version of the weights on which an upstream's answer began, as the upstream says.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
         /// Whether it may run once at most.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -157,6 +180,7 @@
             | Self::Answered { id, once, .. } => (!once).then_some(id),
             Self::Process { .. }
             | Self::Belief { .. }
+            | Self::VersionNamed { .. }
             | Self::Dependency { .. }
             | Self::StreamBroken { .. }
             | Self::Weights { .. } => None,
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -98,6 +98,7 @@
                 reason: turned.reason,
                 retry_after: turned.retry_after,
                 came,
+                version: None,
                 once: turned.once,
             };
             return answer::own(&context, &given);
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -77,6 +77,8 @@
     pub retry_after: Option<Duration>,
     /// When the request came.
     pub came: Moment,
+    /// The version of the weights on which an upstream's answer began.
+    pub version: Option<u64>,
     /// Whether it may run once at most.
     pub once: bool,
 }
@@ -100,6 +102,7 @@
         took_ms: took.as_millis() as u64,
         belief_age_ms: age.as_millis() as u64,
         configuration: context.beliefs.configuration(),
+        version: given.version,
         once: given.once,
     });
 }
@@ -296,6 +299,7 @@
             reason: Reason::Upstream,
             retry_after: None,
             came: relay.run.call.came,
+            version: relay.sent.version(),
             once: relay.run.call.may_run_once(),
         },
     );
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -12,8 +12,8 @@
 use balsamjunction_policy::{
     allowance::{RetryAllowance, RetryBound},
     dispatch::{
-        Chosen, Demand, Dispatcher, Ending, Refused, UpstreamCondition, UpstreamKey, Verdict,
-        WaitKey,
+        Chosen, Demand, Dispatcher, Ending, Refused, ServedVersion, UpstreamCondition, UpstreamKey,
+        Verdict, WaitKey,
     },
     Moment,
 };
@@ -182,6 +182,12 @@
         }
     }
 
+    /// Whether no request may begin on a version any more.
+    pub fn overdue(&self, model: &str, version: u64) -> bool {
+        let begin_by = lock(&self.dispatch).dispatcher.begin_by(model, version);
+        begin_by.is_some_and(|by| by < self.now())
+    }
+
     fn any_waiting(&self) -> bool {
         lock(&self.dispatch).dispatcher.any_waiting()
     }
@@ -341,6 +347,14 @@
         Some(view.record)
     }
 
+    /// The version of a model that the upstream serves, as far as it is known.
+    pub fn served_version(&self, model: &str) -> Option<ServedVersion> {
+        let dispatch = lock(&self.context.dispatch);
+        dispatch
+            .dispatcher
+            .served_version(self.chosen.upstream, model)
+    }
+
     /// Whether the upstream takes other weights now, which breaks off what runs there.
     pub fn turning(&self) -> bool {
         let dispatch = lock(&self.context.dispatch);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -39,6 +39,9 @@
 /// Part of the time for a change of version for which requests may still find the version before.
 /// The rest is for the news to travel and for requests that wait at the engine.
 const OLD_VERSION_PART: f64 = 0.88;
+/// Part of that time within which requests must have begun at engines of the version before. The
+/// rest covers late news, late timers, and the way of a closed connection to the engine.
+const BEGIN_PART: f64 = 0.96;
 
 /// Runs a gateway until it is told to stop.
 pub async fn serve(settings: GatewaySettings, file: SettingsFile) -> Result<(), DaemonError> {
@@ -164,5 +167,6 @@
         data_centre: settings.mesh.data_centre.clone(),
         regions,
         old_version_for: settings.version_within.mul_f64(OLD_VERSION_PART),
+        begin_within: settings.version_within.mul_f64(BEGIN_PART),
     })
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -90,6 +90,7 @@
             reason: given.reason,
             retry_after: given.retry_after,
             came: run.call.came,
+            version: None,
             once: run.call.may_run_once(),
         },
     )
@@ -215,11 +216,17 @@
         let Some(target) = flight.target() else {
             return Attempted::NotRun;
         };
+        let model = self.demand.model.as_ref();
+        let served = model.and_then(|model| flight.served_version(model));
+        let begin_by = served.and_then(|served| served.begin_by);
+        let now = self.context.now();
         self.context.beliefs.events.emit(&Event::Sent {
             id: self.call.id.clone(),
             upstream: target.id.clone(),
             attempt: self.asked,
             expected_ms: flight.expected_ms() as u64,
+            version: served.map(|served| served.version),
+            begin_within_ms: begin_by.map(|by| by.saturating_sub(now).as_millis() as u64),
             once: self.call.may_run_once(),
         });
         let tcp = match send::connect(target.address).await {
@@ -269,19 +276,22 @@
 
     /// Tells an answer of this upstream to this request from everything else.
     fn judge(&mut self, sent: Sent, mut flight: Flight, target: &UpstreamRecord) -> Attempted {
-        let response = &sent.response;
-        let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
-        if header(headers::ATTEMPT_ID).is_some_and(|id| id != self.call.id.as_str()) {
+        if sent
+            .header(headers::ATTEMPT_ID)
+            .is_some_and(|id| id != self.call.id.as_str())
+        {
             flight.end_as(Ending::Failed);
             self.failed(target, "unknown", "answer to another request".to_owned());
             return Attempted::Unknown;
         }
-        if let Some((running, waiting, _)) = header(headers::LOAD).and_then(headers::parse_load) {
+        if let Some((running, waiting, _)) =
+            sent.header(headers::LOAD).and_then(headers::parse_load)
+        {
             flight.load(running, waiting);
         }
-        let status = response.status();
+        let status = sent.response.status();
         let misdirected = status == hyper::StatusCode::MISDIRECTED_REQUEST;
-        if misdirected || header(headers::NOT_RUN).is_some() {
+        if misdirected || sent.header(headers::NOT_RUN).is_some() {
             flight.end_as(match misdirected {
                 true => Ending::Misdirected,
                 false => Ending::TurnedAway,
@@ -289,11 +299,12 @@
             self.failed(target, "not-run", format!("status {status}"));
             return Attempted::NotRun;
         }
-        if header(headers::SIGNATURE).is_none() {
+        if sent.header(headers::SIGNATURE).is_none() {
             flight.end_as(Ending::Failed);
             self.failed(target, "unknown", format!("unsigned status {status}"));
             return Attempted::Unknown;
         }
+        self.note_version(&sent);
         flight.end_as(match status.is_server_error() {
             true => Ending::Failed,
             false => Ending::Abandoned,
@@ -304,6 +315,16 @@
         Attempted::Answer(Box::new(sent), flight)
     }
 
+    /// Counts an answer that began on a version whose time was over.
+    fn note_version(&self, sent: &Sent) {
+        let model = self.demand.model.as_ref();
+        if let Some((model, version)) = model.zip(sent.version()) {
+            if self.context.overdue(model, version) {
+                self.context.metrics.mesh.overdue_answers.inc();
+            }
+        }
+    }
+
     fn request(
         &self,
         target: &UpstreamRecord,
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -8,6 +8,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use actix_rt::task::JoinHandle;
+use balsamjunction_platform::headers;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
@@ -37,6 +38,18 @@
     pub _connection: Connection,
 }
 
+impl Sent {
+    /// A header of the answer, if it is there and plain text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response.headers().get(name)?.to_str().ok()
+    }
+
+    /// The version of the weights on which the answer began, if the upstream says so.
+    pub fn version(&self) -> Option<u64> {
+        self.header(headers::SERVED_VERSION)?.trim().parse().ok()
+    }
+}
+
 /// A connection that closes when it is dropped, which tells the upstream to stop its work.
 pub struct Connection(JoinHandle<()>);
 
--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -135,16 +135,19 @@
 
     fn update(&self, source: &str, change: impl FnOnce(&mut Replica, Moment) -> Absorbed) {
         let now = self.clock.now();
-        let (absorbed, revision) = {
+        let (absorbed, revision, proved, before) = {
             let mut replica = lock(&self.replica);
+            let proved = replica.proved();
             let absorbed = change(&mut replica, now);
             if absorbed.changed == 0 {
                 return;
             }
             let mut directory = lock(&self.directory);
-            *directory = Arc::new(Directory::of(&replica, &directory));
-            (absorbed, replica.at())
+            let next = Arc::new(Directory::of(&replica, &directory));
+            let before = std::mem::replace(&mut *directory, next);
+            (absorbed, replica.at(), proved, before)
         };
+        self.tell_versions(now, proved, &before);
         self.events.emit(&Event::Belief {
             source: source.to_owned(),
             revision,
@@ -154,6 +157,27 @@
         self.notify();
     }
 
+    /// Writes a line for each version that was named since `before`, when facts had last been proved
+    /// at `proved`.
+    fn tell_versions(&self, now: Moment, proved: Option<Moment>, before: &Directory) {
+        let age = |at: Moment| now.saturating_sub(at).as_millis() as u64;
+        for (model, (version, learned)) in &self.directory().wanted {
+            if before
+                .wanted
+                .get(model)
+                .is_some_and(|(old, _)| old == version)
+            {
+                continue;
+            }
+            self.events.emit(&Event::VersionNamed {
+                model: model.clone(),
+                version: *version,
+                known_ms: age(*learned),
+                unproved_ms: proved.map(age),
+            });
+        }
+    }
+
     /// What a peer lacks that is complete up to its own revision.
     pub fn answer_pull(
         &self,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,8 @@
     pub dropped_lines: Counter,
     /// Log lines that were left out under load.
     pub sampled_lines: Counter,
+    /// Answers that began on a version of the weights whose time was over.
+    pub overdue_answers: Counter,
 }
 
 impl MeshMetrics {
@@ -84,6 +86,7 @@
             weights: Family::default(),
             dropped_lines: Counter::default(),
             sampled_lines: Counter::default(),
+            overdue_answers: Counter::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -105,6 +108,8 @@
         r.register("dropped_lines", dropped, m.dropped_lines.clone());
         let sampled = "Log lines left out under load";
         r.register("sampled_lines", sampled, m.sampled_lines.clone());
+        let overdue = "Answers begun on an overdue version";
+        r.register("overdue_answers", overdue, m.overdue_answers.clone());
         metrics
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 
 mod pool;
 mod upstream;
+mod versions;
 
 use std::{collections::HashMap, net::SocketAddr};
 
@@ -14,7 +15,7 @@
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
-use self::{pool::Pool, upstream::Upstream};
+use self::{pool::Pool, upstream::Upstream, versions::NamedVersions};
 use crate::Moment;
 
 new_key_type! {
@@ -117,8 +118,10 @@
     pub data_centre: SmolStr,
     /// The region of each data centre.
     pub regions: HashMap<SmolStr, SmolStr>,
-    /// How long after a version was named its predecessor may still be asked for.
+    /// How long after a version was named requests are still sent to engines of older ones.
     pub old_version_for: Moment,
+    /// How long after a version was named requests may still begin at engines of older ones.
+    pub begin_within: Moment,
 }
 
 /// Whether an upstream gets requests, for status pages.
@@ -150,6 +153,15 @@
     pub turning: bool,
 }
 
+/// The version of a model at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServedVersion {
+    /// The version.
+    pub version: u64,
+    /// By when requests must have begun on it, if a newer one is named.
+    pub begin_by: Option<Moment>,
+}
+
 /// What an entry knows of all upstreams.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -158,7 +170,7 @@
     by_id: HashMap<(SmolStr, u64), UpstreamKey>,
     pools: HashMap<SmolStr, Pool>,
     waiting: SlotMap<WaitKey, Waiting>,
-    named: HashMap<SmolStr, Vec<(u64, Moment)>>,
+    named: NamedVersions,
     entries: usize,
 }
 
@@ -188,7 +200,7 @@
             by_id: HashMap::new(),
             pools: HashMap::new(),
             waiting: SlotMap::with_key(),
-            named: HashMap::new(),
+            named: NamedVersions::default(),
             entries: 1,
         }
     }
@@ -244,8 +256,11 @@
             .collect();
         let least: HashMap<SmolStr, u64> = self
             .named
-            .keys()
-            .filter_map(|model| Some((model.clone(), self.least_version(now, model)?)))
+            .models()
+            .filter_map(|model| {
+                let old = self.settings.old_version_for;
+                Some((model.clone(), self.named.newest_due(now, model, old)?))
+            })
             .collect();
         self.pools = table
             .declaration
@@ -260,36 +275,33 @@
             .collect();
     }
 
-    /// Remembers when each version was named, since several may come before the first is in force.
+    /// Remembers when each version was named.
     ///
     /// A version that this process finds when it starts may have been named a while before.
     fn note_versions(&mut self, directory: &Directory) {
-        let starting = self.pools.is_empty();
-        for (model, (version, learned)) in &directory.wanted {
-            let named = self.named.entry(model.clone()).or_default();
-            match named.last_mut() {
-                Some((last, at)) if last == version => *at = (*at).min(*learned),
-                Some((last, _)) if *last > *version => {}
-                Some(_) => named.push((*version, *learned)),
-                None if !starting => named.push((*version, *learned)),
-                None => {
-                    let before = self
-                        .settings
-                        .old_version_for
-                        .mul_f64(FIRST_VERSION_AGE_PART);
-                    named.push((*version, learned.saturating_sub(before)));
-                }
-            }
-        }
+        let first_age = match self.pools.is_empty() {
+            true => self
+                .settings
+                .old_version_for
+                .mul_f64(FIRST_VERSION_AGE_PART),
+            false => Moment::ZERO,
+        };
+        self.named.note(directory, first_age);
+    }
+
+    /// What a request for `model` finds at an upstream; nothing if the upstream names no version of it.
+    pub fn served_version(&self, key: UpstreamKey, model: &str) -> Option<ServedVersion> {
+        let version = self.upstreams.get(key)?.version_of(model)?;
+        Some(ServedVersion {
+            version,
+            begin_by: self.begin_by(model, version),
+        })
     }
 
-    /// The oldest version of a model that requests may find now.
-    fn least_version(&self, now: Moment, model: &str) -> Option<u64> {
-        let named = self.named.get(model)?;
-        let old = self.settings.old_version_for;
-        let binding = named.iter().rev();
-        let mut binding = binding.filter(|(_, learned)| now.saturating_sub(*learned) >= old);
-        binding.next().map(|(version, _)| *version)
+    /// By when requests must have begun on a version, if a newer one is named.
+    pub fn begin_by(&self, model: &str, version: u64) -> Option<Moment> {
+        let overtaken = self.named.overtaken_at(model, version)?;
+        Some(overtaken + self.settings.begin_within)
     }
 
     /// How many upstreams are in each state; one that is in several counts in the first that applies.
--- /dev/null
+++ b/crates/policy/src/dispatch/versions.rs
@@ -0,0 +1,51 @@
+//! When each version of a model was named, and what follows for engines that serve an older one.
+
+use std::collections::HashMap;
+
+use balsamjunction_directory::Directory;
+use smol_str::SmolStr;
+
+use crate::Moment;
+
+/// The versions that were named while this process ran.
+///
+/// All of them are kept, since several may be named before the first is in force.
+#[derive(Debug, Default)]
+pub struct NamedVersions(HashMap<SmolStr, Vec<(u64, Moment)>>);
+
+impl NamedVersions {
+    /// Takes over the wanted versions.
+    ///
+    /// `first_age` is how long ago a version is taken to have been named that is the first one to be
+    /// seen of its model.
+    pub fn note(&mut self, directory: &Directory, first_age: Moment) {
+        for (model, (version, learned)) in &directory.wanted {
+            let named = self.0.entry(model.clone()).or_default();
+            match named.last_mut() {
+                Some((last, at)) if last == version => *at = (*at).min(*learned),
+                Some((last, _)) if *last > *version => {}
+                Some(_) => named.push((*version, *learned)),
+                None => named.push((*version, learned.saturating_sub(first_age))),
+            }
+        }
+    }
+
+    /// When the first version was named that is newer than `version`, if any is.
+    pub fn overtaken_at(&self, model: &str, version: u64) -> Option<Moment> {
+        let named = self.0.get(model)?.iter();
+        let newer = named.filter(|(newer, _)| *newer > version);
+        newer.map(|(_, at)| *at).min()
+    }
+
+    /// The newest version whose time is over after `within`.
+    pub fn newest_due(&self, now: Moment, model: &str, within: Moment) -> Option<u64> {
+        let named = self.0.get(model)?.iter().rev();
+        let mut due = named.filter(|(_, at)| now.saturating_sub(*at) >= within);
+        due.next().map(|(version, _)| *version)
+    }
+
+    /// The models of which any version was named.
+    pub fn models(&self) -> impl Iterator<Item = &SmolStr> {
+        self.0.keys()
+    }
+}
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -17,6 +17,7 @@
 
 const MODEL: &str = "m1";
 const OLD_VERSION_FOR: Moment = Moment::from_secs(7);
+const BEGIN_WITHIN: Moment = Moment::from_millis(7_600);
 
 fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
@@ -57,6 +58,7 @@
             data_centre: "addis-a".into(),
             regions: HashMap::from(regions),
             old_version_for: OLD_VERSION_FOR,
+            begin_within: BEGIN_WITHIN,
         };
         let mut world = Self {
             replica: Replica::default(),
