The time of an old version is looked at when a request is sent

Cause: the oldest version that may be used was worked out when beliefs change, and every 400 ms, and kept until the next time. Change: the dispatcher keeps when each version was named, and asks at each decision. The lists per pool are gone. Test: the_time_of_the_version_before_ends_without_any_news, which failed before (a request at 8,000 ms was sent to an engine whose time ended then). The older test configured the dispatcher right before it asked, so it could not see this.

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -219,10 +219,9 @@
         let directory = self.beliefs.directory();
         let engines = self.beliefs.engines();
         let entries = self.entries();
-        let now = self.now();
         lock(&self.dispatch)
             .dispatcher
-            .configure(now, &directory, &engines, entries);
+            .configure(&directory, &engines, entries);
         self.grant();
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -208,13 +208,7 @@
     /// Takes over what is published, and what sidecars say of their engines.
     ///
     /// `entries` is the number of entries that share each upstream's bounds.
-    pub fn configure(
-        &mut self,
-        now: Moment,
-        directory: &Directory,
-        engines: &[EngineStatus],
-        entries: usize,
-    ) {
+    pub fn configure(&mut self, directory: &Directory, engines: &[EngineStatus], entries: usize) {
         self.entries = entries.max(1);
         let Some(table) = &directory.table else {
             return;
@@ -250,26 +244,12 @@
         }
         self.by_id = found;
         self.note_versions(directory);
-        let wanted = directory.wanted.iter();
-        let newest: HashMap<SmolStr, u64> = wanted
-            .map(|(model, (version, _))| (model.clone(), *version))
-            .collect();
-        let least: HashMap<SmolStr, u64> = self
-            .named
-            .models()
-            .filter_map(|model| {
-                let old = self.settings.old_version_for;
-                Some((model.clone(), self.named.newest_due(now, model, old)?))
-            })
-            .collect();
         self.pools = table
             .declaration
             .services
             .iter()
             .map(|service| {
-                let mut pool = Pool::new(service, members.remove(&service.name));
-                pool.least_versions = least.clone();
-                pool.newest_versions = newest.clone();
+                let pool = Pool::new(service, members.remove(&service.name));
                 (service.name.clone(), pool)
             })
             .collect();
@@ -388,6 +368,7 @@
         let cx = pool::Context {
             now,
             settings: &self.settings,
+            named: &self.named,
             entries: self.entries,
         };
         let Some(best) = pool.best(&cx, &mut self.upstreams, demand) else {
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -1,12 +1,9 @@
 //! The upstreams of one service, and the choice among them.
 
-use std::collections::HashMap;
-
 use balsamjunction_directory::{EngineModel, Service};
 use slotmap::SlotMap;
-use smol_str::SmolStr;
 
-use super::{Demand, DispatchSettings, Upstream, UpstreamKey};
+use super::{Demand, DispatchSettings, NamedVersions, Upstream, UpstreamKey};
 use crate::{estimate, Moment};
 
 /// What an upstream in another data centre costs more than one nearby, in milliseconds of waiting.
@@ -29,10 +26,6 @@
 /// The upstreams of one service.
 #[derive(Debug)]
 pub struct Pool {
-    /// The oldest versions that engines may have by now.
-    pub least_versions: HashMap<SmolStr, u64>,
-    /// The newest versions that are named; engines with older ones are about to turn.
-    pub newest_versions: HashMap<SmolStr, u64>,
     model: Option<EngineModel>,
     max_connections: u32,
     members: Vec<UpstreamKey>,
@@ -44,6 +37,8 @@
     pub now: Moment,
     /// Where this process stands.
     pub settings: &'a DispatchSettings,
+    /// When versions were named.
+    pub named: &'a NamedVersions,
     /// Entries that share each upstream's bounds.
     pub entries: usize,
 }
@@ -67,8 +62,6 @@
     /// The pool of a service with its members.
     pub fn new(service: &Service, members: Option<Vec<UpstreamKey>>) -> Self {
         Self {
-            least_versions: HashMap::new(),
-            newest_versions: HashMap::new(),
             model: service.engine.clone(),
             max_connections: service.max_connections,
             members: members.unwrap_or_default(),
@@ -95,7 +88,7 @@
             if upstream.record.data_centre != cx.settings.data_centre {
                 cost += FAR_PENALTY_MS;
             }
-            if self.about_to_turn(upstream, demand) {
+            if about_to_turn(cx, upstream, demand) {
                 cost += match demand.tried.is_empty() {
                     true => ABOUT_TO_TURN_PENALTY_MS,
                     false => SECOND_BREAK_PENALTY_MS,
@@ -117,27 +110,7 @@
     fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
         let region = cx.settings.regions.get(&upstream.record.data_centre);
         let home = region.is_none_or(|region| demand.allows(region));
-        upstream.open && home && self.holds(upstream, demand)
-    }
-
-    fn holds(&self, upstream: &Upstream, demand: &Demand) -> bool {
-        let Some(model) = &demand.model else {
-            return true;
-        };
-        let Some(version) = upstream.version_of(model) else {
-            // A service that names no models may serve any.
-            return upstream.record.models.is_none();
-        };
-        let least = self.least_versions.get(model);
-        !upstream.turning && least.is_none_or(|least| version >= *least)
-    }
-
-    fn about_to_turn(&self, upstream: &Upstream, demand: &Demand) -> bool {
-        let Some(model) = &demand.model else {
-            return false;
-        };
-        let newest = self.newest_versions.get(model);
-        newest.is_some_and(|newest| upstream.version_of(model) < Some(*newest))
+        upstream.open && home && holds(cx, upstream, demand)
     }
 
     fn rate(
@@ -174,3 +147,24 @@
         }
     }
 }
+
+/// Whether an upstream has weights on which a request may be sent to it now.
+fn holds(cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
+    let Some(model) = &demand.model else {
+        return true;
+    };
+    let Some(version) = upstream.version_of(model) else {
+        // A service that names no models may serve any.
+        return upstream.record.models.is_none();
+    };
+    let overtaken = cx.named.overtaken_at(model, version);
+    !upstream.turning && overtaken.is_none_or(|at| cx.now < at + cx.settings.old_version_for)
+}
+
+fn about_to_turn(cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
+    let Some(model) = &demand.model else {
+        return false;
+    };
+    let version = upstream.version_of(model).unwrap_or(0);
+    cx.named.overtaken_at(model, version).is_some()
+}
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -36,16 +36,4 @@
         let newer = named.filter(|(newer, _)| *newer > version);
         newer.map(|(_, at)| *at).min()
     }
-
-    /// The newest version whose time is over after `within`.
-    pub fn newest_due(&self, now: Moment, model: &str, within: Moment) -> Option<u64> {
-        let named = self.0.get(model)?.iter().rev();
-        let mut due = named.filter(|(_, at)| now.saturating_sub(*at) >= within);
-        due.next().map(|(version, _)| *version)
-    }
-
-    /// The models of which any version was named.
-    pub fn models(&self) -> impl Iterator<Item = &SmolStr> {
-        self.0.keys()
-    }
 }
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -105,13 +105,12 @@
             asked: now,
         };
         self.replica.apply(now, vec![change], proof);
-        self.configure(now, &[], 1);
+        self.configure(&[], 1);
     }
 
-    fn configure(&mut self, now: Moment, engines: &[EngineStatus], entries: usize) {
+    fn configure(&mut self, engines: &[EngineStatus], entries: usize) {
         self.directory = Directory::of(&self.replica, &self.directory);
-        self.dispatcher
-            .configure(now, &self.directory, engines, entries);
+        self.dispatcher.configure(&self.directory, engines, entries);
     }
 
     fn put(&mut self, now: Moment, record: UpstreamRecord) {
@@ -447,7 +446,7 @@
             pace_percent: 100,
         };
 
-        world.configure(at(1), std::slice::from_ref(&status), 1);
+        world.configure(std::slice::from_ref(&status), 1);
         let before = world.offer(at(2), generation(at(2)));
         let again = UpstreamRecord {
             id: "new".into(),
@@ -456,7 +455,7 @@
         };
         world.put(at(3), again);
         world.change(at(3), Subject::Upstream(old.id), None);
-        world.configure(at(3), &[status], 1);
+        world.configure(&[status], 1);
         let after = world.sent_to(at(4), generation(at(4)));
 
         assert!(matches!(
@@ -476,7 +475,7 @@
             .dispatcher
             .end(at(2), sent.upstream, 0.0, Ending::Misdirected);
         let soon = world.sent(at(3), order(at(3)));
-        world.configure(at(5_000), &[], 1);
+        world.configure(&[], 1);
         let later = world.sent(at(5_000), order(at(5_000)));
         let again = UpstreamRecord {
             born_ms: 2,
@@ -504,7 +503,7 @@
             turning: false,
             pace_percent: 400,
         };
-        world.configure(at(1), &[status], 1);
+        world.configure(&[status], 1);
 
         let ids: Vec<_> = (0..3)
             .filter_map(|_| world.sent_to(at(2), generation(at(2))))
@@ -523,7 +522,7 @@
         let mut cold = engine("cold", "addis-a");
         cold.cold_remaining_ms = 3_000;
         world.put(at(0), cold);
-        world.configure(at(1), &[], 4);
+        world.configure(&[], 4);
 
         let mut sent = 0;
         for n in 0..200 {
@@ -569,12 +568,25 @@
         name(&mut world, at(1_000), 2);
 
         let early = world.sent(at(2_000), generation(at(2_000)));
-        world.configure(at(8_100), &[], 1);
+        world.configure(&[], 1);
         let late = world.sent(at(8_100), generation(at(8_100)));
 
         assert!(early.is_some() && late.is_none());
     }
 
+    // Guards against requests that are sent to engines of an overdue version until the next news or tick.
+    #[test]
+    fn the_time_of_the_version_before_ends_without_any_news() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        name(&mut world, at(1_000), 2);
+
+        let early = world.sent(at(7_999), generation(at(7_999)));
+        let late = world.sent(at(8_000), generation(at(8_000)));
+
+        assert!(early.is_some() && late.is_none());
+    }
+
     #[test]
     fn a_version_that_overtakes_another_does_not_give_more_time() {
         let mut world = World::new();
@@ -582,7 +594,7 @@
         name(&mut world, at(1_000), 2);
         name(&mut world, at(4_000), 3);
 
-        world.configure(at(8_100), &[], 1);
+        world.configure(&[], 1);
 
         assert!(world.sent(at(8_100), generation(at(8_100))).is_none());
     }
@@ -620,16 +632,16 @@
             .filter_map(|_| world.sent(at(0), generation(at(0))))
             .collect();
 
-        world.configure(at(10), &[status(true)], 1);
+        world.configure(&[status(true)], 1);
         let while_turning = world.sent(at(11), generation(at(11)));
         for chosen in sent {
             world
                 .dispatcher
                 .end(at(20), chosen.upstream, 900.0, Ending::Failed);
         }
-        world.configure(at(400), &[status(false)], 1);
+        world.configure(&[status(false)], 1);
         world.put(at(400), engine("e2", "mekelle-a"));
-        world.configure(at(400), &[status(false)], 1);
+        world.configure(&[status(false)], 1);
 
         assert!(while_turning.is_none());
         assert_eq!(
