Tests of requests that wait at an engine until its version is overdue

The stand-in of engines can hold generations in a queue now, notes when each began and on which version, and drops one whose connection closes while it waits, which a test of its own shows. A Site has the time within which versions must be in force as a field, and names versions in one place.

--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -70,6 +70,10 @@
     pub body: Bytes,
     /// When it came.
     pub came: Instant,
+    /// When the engine began to work on it, after its wait in the queue.
+    pub began: Instant,
+    /// The version that the engine served when it began, since that is what the answer is made with.
+    pub version: Option<u64>,
     /// Whether the whole answer was taken.
     pub finished: bool,
 }
@@ -77,6 +81,7 @@
 #[derive(Debug, Default)]
 struct State {
     fault: EngineFault,
+    queue_wait: Duration,
     arrivals: usize,
     runs: Vec<Run>,
     staged: BTreeMap<usize, Bytes>,
@@ -129,12 +134,20 @@
         self.state().fault = fault;
     }
 
-    /// Requests that came, those among them that were turned away.
+    /// Makes generations that come from now on wait in the queue before they begin.
+    ///
+    /// One whose connection closes meanwhile is dropped and never begins, as at the platform's
+    /// engines, so that callers can take back what waits.
+    pub fn queue_for(&self, wait: Duration) {
+        self.state().queue_wait = wait;
+    }
+
+    /// Requests that came, those among them that were turned away or left the queue.
     pub fn arrivals(&self) -> usize {
         self.state().arrivals
     }
 
-    /// Requests that were worked on.
+    /// Requests that were worked on, in the order in which they began.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
     }
@@ -245,7 +258,10 @@
     if expected.is_some_and(|expected| expected != options.id.as_str()) {
         return Ok(reply(421, ""));
     }
-    let fault = lock(state).fault;
+    let (fault, queue_wait) = {
+        let state = lock(state);
+        (state.fault, state.queue_wait)
+    };
     if fault == EngineFault::Full {
         let mut response = reply(503, "");
         set(&mut response, "balsamjunction-not-executed", "1");
@@ -255,7 +271,12 @@
     let after: u32 = header(&req, "last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    let run = note_run(state, &id, req).await?;
+    let run = Run::read(id.clone(), req).await?;
+    if streamed && !queue_wait.is_zero() {
+        // The server drops this future when the connection closes, and the request with it.
+        actix_rt::time::sleep(queue_wait).await;
+    }
+    let run = begin(state, run);
     let mut response = match fault {
         EngineFault::AnswerLost => return Err(io::ErrorKind::ConnectionReset.into()),
         EngineFault::Silent => {
@@ -292,30 +313,42 @@
     }
 }
 
-async fn note_run(
-    state: &Mutex<State>,
-    id: &str,
-    req: Request<Incoming>,
-) -> Result<usize, io::Error> {
-    let headers = req.headers().iter();
-    let headers = headers
-        .map(|(name, value)| {
-            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
-            (name.as_str().to_owned(), value)
+impl Run {
+    /// Reads a request that has not begun yet.
+    async fn read(id: String, req: Request<Incoming>) -> Result<Self, io::Error> {
+        let headers = req.headers().iter();
+        let headers = headers
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.as_str().to_owned(), value)
+            })
+            .collect();
+        let target = req.uri().to_string();
+        let buf = req.into_body().collect().await.map_err(io::Error::other)?;
+        let came = Instant::now();
+        Ok(Self {
+            id,
+            headers,
+            target,
+            body: buf.to_bytes(),
+            came,
+            began: came,
+            version: None,
+            finished: false,
         })
-        .collect();
-    let target = req.uri().to_string();
-    let buf = req.into_body().collect().await.map_err(io::Error::other)?;
+    }
+}
+
+/// Notes a run that begins now; gives its place among the runs.
+fn begin(state: &Mutex<State>, run: Run) -> usize {
     let mut state = lock(state);
+    let version = state.version;
     state.runs.push(Run {
-        id: id.to_owned(),
-        headers,
-        target,
-        body: buf.to_bytes(),
-        came: Instant::now(),
-        finished: false,
+        began: Instant::now(),
+        version,
+        ..run
     });
-    Ok(state.runs.len() - 1)
+    state.runs.len() - 1
 }
 
 /// The events of a stream from the one after `after`, each after a pause.
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -26,6 +26,8 @@
     pub processes: Processes,
     /// The bound on retries beside those that requests earn.
     pub retry_slack: f64,
+    /// The time within which a version that was named is in force.
+    pub version_within: Duration,
     /// Time after which a process that has ended is started again, if it is.
     pub restart_after: Option<Duration>,
     addresses: Addresses,
@@ -124,6 +126,7 @@
             store: Store::start().await.expect("the store starts"),
             processes: Processes::new(dir.clone()),
             retry_slack: 20.0,
+            version_within: Duration::from_millis(3_000),
             restart_after: None,
             config: config(origin.address),
             origin,
@@ -152,6 +155,12 @@
         self.store.put(&key, &engine.entry(state));
     }
 
+    /// Names the version of the weights that engines are to serve.
+    pub fn name_version(&self, version: u64) {
+        let value = json!({"model": "m1", "version": version});
+        self.store.put("op/version/m1", &value);
+    }
+
     /// Starts a gateway; `seeds` are other gateways.
     pub fn gateway(&mut self, name: &str, seeds: &[Gateway]) -> Gateway {
         let store = self.store.address;
@@ -174,7 +183,8 @@
             "inner_listen": gateway.inner.to_string(),
             "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
             "seeds": addresses_of(seeds), "revoke_within_ms": 2000, "grace_s": 8,
-            "version_within_ms": 3000, "retry_slack": self.retry_slack, "first_start": true,
+            "version_within_ms": self.version_within.as_millis(), "retry_slack": self.retry_slack,
+            "first_start": true,
         });
         self.launch(name, "gateway", &settings);
         gateway
@@ -188,7 +198,7 @@
             "inner_listen": SocketAddr::new(ip, 7000).to_string(),
             "store": self.store.address.to_string(), "seeds": addresses_of(seeds),
             "engine": engine.address.to_string(), "service": engine.options.service.as_str(),
-            "version_within_ms": 3000,
+            "version_within_ms": self.version_within.as_millis(),
         });
         self.launch(name, "stager", &settings);
     }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -6,4 +6,5 @@
 mod requests;
 mod soak;
 mod streams;
+mod versions;
 mod weights;
--- a/crates/lab/tests/gateway/soak/troubles.rs
+++ b/crates/lab/tests/gateway/soak/troubles.rs
@@ -124,8 +124,7 @@
             }
             Trouble::NewVersion => {
                 self.version += 1;
-                let named = json!({"model": "m1", "version": self.version});
-                self.site.store.put("op/version/m1", &named);
+                self.site.name_version(self.version);
                 nothing
             }
             Trouble::NewConfiguration => {
--- /dev/null
+++ b/crates/lab/tests/gateway/versions.rs
@@ -0,0 +1,148 @@
+//! Versions at the time at which they must be in force: what still begins on the one before.
+
+use std::time::{Duration, Instant};
+
+use balsamjunction_lab::standin::published::{Engine, EngineOptions};
+use futures_util::future::{join, join_all};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+use crate::common::{engine, event_ids, until, Gateway, Got, Site};
+
+/// Long enough for a busy machine: the last hundredths of it are for recalls.
+const VERSION_WITHIN: Duration = Duration::from_millis(4_000);
+/// Wait in an engine's queue; shorter than the silence after which a gateway gives an engine up.
+const QUEUE_WAIT: Duration = Duration::from_millis(1_200);
+/// Pause between requests of which some begin before the version must be in force, and some after.
+const SPACING: Duration = Duration::from_millis(100);
+/// Events of a stream.
+const EVENTS: u32 = 3;
+
+/// A gateway and an engine of version 1 that never turns, since no stager brings it another.
+async fn before_the_naming() -> (Site, Gateway, Engine) {
+    let mut site = Site::start().await;
+    site.version_within = VERSION_WITHIN;
+    let holding = site.engine(engine("e1", EVENTS, 5)).await;
+    holding.queue_for(QUEUE_WAIT);
+    let gateway = site.gateway("g1", &[]);
+    gateway.until_ready().await;
+    (site, gateway, holding)
+}
+
+/// Names version 2; gives the time at which the store had it.
+fn name_second(site: &Site) -> Instant {
+    site.name_version(2);
+    Instant::now()
+}
+
+/// Generates once `at` has come.
+async fn generate_at(gateway: Gateway, at: Instant, id: String) -> Got {
+    actix_rt::time::sleep_until(at.into()).await;
+    gateway.generate(&id).await
+}
+
+/// Opens a connection to an engine and sends it a generation.
+async fn send_generation(engine: &Engine, id: &str) -> TcpStream {
+    let mut tcp = TcpStream::connect(engine.address)
+        .await
+        .expect("the engine accepts");
+    let head = format!(
+        "POST /draft/now HTTP/1.1\r\nHost: engine\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+         Balsamjunction-Token-Usage: 10,10\r\nContent-Length: 0\r\n\r\n"
+    );
+    tcp.write_all(head.as_bytes())
+        .await
+        .expect("the request goes out");
+    tcp
+}
+
+// VERSION on abay-deck: requests waited in an engine's queue until its version was overdue.
+#[actix_rt::test]
+async fn no_request_begins_on_an_overdue_version_after_a_wait_at_the_engine() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let named = name_second(&site);
+    let bound = named + VERSION_WITHIN;
+    let first = bound - QUEUE_WAIT * 3 / 2;
+    let sends = (0..)
+        .map(|n| first + SPACING * n)
+        .take_while(|at| *at < bound);
+    let calls = sends
+        .enumerate()
+        .map(|(n, at)| generate_at(gateway, at, format!("a{n}")));
+    join_all(calls).await;
+
+    let runs = holding.runs();
+    let ms = |at: Instant| (at - named).as_millis();
+    let late: Vec<String> = runs
+        .iter()
+        .filter(|run| run.version == Some(1) && run.began > bound)
+        .map(|run| format!("{} came {}, began {}", run.id, ms(run.came), ms(run.began)))
+        .collect();
+    assert!(!runs.is_empty(), "no request began");
+    assert!(
+        late.is_empty(),
+        "{} of {} requests began on version 1 later than {} ms after version 2 was named: {late:#?}",
+        late.len(),
+        runs.len(),
+        VERSION_WITHIN.as_millis()
+    );
+}
+
+// VERSION on abay-deck: a request that is taken back from an old engine is lost to its caller.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_engine_without_the_version_is_served_by_one_that_has_it() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let named = name_second(&site);
+    let bound = named + VERSION_WITHIN;
+    // Sent while the old version may still be used, and due to begin when it no longer may.
+    let sent = bound - QUEUE_WAIT * 3 / 4;
+    let ids = ["a0", "a1"];
+    let calls = join_all(ids.map(|id| generate_at(gateway, sent, id.to_owned())));
+    let newer = async {
+        until("the requests to wait at the engine", async || {
+            holding.arrivals() == ids.len()
+        })
+        .await;
+        let options = EngineOptions {
+            version: Some(2),
+            ..engine("e2", EVENTS, 5)
+        };
+        site.engine(options).await
+    };
+    let (answers, newer) = join(calls, newer).await;
+
+    for got in &answers {
+        assert_eq!(got.status, 200, "{got:?}");
+        let body = got.body.as_deref().expect("the stream is whole");
+        assert_eq!(event_ids(body), [1, 2, 3]);
+        assert_eq!(got.signature.as_deref(), Some("e2"));
+    }
+    assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+    assert_eq!(newer.runs().len(), ids.len());
+}
+
+// VERSION on abay-deck: a request begins though the gateway has closed its connection.
+#[actix_rt::test]
+async fn a_request_whose_connection_closes_leaves_the_queue_of_its_engine() {
+    let holding = Engine::start(engine("e1", EVENTS, 5))
+        .await
+        .expect("the engine starts");
+    holding.queue_for(Duration::from_millis(300));
+
+    let leaves = send_generation(&holding, "a0").await;
+    until("the first request to wait", async || {
+        holding.arrivals() == 1
+    })
+    .await;
+    drop(leaves);
+    let _stays = send_generation(&holding, "a1").await;
+    until("the second request to run", async || {
+        !holding.runs().is_empty()
+    })
+    .await;
+
+    // The first would have begun before the second.
+    let begun: Vec<String> = holding.runs().into_iter().map(|run| run.id).collect();
+    assert_eq!(begun, ["a1"]);
+}
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -1,7 +1,6 @@
 //! Versions on their way to engines.
 
 use balsamjunction_lab::standin::published::{Engine, CHUNKS};
-use serde_json::json;
 
 use crate::common::{engine, until, Gateway, Site};
 
@@ -18,11 +17,6 @@
     (gateway, started)
 }
 
-fn name(site: &Site, version: u64) {
-    let value = json!({"model": "m1", "version": version});
-    site.store.put("op/version/m1", &value);
-}
-
 async fn until_served(engines: &[Engine], version: u64) {
     until("every engine to serve the version", async || {
         engines
@@ -39,7 +33,7 @@
     actix_rt::time::sleep(std::time::Duration::from_millis(1_000)).await;
     let before = site.origin.chunks_sent();
 
-    name(&site, 2);
+    site.name_version(2);
     until_served(&engines, 2).await;
 
     let drawn = site.origin.chunks_sent() - before;
@@ -53,7 +47,7 @@
     let (_, engines) = fleet(&mut site, 2).await;
 
     engines[0].spoil_next_stage();
-    name(&site, 2);
+    site.name_version(2);
     until_served(&engines, 2).await;
 
     assert_eq!(engines[0].mixed_loads(), 0);
@@ -65,7 +59,7 @@
     let (_, engines) = fleet(&mut site, 3).await;
 
     site.origin.garble_next_manifest();
-    name(&site, 2);
+    site.name_version(2);
     until_served(&engines, 2).await;
 
     assert!(engines.iter().all(|engine| engine.mixed_loads() == 0));
@@ -76,9 +70,9 @@
     let mut site = Site::start().await;
     let (_, engines) = fleet(&mut site, 3).await;
 
-    name(&site, 2);
+    site.name_version(2);
     actix_rt::time::sleep(std::time::Duration::from_millis(150)).await;
-    name(&site, 3);
+    site.name_version(3);
     until_served(&engines, 3).await;
 
     assert!(engines.iter().all(|engine| engine.mixed_loads() == 0));
@@ -90,7 +84,7 @@
     let (_, engines) = fleet(&mut site, 2).await;
 
     site.origin.set_down(true);
-    name(&site, 2);
+    site.name_version(2);
     actix_rt::time::sleep(std::time::Duration::from_millis(1_500)).await;
     site.origin.set_down(false);
 
@@ -107,7 +101,7 @@
     .await;
     site.origin.set_down(true);
     for version in 2..6 {
-        name(&site, version);
+        site.name_version(version);
         let heard = async || {
             let lines = site.lines("s0", "weights");
             lines.iter().any(|line| line["version"] == version)
