Requests that wait at an engine are called back before its version is overdue

What callers saw: requests ran on an older version of the weights than had to be in force (VERSION). Cause: the version was checked when a request was sent, but it binds when the request begins. In between it waits in the engine's queue, and nobody looked again. Class of fault: a check at a decision for a bound on a later effect, with a wait of unknown length in between. A change of the times reaches requests that wait already. Ruled out: a shorter deadline in the request's header, since engines stop running streams at it, too; the expected version in the header, since it is checked on arrival.

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -21,7 +21,7 @@
 use balsamjunction_settings::GatewaySettings;
 use smol_str::SmolStr;
 use strum::IntoEnumIterator;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 
 use crate::{
     mesh::Beliefs,
@@ -60,6 +60,8 @@
     retry_bound: RetryBound,
     slack_from: Moment,
     wake: Notify,
+    /// Counts changes of the times by which requests must begin on older versions.
+    version_times: watch::Sender<u64>,
 }
 
 struct Dispatch {
@@ -96,6 +98,7 @@
             retry_bound,
             slack_from,
             wake: Notify::new(),
+            version_times: watch::channel(0).0,
         }
     }
 
@@ -182,9 +185,13 @@
         }
     }
 
+    fn begin_by(&self, model: &str, version: u64) -> Option<Moment> {
+        lock(&self.dispatch).dispatcher.begin_by(model, version)
+    }
+
     /// Whether no request may begin on a version any more.
     pub fn overdue(&self, model: &str, version: u64) -> bool {
-        let begin_by = lock(&self.dispatch).dispatcher.begin_by(model, version);
+        let begin_by = self.begin_by(model, version);
         begin_by.is_some_and(|by| by < self.now())
     }
 
@@ -219,9 +226,12 @@
         let directory = self.beliefs.directory();
         let engines = self.beliefs.engines();
         let entries = self.entries();
-        lock(&self.dispatch)
+        let times_changed = lock(&self.dispatch)
             .dispatcher
             .configure(&directory, &engines, entries);
+        if times_changed {
+            self.version_times.send_modify(|n| *n += 1);
+        }
         self.grant();
     }
 }
@@ -354,6 +364,30 @@
             .served_version(self.chosen.upstream, model)
     }
 
+    /// Waits until no request may begin any more on the version that the upstream serves.
+    ///
+    /// `sent_to` is the version that it served when the request was sent; it counts if the upstream is
+    /// no longer listed, since one that leaves still begins what waits there.
+    pub async fn until_overdue(&self, model: &str, sent_to: u64) {
+        let mut changes = self.context.version_times.subscribe();
+        loop {
+            let served = self.served_version(model);
+            let version = served.map_or(sent_to, |served| served.version);
+            match self.context.begin_by(model, version) {
+                Some(by) => {
+                    let left = by.saturating_sub(self.context.now());
+                    if left.is_zero() {
+                        return;
+                    }
+                    // Whether the time is over or has changed, it is looked at again.
+                    let _ = actix_rt::time::timeout(left, changes.changed()).await;
+                }
+                None if changes.changed().await.is_err() => std::future::pending().await,
+                None => {}
+            }
+        }
+    }
+
     /// Whether the upstream takes other weights now, which breaks off what runs there.
     pub fn turning(&self) -> bool {
         let dispatch = lock(&self.context.dispatch);
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,7 +5,7 @@
 use actix_web::{http::StatusCode, HttpResponse};
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::dispatch::{Demand, Ending, RefusalReason, Refused};
+use balsamjunction_policy::dispatch::{Demand, Ending, RefusalReason, Refused, ServedVersion};
 use balsamjunction_protocol::Crash;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -245,7 +245,10 @@
         self.holds_retry = false;
         let req = self.request(&target, resume_after);
         let silence = self.silence();
-        let sent = actix_rt::time::timeout(silence, send::send(tcp, req)).await;
+        let sent = tokio::select! {
+            sent = actix_rt::time::timeout(silence, send::send(tcp, req)) => sent,
+            () = self.until_overdue(&flight, served) => return self.recall(&mut flight, &target),
+        };
         let detail = match sent {
             Ok(Ok(sent)) => return self.judge(sent, flight, &target),
             Ok(Err(e)) => {
@@ -261,6 +264,26 @@
         Attempted::Unknown
     }
 
+    /// Waits until the request must have begun, if its upstream serves a version that is overtaken.
+    async fn until_overdue(&self, flight: &Flight, served: Option<ServedVersion>) {
+        match self.demand.model.as_ref().zip(served) {
+            Some((model, served)) => flight.until_overdue(model, served.version).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Gives up a request that has waited at an upstream until its version is overdue.
+    ///
+    /// Engines drop what waits when its connection closes. It may have begun meanwhile, so whether it
+    /// goes elsewhere depends on its route.
+    fn recall(&self, flight: &mut Flight, target: &UpstreamRecord) -> Attempted {
+        flight.end_as(Ending::Abandoned);
+        self.context.metrics.mesh.recalls.inc();
+        let detail = "the time of its version is over".to_owned();
+        self.failed(target, "recalled", detail);
+        Attempted::Unknown
+    }
+
     /// How long an upstream may be silent before the request goes elsewhere.
     pub fn silence(&self) -> Duration {
         let another = self.call.route.repeatable() && self.ran + 1 < self.call.route.max_attempts;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -69,6 +69,8 @@
     pub sampled_lines: Counter,
     /// Answers that began on a version of the weights whose time was over.
     pub overdue_answers: Counter,
+    /// Requests that were called back from upstreams whose version was overdue.
+    pub recalls: Counter,
 }
 
 impl MeshMetrics {
@@ -87,6 +89,7 @@
             dropped_lines: Counter::default(),
             sampled_lines: Counter::default(),
             overdue_answers: Counter::default(),
+            recalls: Counter::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -110,6 +113,8 @@
         r.register("sampled_lines", sampled, m.sampled_lines.clone());
         let overdue = "Answers begun on an overdue version";
         r.register("overdue_answers", overdue, m.overdue_answers.clone());
+        let recalls = "Requests called back from overdue versions";
+        r.register("recalls", recalls, m.recalls.clone());
         metrics
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -207,11 +207,17 @@
 
     /// Takes over what is published, and what sidecars say of their engines.
     ///
-    /// `entries` is the number of entries that share each upstream's bounds.
-    pub fn configure(&mut self, directory: &Directory, engines: &[EngineStatus], entries: usize) {
+    /// `entries` is the number of entries that share each upstream's bounds. Tells whether the times of
+    /// versions have changed, by which requests that were sent must begin.
+    pub fn configure(
+        &mut self,
+        directory: &Directory,
+        engines: &[EngineStatus],
+        entries: usize,
+    ) -> bool {
         self.entries = entries.max(1);
         let Some(table) = &directory.table else {
-            return;
+            return false;
         };
         let told: HashMap<SocketAddr, &EngineStatus> =
             engines.iter().map(|s| (s.address, s)).collect();
@@ -243,7 +249,7 @@
             }
         }
         self.by_id = found;
-        self.note_versions(directory);
+        let times_changed = self.note_versions(directory);
         self.pools = table
             .declaration
             .services
@@ -253,12 +259,13 @@
                 (service.name.clone(), pool)
             })
             .collect();
+        times_changed
     }
 
     /// Remembers when each version was named.
     ///
     /// A version that this process finds when it starts may have been named a while before.
-    fn note_versions(&mut self, directory: &Directory) {
+    fn note_versions(&mut self, directory: &Directory) -> bool {
         let first_age = match self.pools.is_empty() {
             true => self
                 .settings
@@ -266,7 +273,7 @@
                 .mul_f64(FIRST_VERSION_AGE_PART),
             false => Moment::ZERO,
         };
-        self.named.note(directory, first_age);
+        self.named.note(directory, first_age)
     }
 
     /// What a request for `model` finds at an upstream; nothing if the upstream names no version of it.
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -84,6 +84,9 @@
                 continue;
             }
             let candidate = self.rate(cx, *key, upstream, demand);
+            if !begins_in_time(cx, upstream, demand, candidate.expected_ms) {
+                continue;
+            }
             let mut cost = candidate.expected_ms;
             if upstream.record.data_centre != cx.settings.data_centre {
                 cost += FAR_PENALTY_MS;
@@ -161,6 +164,22 @@
     !upstream.turning && overtaken.is_none_or(|at| cx.now < at + cx.settings.old_version_for)
 }
 
+/// Whether a request is expected to begin before the time of the upstream's version is over.
+fn begins_in_time(
+    cx: &Context<'_>,
+    upstream: &Upstream,
+    demand: &Demand,
+    expected_ms: f64,
+) -> bool {
+    let Some(model) = &demand.model else {
+        return true;
+    };
+    let version = upstream.version_of(model);
+    let overtaken = version.and_then(|version| cx.named.overtaken_at(model, version));
+    let begins = cx.now + Moment::from_secs_f64(expected_ms.max(0.0) / 1e3);
+    overtaken.is_none_or(|at| begins < at + cx.settings.begin_within)
+}
+
 fn about_to_turn(cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
     let Some(model) = &demand.model else {
         return false;
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -17,8 +17,9 @@
     /// Takes over the wanted versions.
     ///
     /// `first_age` is how long ago a version is taken to have been named that is the first one to be
-    /// seen of its model.
-    pub fn note(&mut self, directory: &Directory, first_age: Moment) {
+    /// seen of its model. Tells whether any version counts from another time than before.
+    pub fn note(&mut self, directory: &Directory, first_age: Moment) -> bool {
+        let before = self.0.clone();
         for (model, (version, learned)) in &directory.wanted {
             let named = self.0.entry(model.clone()).or_default();
             match named.last_mut() {
@@ -28,6 +29,7 @@
                 None => named.push((*version, learned.saturating_sub(first_age))),
             }
         }
+        self.0 != before
     }
 
     /// When the first version was named that is newer than `version`, if any is.
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -587,6 +587,28 @@
         assert!(early.is_some() && late.is_none());
     }
 
+    // Guards against requests that are sent in time to a busy engine and begin there on an overdue version.
+    #[test]
+    fn what_is_expected_to_begin_after_the_time_of_its_version_is_not_sent() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        name(&mut world, at(1_000), 2);
+        let patient = |now| Demand {
+            wanted_by: now + Moment::from_secs(3),
+            prompt_tokens: 8_000.0,
+            ..generation(now)
+        };
+
+        let idle = world.sent(at(7_000), patient(at(7_000)));
+        for _ in 0..3 {
+            world.sent(at(7_990), patient(at(7_990)));
+        }
+        let behind_others = world.sent(at(7_990), patient(at(7_990)));
+
+        assert!(idle.is_some_and(|chosen| chosen.expected_ms < 600.0));
+        assert_eq!(behind_others, None);
+    }
+
     #[test]
     fn a_version_that_overtakes_another_does_not_give_more_time() {
         let mut world = World::new();
