A version counts from when it may have been named, not from when it was learned

Cause: a gateway counted the time of a version from when it learned of it. Two of four gateways were frozen, it seems those that read the store for all; the other two noticed the silence and learned of the version 0.7 s after its naming, the frozen ones 1.3 s after it, when they woke. Class of fault: an age that is counted from the learning, where the bound counts from the event. Change: a fact has, beside when it was learned, the time before which it cannot have been acknowledged: the last proof that did not show it. After an outage that is the last question without an answer, since nothing is acknowledged meanwhile, so a version that is named at the return of the store keeps its time; a gateway that was cut off alone is corrected by a peer, which it asks after each naming. Namings that were missed in between are covered by the same proof. Tests: five in directory/tests/replica.rs (the field did not exist before) and a_version_that_is_learned_late_gives_no_more_time, which failed before (sent at 7,900 ms).

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -68,10 +68,13 @@
         model: SmolStr,
         /// The version.
         version: u64,
-        /// How long ago the naming is taken to have been, in milliseconds.
+        /// How long ago it was learned, by whoever learned it first, in milliseconds.
         known_ms: u64,
-        /// Time since the facts were last proved before, in milliseconds: the naming cannot be older.
-        /// Absent if they never were.
+        /// How long ago it was named at the earliest, in milliseconds, which is what counts. Absent if
+        /// nothing had been read before.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        since_ms: Option<u64>,
+        /// Time since the facts were last proved before, in milliseconds. Absent if they never were.
         #[serde(skip_serializing_if = "Option::is_none")]
         unproved_ms: Option<u64>,
     },
--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -105,6 +105,11 @@
         lock(&self.replica).prove(proof);
     }
 
+    /// Notes that a question to the store that was sent at `asked` got no answer.
+    pub fn note_unreadable(&self, asked: Moment) {
+        lock(&self.replica).note_unreadable(asked);
+    }
+
     /// How old the proof of the facts is, for peers.
     pub fn proof_age(&self) -> Option<ProofAge> {
         lock(&self.replica).proof_age(self.clock.now())
@@ -147,7 +152,10 @@
             let before = std::mem::replace(&mut *directory, next);
             (absorbed, replica.at(), proved, before)
         };
-        self.tell_versions(now, proved, &before);
+        if self.tell_versions(now, proved, &before) {
+            // A peer may have learned of it sooner.
+            self.behind.notify_one();
+        }
         self.events.emit(&Event::Belief {
             source: source.to_owned(),
             revision,
@@ -158,24 +166,26 @@
     }
 
     /// Writes a line for each version that was named since `before`, when facts had last been proved
-    /// at `proved`.
-    fn tell_versions(&self, now: Moment, proved: Option<Moment>, before: &Directory) {
+    /// at `proved`; tells whether there is any.
+    fn tell_versions(&self, now: Moment, proved: Option<Moment>, before: &Directory) -> bool {
         let age = |at: Moment| now.saturating_sub(at).as_millis() as u64;
-        for (model, (version, learned)) in &self.directory().wanted {
-            if before
-                .wanted
-                .get(model)
-                .is_some_and(|(old, _)| old == version)
-            {
-                continue;
-            }
+        let directory = self.directory();
+        let named = directory.wanted.iter().filter(|(model, wanted)| {
+            let old = before.wanted.get(*model);
+            old.is_none_or(|old| old.version != wanted.version)
+        });
+        let mut any = false;
+        for (model, wanted) in named {
+            any = true;
             self.events.emit(&Event::VersionNamed {
                 model: model.clone(),
-                version: *version,
-                known_ms: age(*learned),
+                version: wanted.version,
+                known_ms: age(wanted.learned),
+                since_ms: wanted.since.map(age),
                 unproved_ms: proved.map(age),
             });
         }
+        any
     }
 
     /// What a peer lacks that is complete up to its own revision.
@@ -194,7 +204,7 @@
         let mut wanted: Vec<_> = directory
             .wanted
             .iter()
-            .map(|(model, (version, _))| (model.clone(), *version))
+            .map(|(model, wanted)| (model.clone(), wanted.version))
             .collect();
         wanted.sort();
         let mut news = WeightsNews {
@@ -260,10 +270,10 @@
             let gauge = metrics.members.get_or_create(&StateLabels { state });
             gauge.set(up as i64);
         }
-        for (model, (version, _)) in &self.directory().wanted {
+        for (model, wanted) in &self.directory().wanted {
             let state = format!("wanted-{model}");
             let gauge = metrics.weights.get_or_create(&StateLabels { state });
-            gauge.set(*version as i64);
+            gauge.set(wanted.version as i64);
         }
         let own = self.members(|members, _| members.own().engine.clone());
         if let Some((model, version)) = own.and_then(|engine| engine.serving) {
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -67,8 +67,9 @@
 impl Reader {
     /// Reads everything; tells whether that was possible.
     async fn list(&self) -> bool {
-        let listed = self.list_pages().await;
-        self.note(listed.as_ref().err());
+        let asked = self.beliefs.clock.now();
+        let listed = self.list_pages(asked).await;
+        self.note(asked, listed.as_ref().err());
         let Ok((changes, proof)) = listed else {
             return false;
         };
@@ -76,8 +77,7 @@
         true
     }
 
-    async fn list_pages(&self) -> Result<(Vec<Change>, Proof), PlatformError> {
-        let asked = self.beliefs.clock.now();
+    async fn list_pages(&self, asked: Moment) -> Result<(Vec<Change>, Proof), PlatformError> {
         let mut changes = Vec::new();
         let mut first_at = None;
         let mut after = None;
@@ -126,10 +126,10 @@
             match self.store.watch(EVERYTHING, at, WATCH_WAIT).await {
                 Ok(watched) if watched.changes.is_empty() => {
                     // Silence proves nothing: the store may have dropped what this watch missed.
-                    self.note(None);
+                    self.note(asked, None);
                 }
                 Ok(watched) => {
-                    self.note(None);
+                    self.note(asked, None);
                     let proof = Proof {
                         at: watched.at,
                         asked,
@@ -142,7 +142,7 @@
                     self.list().await;
                 }
                 Err(e) => {
-                    self.note(Some(&e));
+                    self.note(asked, Some(&e));
                     self.back_off().await;
                 }
             }
@@ -172,11 +172,11 @@
         let page = match self.store.list(EVACUATIONS, None).await {
             Ok(page) => page,
             Err(e) => {
-                self.note(Some(&e));
+                self.note(asked, Some(&e));
                 return false;
             }
         };
-        self.note(None);
+        self.note(asked, None);
         if page.at > self.beliefs.at() {
             actix_rt::time::sleep(WATCH_LAG).await;
         }
@@ -206,8 +206,12 @@
             .members(|members, _| members.set_reads_store(well));
     }
 
-    /// Notes how a call to the store ended, and tells once when the store is lost or regained.
-    fn note(&self, e: Option<&PlatformError>) {
+    /// Notes how a call to the store ended that was sent at `asked`, and tells once when the store is
+    /// lost or regained.
+    fn note(&self, asked: Moment, e: Option<&PlatformError>) {
+        if e.is_some() {
+            self.beliefs.note_unreadable(asked);
+        }
         self.failed.set(e.map(|_| self.beliefs.clock.now()));
         self.offer_to_read();
         let mut lost = self.lost.borrow_mut();
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -16,6 +16,6 @@
         Target, Workspace,
     },
     fact::{Fact, HeldModel, Subject, UpstreamRecord, UpstreamState},
-    lookup::{Directory, KeyHolder, RouteTable},
-    replica::{Absorbed, Change, Proof, ProofAge, Replica, ReplicaPull, ReplicaUpdate},
+    lookup::{Directory, KeyHolder, RouteTable, WantedVersion},
+    replica::{Absorbed, Change, Known, Proof, ProofAge, Replica, ReplicaPull, ReplicaUpdate},
 };
--- a/crates/directory/src/lookup.rs
+++ b/crates/directory/src/lookup.rs
@@ -11,7 +11,7 @@
 use crate::{
     declaration::{Declaration, Route},
     fact::{Fact, Subject, UpstreamRecord},
-    replica::Replica,
+    replica::{Known, Replica},
 };
 
 /// Whose key it is.
@@ -104,16 +104,28 @@
     pub upstreams: Vec<(UpstreamRecord, Duration)>,
     /// Data centres that take no new work.
     pub evacuated: HashSet<SmolStr>,
-    /// Wanted versions by model, each with the time at which it was learned.
-    pub wanted: HashMap<SmolStr, (u64, Duration)>,
+    /// Wanted versions by model.
+    pub wanted: HashMap<SmolStr, WantedVersion>,
+}
+
+/// The version of a model that engines are to serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WantedVersion {
+    /// The version.
+    pub version: u64,
+    /// When it was learned.
+    pub learned: Duration,
+    /// The time before which it cannot have been named; see [`Known::since`].
+    pub since: Option<Duration>,
 }
 
 impl Directory {
     /// Builds the lookup form; the table of `before` is kept if its configuration still holds.
     pub fn of(replica: &Replica, before: &Directory) -> Self {
         let mut directory = Self::default();
-        for (subject, fact, _, learned) in replica.facts() {
-            match (subject, fact) {
+        for known in replica.facts() {
+            let Known { learned, since, .. } = known;
+            match (known.subject, known.fact) {
                 (_, Fact::Declaration(declaration)) => {
                     let same = before
                         .table
@@ -129,7 +141,12 @@
                     directory.evacuated.insert(data_centre.clone());
                 }
                 (Subject::Version(model), Fact::Version(version)) => {
-                    directory.wanted.insert(model.clone(), (*version, learned));
+                    let wanted = WantedVersion {
+                        version: *version,
+                        learned,
+                        since,
+                    };
+                    directory.wanted.insert(model.clone(), wanted);
                 }
                 _ => {}
             }
--- a/crates/directory/src/replica.rs
+++ b/crates/directory/src/replica.rs
@@ -79,6 +79,24 @@
     revision: u64,
     fact: Fact,
     learned: Duration,
+    since: Option<Duration>,
+}
+
+/// A fact, and what is known of its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'r> {
+    /// What it is about.
+    pub subject: &'r Subject,
+    /// The fact.
+    pub fact: &'r Fact,
+    /// The source's revision of its last change.
+    pub revision: u64,
+    /// When it was learned, by this process or by the first one that handed it on: it is at least as
+    /// old as that.
+    pub learned: Duration,
+    /// The time before which it cannot have been acknowledged, since the source was read then and did
+    /// not have it yet. Absent if the process had read nothing before.
+    pub since: Option<Duration>,
 }
 
 /// The facts that a process knows.
@@ -86,6 +104,7 @@
 pub struct Replica {
     at: u64,
     proved: Option<Duration>,
+    unreadable: Option<Duration>,
     entries: BTreeMap<Subject, Entry>,
     removed: VecDeque<(Subject, u64)>,
     forgotten: u64,
@@ -102,10 +121,23 @@
         self.proved
     }
 
-    /// Every fact with its revision and the time at which it was learned.
-    pub fn facts(&self) -> impl Iterator<Item = (&Subject, &Fact, u64, Duration)> {
-        let all = self.entries.iter();
-        all.map(|(subject, e)| (subject, &e.fact, e.revision, e.learned))
+    /// Every fact with its revision and its times.
+    pub fn facts(&self) -> impl Iterator<Item = Known<'_>> {
+        self.entries.iter().map(|(subject, e)| Known {
+            subject,
+            fact: &e.fact,
+            revision: e.revision,
+            learned: e.learned,
+            since: e.since,
+        })
+    }
+
+    /// Notes that a question to the source which was sent at `asked` got no answer.
+    ///
+    /// Nothing is acknowledged while the source is down, so a change that is found afterwards is
+    /// taken to be younger. If only this process was cut off, peers know better when it was.
+    pub fn note_unreadable(&mut self, asked: Duration) {
+        self.unreadable = self.unreadable.max(Some(asked));
     }
 
     /// Takes changes that followed the known revision, and the proof that comes with them.
@@ -189,8 +221,11 @@
         if let Some(known) = self.entries.get_mut(&change.subject) {
             if known.revision == change.revision {
                 known.learned = known.learned.min(learned);
+                let before = known.since;
+                known.since = before.map(|since| since.min(learned));
+                return known.since != before;
             }
-            if known.revision >= change.revision {
+            if known.revision > change.revision {
                 return false;
             }
         }
@@ -218,10 +253,19 @@
             Some(e) if same => e.learned.min(learned),
             _ => learned,
         };
+        let read = self
+            .proved
+            .map(|at| self.unreadable.map_or(at, |no| no.max(at)));
+        let since = read.map(|at| at.min(learned));
+        let since = match known {
+            Some(e) if same => e.since.min(since),
+            _ => since,
+        };
         let entry = Entry {
             revision: change.revision,
             fact,
             learned,
+            since,
         };
         self.entries.insert(change.subject, entry);
         !same
@@ -236,7 +280,8 @@
         }
     }
 
-    /// What a peer that is complete up to `pull.at` lacks.
+    /// What a peer that is complete up to `pull.at` lacks, and the versions that are wanted: the peer
+    /// may know them for less time.
     pub fn answer(&self, now: Duration, pull: &ReplicaPull) -> Option<ReplicaUpdate> {
         let proved = self.proved?;
         let whole = pull.at == 0 || pull.at < self.forgotten;
@@ -244,7 +289,7 @@
         let mut changes: Vec<Change> = self
             .entries
             .iter()
-            .filter(|(_, e)| newer(e.revision))
+            .filter(|(_, e)| newer(e.revision) || matches!(e.fact, Fact::Version(_)))
             .map(|(subject, e)| Change {
                 subject: subject.clone(),
                 revision: e.revision,
@@ -298,7 +343,18 @@
             asked: asked.saturating_sub(age),
         };
         if update.at < self.at {
-            return Absorbed::default();
+            // The peer lacks something, but may have known for longer what both know.
+            let both = |change: &Change| {
+                let known = self.entries.get(&change.subject);
+                known.is_some_and(|known| known.revision == change.revision)
+            };
+            let both: Vec<Change> = update.changes.into_iter().filter(both).collect();
+            let changed = both
+                .into_iter()
+                .filter(|change| self.put(now, change.clone()));
+            return Absorbed {
+                changed: changed.count(),
+            };
         }
         match update.whole {
             true => self.replace(now, update.changes, update.at, proof),
--- a/crates/directory/tests/replica.rs
+++ b/crates/directory/tests/replica.rs
@@ -51,7 +51,7 @@
 
 fn wanted(replica: &Replica) -> Option<u64> {
     let directory = Directory::of(replica, &Directory::default());
-    directory.wanted.get("m1").map(|(version, _)| *version)
+    directory.wanted.get("m1").map(|wanted| wanted.version)
 }
 
 #[test]
@@ -129,7 +129,7 @@
 
     // Proved 3 s before the question was sent, on the clock of the asking process.
     assert_eq!(replica.proved(), Some(at(47_000)));
-    let learned: Vec<_> = replica.facts().map(|(_, _, _, learned)| learned).collect();
+    let learned: Vec<_> = replica.facts().map(|known| known.learned).collect();
     assert_eq!(learned, [at(47_010)]);
 }
 
@@ -264,3 +264,82 @@
     assert_eq!(wanted(&replica), Some(1));
     assert_eq!(replica.at(), 5);
 }
+
+/// The time from which the wanted version counts.
+fn since(replica: &Replica) -> Option<Duration> {
+    let directory = Directory::of(replica, &Directory::default());
+    directory.wanted.get("m1").and_then(|wanted| wanted.since)
+}
+
+// VERSION on abay-deck: a version that was learned late had all of its time from then on.
+#[test]
+fn a_version_counts_from_the_last_proof_without_it() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 0));
+    replica.prove(proof(5, 1_000));
+
+    replica.apply(at(2_300), vec![version(8, 2)], proof(8, 2_290));
+
+    assert_eq!(since(&replica), Some(at(1_000)));
+}
+
+// VERSION on abay-deck: news that lay unread while the process was frozen was taken for fresh.
+#[test]
+fn news_that_lay_unread_counts_from_the_proof_before_it() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 1_000));
+    let news = ReplicaUpdate {
+        at: 9,
+        age_ms: 0,
+        whole: false,
+        changes: vec![Change {
+            known_ms: 10,
+            ..version(8, 2)
+        }],
+    };
+
+    replica.hear(at(5_000), 5, news);
+
+    assert_eq!(since(&replica), Some(at(1_000)));
+}
+
+// A store that was down for long would otherwise leave a version no time when it is back.
+#[test]
+fn a_version_that_is_found_after_an_outage_counts_from_its_end() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 1_000));
+    replica.note_unreadable(at(7_500));
+
+    replica.apply(at(8_000), vec![version(8, 2)], proof(8, 7_990));
+
+    assert_eq!(since(&replica), Some(at(7_500)));
+}
+
+// VERSION on abay-deck: a process that was cut off took the version for younger than its peers knew.
+#[test]
+fn a_peer_that_has_known_a_version_for_longer_is_believed() {
+    let mut replica = Replica::default();
+    replica.replace(at(0), vec![version(3, 1)], 5, proof(5, 1_000));
+    replica.note_unreadable(at(7_500));
+    replica.apply(at(8_000), vec![version(8, 2)], proof(9, 7_990));
+    let mut peer = Replica::default();
+    peer.replace(at(0), vec![version(3, 1)], 5, proof(5, 1_900));
+    peer.apply(at(2_000), vec![version(8, 2)], proof(8, 1_990));
+
+    let answer = peer.answer(at(8_100), &ReplicaPull { at: replica.at() });
+    let answer = answer.expect("the peer knows something");
+    let absorbed = replica.absorb(at(8_100), at(8_090), answer);
+
+    assert_eq!(since(&replica), Some(at(2_000)));
+    assert_eq!(absorbed.changed, 1);
+}
+
+// A process that starts does not know what came before; it must not take that for news.
+#[test]
+fn a_version_that_is_found_at_the_start_has_no_known_beginning() {
+    let mut replica = Replica::default();
+
+    replica.replace(at(100), vec![version(8, 2)], 9, proof(9, 90));
+
+    assert_eq!(since(&replica), None);
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -249,7 +249,11 @@
             }
         }
         self.by_id = found;
-        let times_changed = self.note_versions(directory);
+        let first_age = self
+            .settings
+            .old_version_for
+            .mul_f64(FIRST_VERSION_AGE_PART);
+        let times_changed = self.named.note(directory, first_age);
         self.pools = table
             .declaration
             .services
@@ -262,20 +266,6 @@
         times_changed
     }
 
-    /// Remembers when each version was named.
-    ///
-    /// A version that this process finds when it starts may have been named a while before.
-    fn note_versions(&mut self, directory: &Directory) -> bool {
-        let first_age = match self.pools.is_empty() {
-            true => self
-                .settings
-                .old_version_for
-                .mul_f64(FIRST_VERSION_AGE_PART),
-            false => Moment::ZERO,
-        };
-        self.named.note(directory, first_age)
-    }
-
     /// What a request for `model` finds at an upstream; nothing if the upstream names no version of it.
     pub fn served_version(&self, key: UpstreamKey, model: &str) -> Option<ServedVersion> {
         let version = self.upstreams.get(key)?.version_of(model)?;
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -14,19 +14,21 @@
 pub struct NamedVersions(HashMap<SmolStr, Vec<(u64, Moment)>>);
 
 impl NamedVersions {
-    /// Takes over the wanted versions.
+    /// Takes over the wanted versions, each from when it may have been named at the earliest.
     ///
-    /// `first_age` is how long ago a version is taken to have been named that is the first one to be
-    /// seen of its model. Tells whether any version counts from another time than before.
+    /// `first_age` is how long ago a version is taken to have been named that was found by the first
+    /// look at the facts. Tells whether any version counts from another time than before.
     pub fn note(&mut self, directory: &Directory, first_age: Moment) -> bool {
         let before = self.0.clone();
-        for (model, (version, learned)) in &directory.wanted {
+        for (model, wanted) in &directory.wanted {
+            let version = wanted.version;
+            let since = wanted.since;
+            let since = since.unwrap_or_else(|| wanted.learned.saturating_sub(first_age));
             let named = self.0.entry(model.clone()).or_default();
             match named.last_mut() {
-                Some((last, at)) if last == version => *at = (*at).min(*learned),
-                Some((last, _)) if *last > *version => {}
-                Some(_) => named.push((*version, *learned)),
-                None => named.push((*version, learned.saturating_sub(first_age))),
+                Some((last, at)) if *last == version => *at = (*at).min(since),
+                Some((last, _)) if *last > version => {}
+                _ => named.push((version, since)),
             }
         }
         self.0 != before
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -104,6 +104,13 @@
             at: self.revision,
             asked: now,
         };
+        if self.revision > 1 {
+            // As at an entry that reads for all, the facts were proved right before they changed.
+            self.replica.prove(Proof {
+                at: self.revision - 1,
+                asked: now,
+            });
+        }
         self.replica.apply(now, vec![change], proof);
         self.configure(&[], 1);
     }
@@ -609,6 +616,30 @@
         assert_eq!(behind_others, None);
     }
 
+    // Guards against a version that gets all of its time from a late learning on.
+    #[test]
+    fn a_version_that_is_learned_late_gives_no_more_time() {
+        let mut world = World::new();
+        world.put(at(900), engine("old", "addis-a"));
+        let change = Change {
+            subject: Subject::Version(MODEL.into()),
+            revision: 9,
+            fact: Some(Fact::Version(2)),
+            known_ms: 0,
+        };
+        let proof = Proof {
+            at: 9,
+            asked: at(2_190),
+        };
+
+        world.replica.apply(at(2_200), vec![change], proof);
+        world.configure(&[], 1);
+        let early = world.sent(at(7_899), generation(at(7_899)));
+        let late = world.sent(at(7_900), generation(at(7_900)));
+
+        assert!(early.is_some() && late.is_none());
+    }
+
     #[test]
     fn a_version_that_overtakes_another_does_not_give_more_time() {
         let mut world = World::new();
