A version that is found at the start binds before the process is held to times

Test: a_version_that_is_found_at_the_start_may_bind_as_soon_as_the_process_is_held_to_it. Before, the bound was a constant part of the time for a version, 7.04 s x 0.6, whatever the contact time.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -42,6 +42,10 @@
 /// Part of that time within which requests must have begun at engines of the version before. The
 /// rest covers late news, late timers, and the way of a closed connection to the engine.
 const BEGIN_PART: f64 = 0.96;
+/// Part of the time until a process that has started is held to times, within which requests must
+/// have begun at engines of versions before the one that it found. The rest is for its first look
+/// at the facts.
+const FOUND_VERSION_PART: f64 = 0.8;
 
 /// Runs a gateway until it is told to stop.
 pub async fn serve(settings: GatewaySettings, file: SettingsFile) -> Result<(), DaemonError> {
@@ -168,5 +172,6 @@
         regions,
         old_version_for: settings.version_within.mul_f64(OLD_VERSION_PART),
         begin_within: settings.version_within.mul_f64(BEGIN_PART),
+        begin_within_at_start: settings.contact_after.mul_f64(FOUND_VERSION_PART),
     })
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -122,6 +122,8 @@
     pub old_version_for: Moment,
     /// How long after a version was named requests may still begin at engines of older ones.
     pub begin_within: Moment,
+    /// The same for a version that was found by the first look at the facts, after that look.
+    pub begin_within_at_start: Moment,
 }
 
 /// Whether an upstream gets requests, for status pages.
@@ -183,9 +185,6 @@
 /// Longest time for which a request waits for room before it is refused; callers that are refused
 /// at once can be served elsewhere or come back.
 const MAX_WAIT: Moment = Moment::from_millis(45);
-/// Part of the time for a change of version that may have passed when a process starts and finds
-/// the version named.
-const FIRST_VERSION_AGE_PART: f64 = 0.6;
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
 /// A refusal for want of any upstream: about the time in which one is registered anew.
@@ -249,10 +248,8 @@
             }
         }
         self.by_id = found;
-        let first_age = self
-            .settings
-            .old_version_for
-            .mul_f64(FIRST_VERSION_AGE_PART);
+        let begin_within = self.settings.begin_within;
+        let first_age = begin_within.saturating_sub(self.settings.begin_within_at_start);
         let times_changed = self.named.note(directory, first_age);
         self.pools = table
             .declaration
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -18,6 +18,7 @@
 const MODEL: &str = "m1";
 const OLD_VERSION_FOR: Moment = Moment::from_secs(7);
 const BEGIN_WITHIN: Moment = Moment::from_millis(7_600);
+const BEGIN_WITHIN_AT_START: Moment = Moment::from_millis(2_400);
 
 fn at(ms: u64) -> Moment {
     Moment::from_millis(ms)
@@ -59,6 +60,7 @@
             regions: HashMap::from(regions),
             old_version_for: OLD_VERSION_FOR,
             begin_within: BEGIN_WITHIN,
+            begin_within_at_start: BEGIN_WITHIN_AT_START,
         };
         let mut world = Self {
             replica: Replica::default(),
@@ -640,6 +642,43 @@
         assert!(early.is_some() && late.is_none());
     }
 
+    // Guards against a process that is held to times before it has given up what it found overdue.
+    #[test]
+    fn a_version_that_is_found_at_the_start_may_bind_as_soon_as_the_process_is_held_to_it() {
+        let mut world = World::new();
+        let table = world.directory.table.clone().expect("it is configured");
+        let found = |revision, subject, fact| Change {
+            subject,
+            revision,
+            fact: Some(fact),
+            known_ms: 0,
+        };
+        let old = engine("old", "addis-a");
+        let facts = vec![
+            found(
+                1,
+                Subject::Declaration,
+                Fact::Declaration(table.declaration.clone()),
+            ),
+            found(2, Subject::Version(MODEL.into()), Fact::Version(2)),
+            found(3, Subject::Upstream(old.id.clone()), Fact::Upstream(old)),
+        ];
+        let proof = Proof {
+            at: 3,
+            asked: at(60_090),
+        };
+
+        world.replica = Replica::default();
+        world.replica.apply(at(60_100), facts, proof);
+        world.configure(&[], 1);
+        let chosen = world.sent(at(60_200), generation(at(60_200)));
+        let upstream = chosen.expect("it is sent").upstream;
+        let served = world.dispatcher.served_version(upstream, MODEL);
+
+        let begin_by = served.and_then(|served| served.begin_by);
+        assert_eq!(begin_by, Some(at(60_100) + BEGIN_WITHIN_AT_START));
+    }
+
     #[test]
     fn a_version_that_overtakes_another_does_not_give_more_time() {
         let mut world = World::new();
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -68,6 +68,8 @@
     pub retry_window: Duration,
     /// Time in which engines must have changed to a newer version.
     pub version_within: Duration,
+    /// Time for which a process must have been up and in touch before it is held to such times.
+    pub contact_after: Duration,
 }
 
 /// Settings of `balsamjunctiond stager`.
@@ -129,6 +131,7 @@
             retry_slack: slack.unwrap_or(20.0),
             retry_window: seconds(fields, "retry_window_s", 10.0),
             version_within: millis(fields, "version_within_ms", 8_000),
+            contact_after: millis(fields, "contact_after_ms", 3_000),
         })
     })
 }
