An upstream that closes while a connection is made gets nothing more

Change: the same question is asked again once the connection is there; a request that may not be sent any more surely has not run and goes elsewhere. Test: what_closes_between_choice_and_connection_gets_nothing (the question did not exist before).

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -356,6 +356,15 @@
         Some(view.record)
     }
 
+    /// Whether the request may still go to the upstream.
+    pub fn may_be_sent(&self, demand: &Demand) -> bool {
+        let now = self.context.now();
+        let dispatch = lock(&self.context.dispatch);
+        dispatch
+            .dispatcher
+            .may_serve(now, self.chosen.upstream, demand)
+    }
+
     /// The version of a model that the upstream serves, as far as it is known.
     pub fn served_version(&self, model: &str) -> Option<ServedVersion> {
         let dispatch = lock(&self.context.dispatch);
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -237,6 +237,11 @@
                 return Attempted::NotRun;
             }
         };
+        if !flight.may_be_sent(&self.demand) {
+            let detail = "it was closed while a connection was made".to_owned();
+            self.failed(&target, "not-sent", detail);
+            return Attempted::NotRun;
+        }
         // Every arrival beyond the first counts, also after upstreams that turned the request away.
         if self.arrived && !self.take_retry() {
             return Attempted::NoRetryLeft;
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -272,6 +272,21 @@
         })
     }
 
+    /// Whether a request that was to go to an upstream may still do so.
+    ///
+    /// It is asked once a connection is made, which may take long enough for the upstream to leave.
+    pub fn may_serve(&self, now: Moment, key: UpstreamKey, demand: &Demand) -> bool {
+        let upstream = self.upstreams.get(key);
+        let pool = self.pools.get(&demand.service);
+        let cx = pool::Context {
+            now,
+            settings: &self.settings,
+            named: &self.named,
+            entries: self.entries,
+        };
+        upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, demand)))
+    }
+
     /// By when requests must have begun on a version, if a newer one is named.
     pub fn begin_by(&self, model: &str, version: u64) -> Option<Moment> {
         let overtaken = self.named.overtaken_at(model, version)?;
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -110,7 +110,8 @@
         best.map(|(_, candidate)| candidate)
     }
 
-    fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
+    /// Whether a request may go to a member at all, however busy it is.
+    pub fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
         let region = cx.settings.regions.get(&upstream.record.data_centre);
         let home = region.is_none_or(|region| demand.allows(region));
         upstream.open && home && holds(cx, upstream, demand)
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -679,6 +679,34 @@
         assert_eq!(begin_by, Some(at(60_100) + BEGIN_WITHIN_AT_START));
     }
 
+    // Guards against requests that are written to an upstream which closed while a connection was made.
+    #[test]
+    fn what_closes_between_choice_and_connection_gets_nothing() {
+        let mut world = World::new();
+        world.put(at(0), engine("old", "addis-a"));
+        world.put(at(0), engine("leaves", "mekelle-a"));
+        name(&mut world, at(1_000), 2);
+        let demand = generation(at(7_950));
+        let chosen = [(); 2].map(|()| {
+            let chosen = world.sent(at(7_950), demand.clone());
+            chosen.expect("it is sent").upstream
+        });
+
+        let before = chosen.map(|key| world.dispatcher.may_serve(at(7_960), key, &demand));
+        let overdue = chosen.map(|key| world.dispatcher.may_serve(at(8_000), key, &demand));
+        let mut leaves = engine("leaves", "mekelle-a");
+        leaves.state = UpstreamState::Draining;
+        world.put(at(7_970), leaves);
+        let drained: Vec<_> = chosen
+            .into_iter()
+            .filter(|key| !world.dispatcher.may_serve(at(7_980), *key, &demand))
+            .map(|key| world.id(key))
+            .collect();
+
+        assert_eq!((before, overdue), ([true; 2], [false; 2]));
+        assert_eq!(drained, ["leaves"]);
+    }
+
     #[test]
     fn a_version_that_overtakes_another_does_not_give_more_time() {
         let mut world = World::new();
