A request that was called back is wanted anew

Cause: their wanted time was over, and a late request gets only half of an engine's slots and waits 45 ms. That is right where the caller can be told to come back; one that was called back may have run, so its caller gets 502. Change: the wanted time counts anew from the recall. An answer that is there when the time ends goes before the recall.

--- a/crates/daemon/src/gateway/call.rs
+++ b/crates/daemon/src/gateway/call.rs
@@ -102,12 +102,16 @@
         self.came + self.patience
     }
 
+    /// When the first event is wanted of a request that counts from `since`.
+    pub fn wanted_by(&self, since: Moment) -> Moment {
+        since + Duration::from_millis(self.route.target_latency_ms)
+    }
+
     /// What the request needs of an upstream.
     pub fn demand(&self) -> Demand {
         let header = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
         let tokens = header(headers::TOKENS).and_then(headers::parse_tokens);
         let holder = self.holder.as_deref();
-        let target = Duration::from_millis(self.route.target_latency_ms);
         Demand {
             service: self.service.clone(),
             model: header(headers::MODEL).map(SmolStr::new),
@@ -117,7 +121,7 @@
                 .unwrap_or(self.route.priority),
             route_homes: self.route.homes.clone(),
             workspace_homes: holder.map(|h| h.homes.clone()).unwrap_or_default(),
-            wanted_by: self.came + target,
+            wanted_by: self.wanted_by(self.came),
             tried: Vec::new(),
         }
     }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -251,6 +251,8 @@
         let req = self.request(&target, resume_after);
         let silence = self.silence();
         let sent = tokio::select! {
+            // An answer that is there when the time ends goes first: the request has begun.
+            biased;
             sent = actix_rt::time::timeout(silence, send::send(tcp, req)) => sent,
             () = self.until_overdue(&flight, served) => return self.recall(&mut flight, &target),
         };
@@ -281,8 +283,12 @@
     ///
     /// Engines drop what waits when its connection closes. It may have begun meanwhile, so whether it
     /// goes elsewhere depends on its route.
-    fn recall(&self, flight: &mut Flight, target: &UpstreamRecord) -> Attempted {
+    ///
+    /// It is wanted anew from now on: it is late through no fault of the next upstream, and its caller
+    /// could not be told that it has not run.
+    fn recall(&mut self, flight: &mut Flight, target: &UpstreamRecord) -> Attempted {
         flight.end_as(Ending::Abandoned);
+        self.demand.wanted_by = self.call.wanted_by(self.context.now());
         self.context.metrics.mesh.recalls.inc();
         let detail = "the time of its version is over".to_owned();
         self.failed(target, "recalled", detail);
