--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -281,8 +281,8 @@
 
     /// Gives up a request that has waited at an upstream until its version is overdue.
     ///
-    /// Engines drop what waits when its connection closes. It may have begun meanwhile, so whether it
-    /// goes elsewhere depends on its route.
+    /// Most engines drop what waits when its connection closes. It may have begun meanwhile, so whether
+    /// it goes elsewhere depends on its route. See docs/ROUTING.md, "Versions".
     ///
     /// It is wanted anew from now on: it is late through no fault of the next upstream, and its caller
     /// could not be told that it has not run.
@@ -349,7 +349,7 @@
         Attempted::Answer(Box::new(sent), flight)
     }
 
-    /// Counts an answer that began on a version whose time was over.
+    /// Counts an answer that began on an older version after the time of a recall.
     fn note_version(&self, sent: &Sent) {
         let model = self.demand.model.as_ref();
         if let Some((model, version)) = model.zip(sent.version()) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,9 +67,9 @@
     pub dropped_lines: Counter,
     /// Log lines that were left out under load.
     pub sampled_lines: Counter,
-    /// Answers that began on a version of the weights whose time was over.
+    /// Answers that began on an older version of the weights after the time of a recall.
     pub overdue_answers: Counter,
-    /// Requests that were called back from upstreams whose version was overdue.
+    /// Requests that were recalled from upstreams whose version was overdue.
     pub recalls: Counter,
 }
 
@@ -113,7 +113,7 @@
         r.register("sampled_lines", sampled, m.sampled_lines.clone());
         let overdue = "Answers begun on an overdue version";
         r.register("overdue_answers", overdue, m.overdue_answers.clone());
-        let recalls = "Requests called back from overdue versions";
+        let recalls = "Requests recalled from overdue versions";
         r.register("recalls", recalls, m.recalls.clone());
         metrics
     }
