--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -62,7 +62,7 @@
     gateway: Gateway,
     holding: &Engine,
     requests: usize,
-) -> Vec<Got> {
+) -> (Vec<Got>, Engine) {
     let bound = name_second(site) + VERSION_WITHIN;
     // The old version may still be used then.
     let sent = bound - QUEUE_WAIT * 3 / 4;
@@ -76,10 +76,9 @@
             version: Some(2),
             ..engine("e2", EVENTS, 5)
         };
-        site.engine(options).await;
+        site.engine(options).await
     };
-    let (answers, ()) = join(join_all(calls), newer).await;
-    answers
+    join(join_all(calls), newer).await
 }
 
 fn assert_all_served_by(answers: &[Got], id: &str) {
@@ -129,10 +128,11 @@
 async fn a_request_that_waits_at_an_engine_without_the_version_is_served_by_one_that_has_it() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let answers = generate_until_overdue(&site, gateway, &holding, 2).await;
+    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, 2).await;
 
     assert_all_served_by(&answers, "e2");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+    assert_eq!(newer.runs().len(), 2);
 }
 
 // VERSION on abay-deck: requests that are taken back together are refused though an engine is idle.
@@ -140,10 +140,11 @@
 async fn requests_that_are_taken_back_together_are_all_served_by_an_idle_engine() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let answers = generate_until_overdue(&site, gateway, &holding, 8).await;
+    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, 8).await;
 
     assert_all_served_by(&answers, "e2");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+    assert_eq!(newer.runs().len(), 8);
 }
 
 // VERSION on abay-deck: a request begins though the gateway has closed its connection.
