--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -82,11 +82,19 @@
     })
 }
 
+/// A streaming route whose requests run at one engine only.
+fn once(name: &str, prefix: &str, service: &str) -> Value {
+    let mut route = route(name, prefix, "streaming", service);
+    route["resumable"] = json!(false);
+    route
+}
+
 fn config(origin: SocketAddr) -> Value {
     json!({
         "version": 1,
         "routes": [
             route("draft", "/draft/", "streaming", "deck-model"),
+            once("once", "/once/", "deck-model"),
             route("order", "/order/", "non_idempotent", "order-desk"),
             route("stock", "/stock/", "idempotent", "order-desk"),
         ],
@@ -351,13 +359,17 @@
     }
 
     pub async fn generate(&self, id: &str) -> Got {
+        self.generate_on("/draft/now", id).await
+    }
+
+    pub async fn generate_on(&self, path: &str, id: &str) -> Got {
         let key = format!("Bearer {KEY}");
         let headers = [
             ("authorization", key.as_str()),
             ("balsamjunction-model", "m1"),
             ("balsamjunction-token-usage", "100,50"),
         ];
-        self.call_with("POST", "/draft/now", id, &headers).await
+        self.call_with("POST", path, id, &headers).await
     }
 }
 
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -16,6 +16,10 @@
 const SPACING: Duration = Duration::from_millis(100);
 /// Events of a stream.
 const EVENTS: u32 = 3;
+/// Path of generations that may go on at another engine.
+const RESUMABLE: &str = "/draft/now";
+/// Path of generations that run at one engine only.
+const ONCE: &str = "/once/now";
 
 /// A gateway and an engine of version 1 that never turns, since no stager brings it another.
 async fn before_the_naming() -> (Site, Gateway, Engine) {
@@ -35,9 +39,9 @@
 }
 
 /// Generates once `at` has come.
-async fn generate_at(gateway: Gateway, at: Instant, id: String) -> Got {
+async fn generate_at(gateway: Gateway, at: Instant, path: &str, id: String) -> Got {
     actix_rt::time::sleep_until(at.into()).await;
-    gateway.generate(&id).await
+    gateway.generate_on(path, &id).await
 }
 
 /// Opens a connection to an engine and sends it a generation.
@@ -61,12 +65,13 @@
     site: &Site,
     gateway: Gateway,
     holding: &Engine,
+    path: &str,
     requests: usize,
 ) -> (Vec<Got>, Engine) {
     let bound = name_second(site) + VERSION_WITHIN;
     // The old version may still be used then.
     let sent = bound - QUEUE_WAIT * 3 / 4;
-    let calls = (0..requests).map(|n| generate_at(gateway, sent, format!("a{n}")));
+    let calls = (0..requests).map(|n| generate_at(gateway, sent, path, format!("a{n}")));
     let newer = async {
         until("the requests to wait at the engine", async || {
             holding.arrivals() == requests
@@ -103,7 +108,7 @@
         .take_while(|at| *at < bound);
     let calls = sends
         .enumerate()
-        .map(|(n, at)| generate_at(gateway, at, format!("a{n}")));
+        .map(|(n, at)| generate_at(gateway, at, RESUMABLE, format!("a{n}")));
     join_all(calls).await;
 
     let runs = holding.runs();
@@ -128,7 +133,7 @@
 async fn a_request_that_waits_at_an_engine_without_the_version_is_served_by_one_that_has_it() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, 2).await;
+    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, RESUMABLE, 2).await;
 
     assert_all_served_by(&answers, "e2");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
@@ -140,13 +145,25 @@
 async fn requests_that_are_taken_back_together_are_all_served_by_an_idle_engine() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, 8).await;
+    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, RESUMABLE, 8).await;
 
     assert_all_served_by(&answers, "e2");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
     assert_eq!(newer.runs().len(), 8);
 }
 
+// VERSION on abay-deck: a request that may have begun is taken for one that surely did not run.
+#[actix_rt::test]
+async fn a_request_that_is_taken_back_and_may_run_once_reaches_no_second_engine() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let (answers, newer) = generate_until_overdue(&site, gateway, &holding, ONCE, 2).await;
+
+    let statuses: Vec<u16> = answers.iter().map(|got| got.status).collect();
+    assert_eq!(statuses, [502, 502], "{answers:#?}");
+    assert_eq!(newer.arrivals(), 0);
+}
+
 // VERSION on abay-deck: a request begins though the gateway has closed its connection.
 #[actix_rt::test]
 async fn a_request_whose_connection_closes_leaves_the_queue_of_its_engine() {
