--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -73,30 +73,43 @@
 }
 
 /// Names version 2 and sends requests to engines of version 1 that are due to begin there when it is
-/// overdue; an engine of version 2 comes when they wait.
-async fn generate_until_overdue(
+/// overdue; `meanwhile` is done when they wait.
+async fn generate_to_wait<T>(
     site: &Site,
     gateway: Gateway,
     holding: &[Engine],
     path: &str,
     requests: usize,
-) -> (Vec<Got>, Engine) {
+    meanwhile: impl AsyncFnOnce() -> T,
+) -> (Vec<Got>, T) {
     let bound = name_second(site) + VERSION_WITHIN;
     // The old version may still be used then.
     let sent = bound - QUEUE_WAIT * 3 / 4;
     let calls = (0..requests).map(|n| generate_at(gateway, sent, path, format!("a{n}")));
-    let newer = async {
+    let change = async {
         until("the requests to wait at the engines", async || {
             holding.iter().map(Engine::arrivals).sum::<usize>() == requests
         })
         .await;
-        let options = EngineOptions {
-            version: Some(2),
-            ..engine("newer", EVENTS, 5)
-        };
-        site.engine(options).await
+        meanwhile().await
     };
-    join(join_all(calls), newer).await
+    join(join_all(calls), change).await
+}
+
+/// The same; an engine of version 2 comes when they wait.
+async fn generate_until_overdue(
+    site: &Site,
+    gateway: Gateway,
+    holding: &[Engine],
+    path: &str,
+    requests: usize,
+) -> (Vec<Got>, Engine) {
+    let options = EngineOptions {
+        version: Some(2),
+        ..engine("newer", EVENTS, 5)
+    };
+    let newer = async || site.engine(options).await;
+    generate_to_wait(site, gateway, holding, path, requests, newer).await
 }
 
 /// How the attempts at each engine ended that a gateway counts as failed.
@@ -215,6 +228,19 @@
     assert_all_served_by(&[again], "newer");
 }
 
+// VERSION on abay-deck: an engine that has left the list begins what waits there on its old version.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_engine_that_leaves_does_not_begin_on_an_overdue_version() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let leaves = async || site.store.delete("servers/e0");
+    generate_to_wait(&site, gateway, from_ref(&holding), RESUMABLE, 2, leaves).await;
+    // Those that are still in the queue begin meanwhile.
+    actix_rt::time::sleep(QUEUE_WAIT).await;
+
+    assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+}
+
 // VERSION on abay-deck: a request begins though the gateway has closed its connection.
 #[actix_rt::test]
 async fn a_request_whose_connection_closes_leaves_the_queue_of_its_engine() {
