--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -157,6 +157,11 @@
         self.state().version
     }
 
+    /// Makes it serve a version from now on; the test registers it again.
+    pub fn turn_to(&self, version: u64) {
+        self.state().version = Some(version);
+    }
+
     /// Spoils the next chunk that is staged.
     pub fn spoil_next_stage(&self) {
         self.state().spoil_next_stage = true;
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -241,6 +241,24 @@
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
 }
 
+// VERSION on abay-deck: requests are taken back from an engine that has turned while they waited.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_engine_that_turns_to_the_version_stays_there() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let turns = async || {
+        holding.turn_to(2);
+        site.register(&holding, "ready");
+    };
+    let (answers, ()) =
+        generate_to_wait(&site, gateway, from_ref(&holding), RESUMABLE, 2, turns).await;
+
+    assert_all_served_by(&answers, "e0");
+    let versions: Vec<Option<u64>> = holding.runs().iter().map(|run| run.version).collect();
+    assert_eq!(versions, [Some(2); 2]);
+    assert_eq!(holding.arrivals(), 2);
+}
+
 // VERSION on abay-deck: a request begins though the gateway has closed its connection.
 #[actix_rt::test]
 async fn a_request_whose_connection_closes_leaves_the_queue_of_its_engine() {
