--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -82,11 +82,19 @@
     })
 }
 
+/// A streaming route whose requests run at one engine only.
+fn once(name: &str, prefix: &str, service: &str) -> Value {
+    let mut route = route(name, prefix, "streaming", service);
+    route["resumable"] = json!(false);
+    route
+}
+
 fn config(origin: SocketAddr) -> Value {
     json!({
         "version": 1,
         "routes": [
             route("draft", "/draft/", "streaming", "deck-model"),
+            once("once", "/once/", "deck-model"),
             route("order", "/order/", "non_idempotent", "order-desk"),
             route("stock", "/stock/", "idempotent", "order-desk"),
         ],
@@ -274,15 +282,17 @@
         got.is_ok_and(|got| got.status().is_success())
     }
 
-    /// The value of a metric without labels, or the sum over its labels.
+    /// The value of a metric without labels, of one with exactly the labels that `name` gives, or the
+    /// sum over its labels.
     pub async fn metric(&self, name: &str) -> Option<f64> {
         let url = format!("http://{}/metrics", self.metrics);
         let mut got = client().get(url).send().await.ok()?;
         let text = String::from_utf8(got.body().await.ok()?.to_vec()).ok()?;
         let lines = text.lines().filter(|line| !line.starts_with('#'));
         let values: Vec<f64> = lines
-            .filter(|line| line.split(['{', ' ']).next() == Some(name))
-            .filter_map(|line| line.rsplit(' ').next()?.parse().ok())
+            .filter_map(|line| line.rsplit_once(' '))
+            .filter(|(series, _)| *series == name || series.split('{').next() == Some(name))
+            .filter_map(|(_, value)| value.parse().ok())
             .collect();
         (!values.is_empty()).then(|| values.iter().sum())
     }
@@ -351,13 +361,17 @@
     }
 
     pub async fn generate(&self, id: &str) -> Got {
+        self.generate_on("/draft/now", id).await
+    }
+
+    pub async fn generate_on(&self, path: &str, id: &str) -> Got {
         let key = format!("Bearer {KEY}");
         let headers = [
             ("authorization", key.as_str()),
             ("balsamjunction-model", "m1"),
             ("balsamjunction-token-usage", "100,50"),
         ];
-        self.call_with("POST", "/draft/now", id, &headers).await
+        self.call_with("POST", path, id, &headers).await
     }
 }
 
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -1,6 +1,9 @@
 //! Versions at the time at which they must be in force: what still begins on the one before.
 
-use std::time::{Duration, Instant};
+use std::{
+    slice::from_ref,
+    time::{Duration, Instant},
+};
 
 use balsamjunction_lab::standin::published::{Engine, EngineOptions};
 use futures_util::future::{join, join_all};
@@ -16,13 +19,27 @@
 const SPACING: Duration = Duration::from_millis(100);
 /// Events of a stream.
 const EVENTS: u32 = 3;
+/// Path of generations that may go on at another engine.
+const RESUMABLE: &str = "/draft/now";
+/// Path of generations that run at one engine only.
+const ONCE: &str = "/once/now";
 
 /// A gateway and an engine of version 1 that never turns, since no stager brings it another.
 async fn before_the_naming() -> (Site, Gateway, Engine) {
+    let (site, gateway, mut holding) = engines_before_the_naming(1).await;
+    (site, gateway, holding.remove(0))
+}
+
+/// The same with several engines.
+async fn engines_before_the_naming(count: usize) -> (Site, Gateway, Vec<Engine>) {
     let mut site = Site::start().await;
     site.version_within = VERSION_WITHIN;
-    let holding = site.engine(engine("e1", EVENTS, 5)).await;
-    holding.queue_for(QUEUE_WAIT);
+    let mut holding = Vec::new();
+    for n in 0..count {
+        let engine = site.engine(engine(&format!("e{n}"), EVENTS, 5)).await;
+        engine.queue_for(QUEUE_WAIT);
+        holding.push(engine);
+    }
     let gateway = site.gateway("g1", &[]);
     gateway.until_ready().await;
     (site, gateway, holding)
@@ -35,9 +52,9 @@
 }
 
 /// Generates once `at` has come.
-async fn generate_at(gateway: Gateway, at: Instant, id: String) -> Got {
+async fn generate_at(gateway: Gateway, at: Instant, path: &str, id: String) -> Got {
     actix_rt::time::sleep_until(at.into()).await;
-    gateway.generate(&id).await
+    gateway.generate_on(path, &id).await
 }
 
 /// Opens a connection to an engine and sends it a generation.
@@ -55,31 +72,58 @@
     tcp
 }
 
-/// Names version 2 and sends requests to the engine of version 1 that are due to begin there when it
-/// is overdue; an engine of version 2 comes when they wait.
-async fn generate_until_overdue(
+/// Names version 2 and sends requests to engines of version 1 that are due to begin there when it is
+/// overdue; `meanwhile` is done when they wait.
+async fn generate_to_wait<T>(
     site: &Site,
     gateway: Gateway,
-    holding: &Engine,
+    holding: &[Engine],
+    path: &str,
     requests: usize,
-) -> Vec<Got> {
+    meanwhile: impl AsyncFnOnce() -> T,
+) -> (Vec<Got>, T) {
     let bound = name_second(site) + VERSION_WITHIN;
     // The old version may still be used then.
     let sent = bound - QUEUE_WAIT * 3 / 4;
-    let calls = (0..requests).map(|n| generate_at(gateway, sent, format!("a{n}")));
-    let newer = async {
-        until("the requests to wait at the engine", async || {
-            holding.arrivals() == requests
+    let calls = (0..requests).map(|n| generate_at(gateway, sent, path, format!("a{n}")));
+    let change = async {
+        until("the requests to wait at the engines", async || {
+            holding.iter().map(Engine::arrivals).sum::<usize>() == requests
         })
         .await;
-        let options = EngineOptions {
-            version: Some(2),
-            ..engine("e2", EVENTS, 5)
-        };
-        site.engine(options).await;
+        meanwhile().await
+    };
+    join(join_all(calls), change).await
+}
+
+/// The same; an engine of version 2 comes when they wait.
+async fn generate_until_overdue(
+    site: &Site,
+    gateway: Gateway,
+    holding: &[Engine],
+    path: &str,
+    requests: usize,
+) -> (Vec<Got>, Engine) {
+    let options = EngineOptions {
+        version: Some(2),
+        ..engine("newer", EVENTS, 5)
     };
-    let (answers, ()) = join(join_all(calls), newer).await;
-    answers
+    let newer = async || site.engine(options).await;
+    generate_to_wait(site, gateway, holding, path, requests, newer).await
+}
+
+/// How the attempts at each engine ended that a gateway counts as failed.
+fn endings_at(site: &Site, gateway: &str, engines: &[Engine]) -> Vec<Vec<String>> {
+    let lines = site.lines(gateway, "attempt-failed");
+    let at = |engine: &Engine| {
+        let lines = lines
+            .iter()
+            .filter(|line| line["upstream"] == engine.options.id.as_str());
+        lines
+            .map(|line| line["ending"].as_str().unwrap_or_default().to_owned())
+            .collect()
+    };
+    engines.iter().map(at).collect()
 }
 
 fn assert_all_served_by(answers: &[Got], id: &str) {
@@ -104,7 +148,7 @@
         .take_while(|at| *at < bound);
     let calls = sends
         .enumerate()
-        .map(|(n, at)| generate_at(gateway, at, format!("a{n}")));
+        .map(|(n, at)| generate_at(gateway, at, RESUMABLE, format!("a{n}")));
     join_all(calls).await;
 
     let runs = holding.runs();
@@ -129,10 +173,12 @@
 async fn a_request_that_waits_at_an_engine_without_the_version_is_served_by_one_that_has_it() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let answers = generate_until_overdue(&site, gateway, &holding, 2).await;
+    let (answers, newer) =
+        generate_until_overdue(&site, gateway, from_ref(&holding), RESUMABLE, 2).await;
 
-    assert_all_served_by(&answers, "e2");
+    assert_all_served_by(&answers, "newer");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+    assert_eq!(newer.runs().len(), 2);
 }
 
 // VERSION on abay-deck: requests that are taken back together are refused though an engine is idle.
@@ -140,10 +186,77 @@
 async fn requests_that_are_taken_back_together_are_all_served_by_an_idle_engine() {
     let (site, gateway, holding) = before_the_naming().await;
 
-    let answers = generate_until_overdue(&site, gateway, &holding, 8).await;
+    let (answers, newer) =
+        generate_until_overdue(&site, gateway, from_ref(&holding), RESUMABLE, 8).await;
 
-    assert_all_served_by(&answers, "e2");
+    assert_all_served_by(&answers, "newer");
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+    assert_eq!(newer.runs().len(), 8);
+}
+
+// VERSION on abay-deck: a request that may have begun is taken for one that surely did not run.
+#[actix_rt::test]
+async fn a_request_that_is_taken_back_and_may_run_once_reaches_no_second_engine() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let (answers, newer) =
+        generate_until_overdue(&site, gateway, from_ref(&holding), ONCE, 2).await;
+
+    let statuses: Vec<u16> = answers.iter().map(|got| got.status).collect();
+    assert_eq!(statuses, [502, 502], "{answers:#?}");
+    assert_eq!(newer.arrivals(), 0);
+}
+
+// VERSION on abay-deck: a call-back counts as a crash or a failure of the engine that was too slow.
+#[actix_rt::test]
+async fn a_request_that_is_taken_back_again_and_again_is_blamed_neither_on_it_nor_on_the_engines() {
+    let (site, gateway, holding) = engines_before_the_naming(3).await;
+
+    generate_until_overdue(&site, gateway, &holding, RESUMABLE, 9).await;
+    let suspended = r#"balsamjunction_upstreams{state="suspended"}"#;
+    let suspended = gateway.metric(suspended).await;
+    let again = gateway.generate("b0").await;
+
+    // Log lines may come later than the answers.
+    until("the lines of the attempts", async || {
+        site.lines("g1", "attempt-failed").len() >= 9
+    })
+    .await;
+    let endings = endings_at(&site, "g1", &holding);
+    assert_eq!(endings, [["recalled"; 3]; 3]);
+    assert_eq!(suspended, Some(0.0));
+    assert_all_served_by(&[again], "newer");
+}
+
+// VERSION on abay-deck: an engine that has left the list begins what waits there on its old version.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_engine_that_leaves_does_not_begin_on_an_overdue_version() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let leaves = async || site.store.delete("servers/e0");
+    generate_to_wait(&site, gateway, from_ref(&holding), RESUMABLE, 2, leaves).await;
+    // Those that are still in the queue begin meanwhile.
+    actix_rt::time::sleep(QUEUE_WAIT).await;
+
+    assert!(holding.runs().is_empty(), "{:?}", holding.runs());
+}
+
+// VERSION on abay-deck: requests are taken back from an engine that has turned while they waited.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_engine_that_turns_to_the_version_stays_there() {
+    let (site, gateway, holding) = before_the_naming().await;
+
+    let turns = async || {
+        holding.turn_to(2);
+        site.register(&holding, "ready");
+    };
+    let (answers, ()) =
+        generate_to_wait(&site, gateway, from_ref(&holding), RESUMABLE, 2, turns).await;
+
+    assert_all_served_by(&answers, "e0");
+    let versions: Vec<Option<u64>> = holding.runs().iter().map(|run| run.version).collect();
+    assert_eq!(versions, [Some(2); 2]);
+    assert_eq!(holding.arrivals(), 2);
 }
 
 // VERSION on abay-deck: a request begins though the gateway has closed its connection.
