Tests of recalls leave a busy machine more time

Bounds are as before; the requests are sent 0.40 s sooner and wait 0.2 s longer at the engine, so that they still begin too late without a recall.

--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -14,7 +14,9 @@
 /// Long enough for a busy machine: the last hundredths of it are for recalls.
 const VERSION_WITHIN: Duration = Duration::from_millis(4_000);
 /// Wait in an engine's queue; shorter than the silence after which a gateway gives an engine up.
-const QUEUE_WAIT: Duration = Duration::from_millis(1_200);
+const QUEUE_WAIT: Duration = Duration::from_millis(1_400);
+/// How long after the time of a version a request would begin that waits for all of [`QUEUE_WAIT`].
+const LATE: Duration = Duration::from_millis(100);
 /// Pause between requests of which some begin before the version must be in force, and some after.
 const SPACING: Duration = Duration::from_millis(100);
 /// Events of a stream.
@@ -84,7 +86,7 @@
 ) -> (Vec<Got>, T) {
     let bound = name_second(site) + VERSION_WITHIN;
     // The old version may still be used then.
-    let sent = bound - QUEUE_WAIT * 3 / 4;
+    let sent = bound - (QUEUE_WAIT - LATE);
     let calls = (0..requests).map(|n| generate_at(gateway, sent, path, format!("a{n}")));
     let change = async {
         until("the requests to wait at the engines", async || {
