--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -170,7 +170,7 @@
     );
 }
 
-// VERSION on abay-deck: a request that is taken back from an old engine is lost to its caller.
+// VERSION on abay-deck: a request that is recalled from an old engine is lost to its caller.
 #[actix_rt::test]
 async fn a_request_that_waits_at_an_engine_without_the_version_is_served_by_one_that_has_it() {
     let (site, gateway, holding) = before_the_naming().await;
@@ -183,9 +183,9 @@
     assert_eq!(newer.runs().len(), 2);
 }
 
-// VERSION on abay-deck: requests that are taken back together are refused though an engine is idle.
+// VERSION on abay-deck: requests that are recalled together are refused though an engine is idle.
 #[actix_rt::test]
-async fn requests_that_are_taken_back_together_are_all_served_by_an_idle_engine() {
+async fn requests_that_are_recalled_together_are_all_served_by_an_idle_engine() {
     let (site, gateway, holding) = before_the_naming().await;
 
     let (answers, newer) =
@@ -198,7 +198,7 @@
 
 // VERSION on abay-deck: a request that may have begun is taken for one that surely did not run.
 #[actix_rt::test]
-async fn a_request_that_is_taken_back_and_may_run_once_reaches_no_second_engine() {
+async fn a_recalled_request_that_may_run_once_reaches_no_second_engine() {
     let (site, gateway, holding) = before_the_naming().await;
 
     let (answers, newer) =
@@ -209,9 +209,9 @@
     assert_eq!(newer.arrivals(), 0);
 }
 
-// VERSION on abay-deck: a call-back counts as a crash or a failure of the engine that was too slow.
+// VERSION on abay-deck: a recall counts as a crash or a failure of the engine that was too slow.
 #[actix_rt::test]
-async fn a_request_that_is_taken_back_again_and_again_is_blamed_neither_on_it_nor_on_the_engines() {
+async fn a_recall_is_blamed_neither_on_the_request_nor_on_the_engine() {
     let (site, gateway, holding) = engines_before_the_naming(3).await;
 
     generate_until_overdue(&site, gateway, &holding, RESUMABLE, 9).await;
@@ -243,7 +243,7 @@
     assert!(holding.runs().is_empty(), "{:?}", holding.runs());
 }
 
-// VERSION on abay-deck: requests are taken back from an engine that has turned while they waited.
+// VERSION on abay-deck: requests are recalled from an engine that has turned while they waited.
 #[actix_rt::test]
 async fn a_request_that_waits_at_an_engine_that_turns_to_the_version_stays_there() {
     let (site, gateway, holding) = before_the_naming().await;
