--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -68,7 +68,7 @@
     pub retry_window: Duration,
     /// Time in which engines must have changed to a newer version.
     pub version_within: Duration,
-    /// Time for which a process must have been up and in touch before it is held to such times.
+    /// Time for which a process must have been up and connected before it is held to such times.
     pub contact_after: Duration,
 }
 
