--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -74,9 +74,6 @@
         /// nothing had been read before.
         #[serde(skip_serializing_if = "Option::is_none")]
         since_ms: Option<u64>,
-        /// Time since the facts were last proved before, in milliseconds. Absent if they never were.
-        #[serde(skip_serializing_if = "Option::is_none")]
-        unproved_ms: Option<u64>,
     },
     /// A dependency was lost or regained.
     Dependency {
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -380,9 +380,11 @@
     pub async fn until_overdue(&self, model: &str, sent_to: u64) {
         let mut changes = self.context.version_times.subscribe();
         loop {
-            let served = self.served_version(model);
-            let version = served.map_or(sent_to, |served| served.version);
-            match self.context.begin_by(model, version) {
+            let begin_by = match self.served_version(model) {
+                Some(served) => served.begin_by,
+                None => self.context.begin_by(model, sent_to),
+            };
+            match begin_by {
                 Some(by) => {
                     let left = by.saturating_sub(self.context.now());
                     if left.is_zero() {
--- a/crates/daemon/src/mesh/beliefs.rs
+++ b/crates/daemon/src/mesh/beliefs.rs
@@ -140,9 +140,8 @@
 
     fn update(&self, source: &str, change: impl FnOnce(&mut Replica, Moment) -> Absorbed) {
         let now = self.clock.now();
-        let (absorbed, revision, proved, before) = {
+        let (absorbed, revision, before) = {
             let mut replica = lock(&self.replica);
-            let proved = replica.proved();
             let absorbed = change(&mut replica, now);
             if absorbed.changed == 0 {
                 return;
@@ -150,9 +149,9 @@
             let mut directory = lock(&self.directory);
             let next = Arc::new(Directory::of(&replica, &directory));
             let before = std::mem::replace(&mut *directory, next);
-            (absorbed, replica.at(), proved, before)
+            (absorbed, replica.at(), before)
         };
-        if self.tell_versions(now, proved, &before) {
+        if self.tell_versions(now, &before) {
             // A peer may have learned of it sooner.
             self.behind.notify_one();
         }
@@ -165,9 +164,8 @@
         self.notify();
     }
 
-    /// Writes a line for each version that was named since `before`, when facts had last been proved
-    /// at `proved`; tells whether there is any.
-    fn tell_versions(&self, now: Moment, proved: Option<Moment>, before: &Directory) -> bool {
+    /// Writes a line for each version that was named since `before`; tells whether there is any.
+    fn tell_versions(&self, now: Moment, before: &Directory) -> bool {
         let age = |at: Moment| now.saturating_sub(at).as_millis() as u64;
         let directory = self.directory();
         let named = directory.wanted.iter().filter(|(model, wanted)| {
@@ -182,7 +180,6 @@
                 version: wanted.version,
                 known_ms: age(wanted.learned),
                 since_ms: wanted.since.map(age),
-                unproved_ms: proved.map(age),
             });
         }
         any
--- a/crates/directory/src/replica.rs
+++ b/crates/directory/src/replica.rs
@@ -344,17 +344,14 @@
         };
         if update.at < self.at {
             // The peer lacks something, but may have known for longer what both know.
-            let both = |change: &Change| {
+            let mut absorbed = Absorbed::default();
+            for change in update.changes {
                 let known = self.entries.get(&change.subject);
-                known.is_some_and(|known| known.revision == change.revision)
-            };
-            let both: Vec<Change> = update.changes.into_iter().filter(both).collect();
-            let changed = both
-                .into_iter()
-                .filter(|change| self.put(now, change.clone()));
-            return Absorbed {
-                changed: changed.count(),
-            };
+                if known.is_some_and(|known| known.revision == change.revision) {
+                    absorbed.changed += usize::from(self.put(now, change));
+                }
+            }
+            return absorbed;
         }
         match update.whole {
             true => self.replace(now, update.changes, update.at, proof),
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -19,19 +19,25 @@
     /// `first_age` is how long ago a version is taken to have been named that was found by the first
     /// look at the facts. Tells whether any version counts from another time than before.
     pub fn note(&mut self, directory: &Directory, first_age: Moment) -> bool {
-        let before = self.0.clone();
+        let mut changed = false;
         for (model, wanted) in &directory.wanted {
             let version = wanted.version;
             let since = wanted.since;
             let since = since.unwrap_or_else(|| wanted.learned.saturating_sub(first_age));
             let named = self.0.entry(model.clone()).or_default();
             match named.last_mut() {
-                Some((last, at)) if *last == version => *at = (*at).min(since),
+                Some((last, at)) if *last == version => {
+                    changed |= since < *at;
+                    *at = (*at).min(since);
+                }
                 Some((last, _)) if *last > version => {}
-                _ => named.push((version, since)),
+                _ => {
+                    changed = true;
+                    named.push((version, since));
+                }
             }
         }
-        self.0 != before
+        changed
     }
 
     /// When the first version was named that is newer than `version`, if any is.
