A test's folder is removed before its addresses are given back

Cause: fixtures gave their block of loopback addresses back and then removed the folder that bears its name; another test that claimed the block in between lost its folder. Seen once: each_gateway_leaves_a_resting_engine_alone_by_its_own_answers, "settings can be written: NotFound". Change: the folder goes first, in the fixture of gateways and in the lab's bench.

--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -307,10 +307,11 @@
 impl Drop for Bench {
     fn drop(&mut self) {
         self.processes.end_all();
-        self.addresses.release();
         if !std::thread::panicking() && std::env::var_os("BALSAM_KEEP").is_none() {
             // Files of a run that went well are of no use; a leftover does no harm.
             let _ = fs::remove_dir_all(&self.dir);
         }
+        // The folder bears the name of the addresses, so whoever claims them next makes it anew.
+        self.addresses.release();
     }
 }
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -247,11 +247,12 @@
 impl Drop for Site {
     fn drop(&mut self) {
         self.processes.end_all();
-        self.addresses.release();
         // Logs of a test that fails are of use.
         if !std::thread::panicking() {
             let _ = fs::remove_dir_all(&self.dir);
         }
+        // The folder bears the name of the addresses, so the next test that claims them makes it anew.
+        self.addresses.release();
     }
 }
 
