A version that is found at the start binds from the start of the process

The process is held to times from contact_after_ms after its start, whenever it finds anything. Change: the time of such a version counts from the start of the process, or from when somebody has known it, if that was longer ago.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// The time at which the process started.
+    pub fn started_at(&self) -> Moment {
+        AT_START
+    }
+
     /// The time.
     pub fn now(&self) -> Moment {
         AT_START + self.since_start()
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -70,7 +70,7 @@
         &settings,
         beliefs.clone(),
         metrics.clone(),
-        dispatcher(&settings),
+        dispatcher(&settings, clock),
         RetryBound {
             window: settings.retry_window,
             ratio: settings.retry_ratio,
@@ -165,13 +165,14 @@
     }
 }
 
-fn dispatcher(settings: &GatewaySettings) -> Dispatcher {
+fn dispatcher(settings: &GatewaySettings, clock: Clock) -> Dispatcher {
     let regions: HashMap<SmolStr, SmolStr> = settings.regions.clone();
     Dispatcher::new(DispatchSettings {
         data_centre: settings.mesh.data_centre.clone(),
         regions,
         old_version_for: settings.version_within.mul_f64(OLD_VERSION_PART),
         begin_within: settings.version_within.mul_f64(BEGIN_PART),
+        started: clock.started_at(),
         begin_within_at_start: settings.contact_after.mul_f64(FOUND_VERSION_PART),
     })
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -122,7 +122,10 @@
     pub old_version_for: Moment,
     /// How long after a version was named requests may still begin at engines of older ones.
     pub begin_within: Moment,
-    /// The same for a version that was found by the first look at the facts, after that look.
+    /// When this process started.
+    pub started: Moment,
+    /// How long after the start requests may begin at engines of versions that are older than the one
+    /// which the first look at the facts finds.
     pub begin_within_at_start: Moment,
 }
 
@@ -247,10 +250,9 @@
                 self.upstreams.remove(key);
             }
         }
-        self.by_id = found;
-        let begin_within = self.settings.begin_within;
-        let first_age = begin_within.saturating_sub(self.settings.begin_within_at_start);
-        let times_changed = self.named.note(directory, first_age);
+        let begin_by = self.settings.started + self.settings.begin_within_at_start;
+        let found_since = begin_by.saturating_sub(self.settings.begin_within);
+        let times_changed = self.named.note(directory, found_since);
         self.pools = table
             .declaration
             .services
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -16,14 +16,13 @@
 impl NamedVersions {
     /// Takes over the wanted versions, each from when it may have been named at the earliest.
     ///
-    /// `first_age` is how long ago a version is taken to have been named that was found by the first
-    /// look at the facts. Tells whether any version counts from another time than before.
-    pub fn note(&mut self, directory: &Directory, first_age: Moment) -> bool {
+    /// `found_since` is when a version is taken to have been named that was found by the first look at
+    /// the facts, unless somebody has known it for longer. Tells whether any version counts from another time than before.
+    pub fn note(&mut self, directory: &Directory, found_since: Moment) -> bool {
         let mut changed = false;
         for (model, wanted) in &directory.wanted {
             let version = wanted.version;
-            let since = wanted.since;
-            let since = since.unwrap_or_else(|| wanted.learned.saturating_sub(first_age));
+            let since = wanted.since.unwrap_or(found_since.min(wanted.learned));
             let named = self.0.entry(model.clone()).or_default();
             match named.last_mut() {
                 Some((last, at)) if *last == version => {
