Engines that say that they leave, or for how long they want nothing

Server-Leaving on any answer closes an upstream for this process before the answer is passed on; an answer with status 503 and Retry-After closes it for that time. Both are part of Standing, with the list's word and newer starts, which is asked when an upstream is chosen and again once a connection is made. An upstream that lapses from the list and comes back is the same one again: it still leaves, rests, or is cold. If all that may serve a request rest, it is refused at once with the time until the first is back.

--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -103,6 +103,16 @@
             )
         }
         "overload" => "Every upstream was too busy to begin it in its wanted time; it has not run.".to_owned(),
+        "upstreams-rest" => {
+            let rests = last("upstream-rests").map_or_else(String::new, |step| {
+                let for_ms = step.fields.get("for_ms").and_then(Value::as_u64);
+                let for_ms = for_ms.unwrap_or_default();
+                format!(", at last {} for {for_ms} ms", text(step, "upstream"))
+            });
+            format!(
+                "Every upstream that may serve it has said that it wants nothing for a while{rests}; it has not run."
+            )
+        }
         "turned-away" | "no-upstream" if sends > 0 => {
             let failed = last("attempt-failed").map_or("", |step| text(step, "detail"));
             format!(
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -119,6 +119,26 @@
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
     },
+    /// An answer says for the first time that its sender leaves.
+    UpstreamLeaves {
+        /// The request that was answered.
+        id: SmolStr,
+        /// The upstream that was asked.
+        upstream: SmolStr,
+        /// Whether another one answered, which is the one that leaves.
+        misdirected: bool,
+    },
+    /// An upstream wants nothing for a while.
+    UpstreamRests {
+        /// The request that it turned away.
+        id: SmolStr,
+        /// The upstream.
+        upstream: SmolStr,
+        /// For how long it is left alone, in milliseconds.
+        for_ms: u64,
+        /// What it said.
+        detail: String,
+    },
     /// A request got its final answer.
     Answered {
         /// The request.
@@ -178,7 +198,9 @@
             Self::Sent { id, once, .. }
             | Self::AttemptFailed { id, once, .. }
             | Self::Answered { id, once, .. } => (!once).then_some(id),
+            Self::UpstreamRests { id, .. } => Some(id),
             Self::Process { .. }
+            | Self::UpstreamLeaves { .. }
             | Self::Belief { .. }
             | Self::VersionNamed { .. }
             | Self::Dependency { .. }
--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -51,6 +51,8 @@
     NoUpstream,
     /// Every upstream is too busy.
     Overload,
+    /// Every upstream has said that it wants nothing for a while.
+    UpstreamsRest,
     /// Every upstream that was asked turned the request away.
     TurnedAway,
     /// The upstream's answer broke off or never came.
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -406,6 +406,21 @@
         view.is_some_and(|view| view.turning)
     }
 
+    /// Notes that an answer says that its sender leaves; tells whether that is news.
+    pub fn leaves(&self, misdirected: bool) -> bool {
+        lock(&self.context.dispatch)
+            .dispatcher
+            .leaves(self.chosen.upstream, misdirected)
+    }
+
+    /// Notes that the upstream wants nothing for a while; gives the time for which it is left alone.
+    pub fn rests(&self, asked: Option<Duration>) -> Duration {
+        let now = self.context.now();
+        lock(&self.context.dispatch)
+            .dispatcher
+            .rests(now, self.chosen.upstream, asked)
+    }
+
     /// Notes the load that an answer shows.
     pub fn load(&self, running: u32, waiting: u32) {
         let now = self.context.now();
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -197,6 +197,7 @@
         let reason = match refused.reason {
             RefusalReason::NoUpstream => Reason::NoUpstream,
             RefusalReason::Overload => Reason::Overload,
+            RefusalReason::Resting => Reason::UpstreamsRest,
         };
         self.give_up(reason, refused.retry_after)
     }
@@ -310,6 +311,7 @@
 
     /// Tells an answer of this upstream to this request from everything else.
     fn judge(&mut self, sent: Sent, mut flight: Flight, target: &UpstreamRecord) -> Attempted {
+        self.note_standing(&sent, &flight, target);
         if sent
             .header(headers::ATTEMPT_ID)
             .is_some_and(|id| id != self.call.id.as_str())
@@ -349,6 +351,43 @@
         Attempted::Answer(Box::new(sent), flight)
     }
 
+    /// Takes over what any answer says of whether its sender wants more work, before it is passed on.
+    fn note_standing(&self, sent: &Sent, flight: &Flight, target: &UpstreamRecord) {
+        let status = sent.response.status();
+        let events = &self.context.beliefs.events;
+        let metrics = &self.context.metrics.mesh;
+        let misdirected = status == hyper::StatusCode::MISDIRECTED_REQUEST;
+        let leaving = sent.header(headers::LEAVING);
+        if leaving.is_some_and(headers::parse_leaving) && flight.leaves(misdirected) {
+            metrics.leaving_upstreams.inc();
+            events.emit(&Event::UpstreamLeaves {
+                id: self.call.id.clone(),
+                upstream: target.id.clone(),
+                misdirected,
+            });
+        }
+        let retry_after = sent.response.headers().get(headers::RETRY_AFTER);
+        let Some(retry_after) = retry_after else {
+            return;
+        };
+        if status != hyper::StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let value = String::from_utf8_lossy(retry_after.as_bytes());
+        let asked = headers::parse_retry_after(&value);
+        let pause = flight.rests(asked.ok());
+        metrics.rests.inc();
+        events.emit(&Event::UpstreamRests {
+            id: self.call.id.clone(),
+            upstream: target.id.clone(),
+            for_ms: pause.as_millis() as u64,
+            detail: match asked {
+                Ok(asked) => format!("it asked for {} ms", asked.as_millis()),
+                Err(e) => format!("its time cannot be read: {e}"),
+            },
+        });
+    }
+
     /// Counts an answer that began on an older version after the time of a recall.
     fn note_version(&self, sent: &Sent) {
         let model = self.demand.model.as_ref();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -71,6 +71,10 @@
     pub overdue_answers: Counter,
     /// Requests that were recalled from upstreams whose version was overdue.
     pub recalls: Counter,
+    /// Upstreams that said in an answer that they leave.
+    pub leaving_upstreams: Counter,
+    /// Answers by which an upstream wanted nothing for a while.
+    pub rests: Counter,
 }
 
 impl MeshMetrics {
@@ -90,6 +94,8 @@
             sampled_lines: Counter::default(),
             overdue_answers: Counter::default(),
             recalls: Counter::default(),
+            leaving_upstreams: Counter::default(),
+            rests: Counter::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -115,6 +121,10 @@
         r.register("overdue_answers", overdue, m.overdue_answers.clone());
         let recalls = "Requests recalled from overdue versions";
         r.register("recalls", recalls, m.recalls.clone());
+        let leaving = "Upstreams that said that they leave";
+        r.register("leaving_upstreams", leaving, m.leaving_upstreams.clone());
+        let rests = "Answers by which an upstream wanted nothing for a while";
+        r.register("rests", rests, m.rests.clone());
         metrics
     }
 }
--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -24,7 +24,7 @@
     /// It serves them.
     #[default]
     None,
-    /// It turns them away and says so.
+    /// It turns them away and says so, with what [`Engine::rest_for`] gave it as time to come back.
     Full,
     /// It answers with a failure of its own.
     Failing,
@@ -82,12 +82,14 @@
 struct State {
     fault: EngineFault,
     queue_wait: Duration,
-    arrivals: usize,
     runs: Vec<Run>,
     staged: BTreeMap<usize, Bytes>,
     version: Option<u64>,
     spoil_next_stage: bool,
     mixed_loads: u32,
+    leaving: bool,
+    retry_after: Option<SmolStr>,
+    arrived: Vec<Instant>,
 }
 
 /// An engine.
@@ -144,7 +146,22 @@
 
     /// Requests that came, those among them that were turned away or left the queue.
     pub fn arrivals(&self) -> usize {
-        self.state().arrivals
+        self.state().arrived.len()
+    }
+
+    /// When each request came, turned away or not.
+    pub fn arrived(&self) -> Vec<Instant> {
+        self.state().arrived.clone()
+    }
+
+    /// Says in every answer from now on that it is about to leave.
+    pub fn leave(&self) {
+        self.state().leaving = true;
+    }
+
+    /// The `Retry-After` of answers that turn a request away; none if it is absent.
+    pub fn rest_for(&self, retry_after: Option<&str>) {
+        self.state().retry_after = retry_after.map(SmolStr::new);
     }
 
     /// Requests that were worked on, in the order in which they began.
@@ -213,7 +230,11 @@
     if path.starts_with("/stage-") || path == "/order" {
         return weights(state, req).await;
     }
-    work(state, options, req).await
+    let mut response = work(state, options, req).await?;
+    if lock(state).leaving {
+        set(&mut response, "server-leaving", "1");
+    }
+    Ok(response)
 }
 
 async fn weights(state: &Mutex<State>, req: Request<Incoming>) -> Reply {
@@ -257,7 +278,7 @@
 }
 
 async fn work(state: &Arc<Mutex<State>>, options: &EngineOptions, req: Request<Incoming>) -> Reply {
-    lock(state).arrivals += 1;
+    lock(state).arrived.push(Instant::now());
     let id = header(&req, "balsamjunction-attempt-id").unwrap_or_default();
     let expected = header(&req, "balsamjunction-expect-instance");
     if expected.is_some_and(|expected| expected != options.id.as_str()) {
@@ -270,6 +291,9 @@
     if fault == EngineFault::Full {
         let mut response = reply(503, "");
         set(&mut response, "balsamjunction-not-executed", "1");
+        if let Some(retry_after) = &lock(state).retry_after {
+            set(&mut response, "retry-after", retry_after);
+        }
         return Ok(response);
     }
     let streamed = header(&req, "balsamjunction-token-usage").is_some();
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of gateways and stagers: the real programs against stand-ins of the platform.
 
 mod common;
+mod departures;
 mod explained;
 mod lifecycle;
 mod requests;
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,10 +5,14 @@
 //! docs/ROUTING.md.
 
 mod pool;
+mod standing;
 mod upstream;
 mod versions;
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+};
 
 use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
 use balsamjunction_protocol::mesh::EngineStatus;
@@ -92,6 +96,8 @@
     NoUpstream,
     /// Every upstream is too busy for the wanted time.
     Overload,
+    /// Every upstream that may take the request has said that it wants nothing for a while.
+    Resting,
 }
 
 /// What came of a request at an upstream.
@@ -137,6 +143,10 @@
 pub enum UpstreamCondition {
     /// It leaves, or its data centre is evacuated.
     Closed,
+    /// It has said itself that it leaves.
+    Leaving,
+    /// It has said that it wants nothing for a while.
+    Resting,
     /// It takes other weights now.
     Turning,
     /// It failed repeatedly and is left out for a while.
@@ -172,13 +182,18 @@
 pub struct Dispatcher {
     settings: DispatchSettings,
     upstreams: SlotMap<UpstreamKey, Upstream>,
-    by_id: HashMap<(SmolStr, u64), UpstreamKey>,
+    by_id: HashMap<UpstreamId, UpstreamKey>,
+    /// Upstreams that the list names no longer, the longest gone first.
+    lapsed: VecDeque<(UpstreamId, UpstreamKey)>,
     pools: HashMap<SmolStr, Pool>,
     waiting: SlotMap<WaitKey, Waiting>,
     named: NamedVersions,
     entries: usize,
 }
 
+/// An upstream's id, and its start in milliseconds since the Unix epoch.
+type UpstreamId = (SmolStr, u64);
+
 #[derive(Debug)]
 struct Waiting {
     demand: Demand,
@@ -190,6 +205,14 @@
 const MAX_WAIT: Moment = Moment::from_millis(45);
 /// Shortest time after which a refused caller is asked to come back.
 const LEAST_RETRY_AFTER: Moment = Moment::from_millis(150);
+/// Longest time for which an upstream is left alone by its own word; a day, beyond which a fault of
+/// the upstream is likelier than its wish.
+const LONGEST_REST: Moment = Moment::from_secs(24 * 3_600);
+/// How long an upstream is left alone whose time cannot be read; the shortest whole number of seconds.
+const UNREADABLE_REST: Moment = Moment::from_secs(1);
+/// Upstreams that left the list and are remembered, since one that only lapsed comes back as it was:
+/// it still leaves, rests or is cold. The largest fleet replaces fewer in an hour.
+const MAX_LAPSED: usize = 1_024;
 /// A refusal for want of any upstream: about the time in which one is registered anew.
 const NO_UPSTREAM_RETRY_AFTER: Moment = Moment::from_millis(700);
 
@@ -200,6 +223,7 @@
             settings,
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
+            lapsed: VecDeque::new(),
             pools: HashMap::new(),
             waiting: SlotMap::with_key(),
             named: NamedVersions::default(),
@@ -223,6 +247,9 @@
         };
         let told: HashMap<SocketAddr, &EngineStatus> =
             engines.iter().map(|s| (s.address, s)).collect();
+        for upstream in self.upstreams.values_mut() {
+            upstream.standing.listed = false;
+        }
         let mut found = HashMap::new();
         let mut members: HashMap<SmolStr, Vec<UpstreamKey>> = HashMap::new();
         for (record, learned) in &directory.upstreams {
@@ -230,8 +257,8 @@
                 continue;
             };
             let id = (record.id.clone(), record.born_ms);
-            let key = self.by_id.get(&id).copied();
-            let key = key.unwrap_or_else(|| self.upstreams.insert(Upstream::new(record.clone())));
+            let known = self.by_id.remove(&id).or_else(|| self.back_from_lapse(&id));
+            let key = known.unwrap_or_else(|| self.upstreams.insert(Upstream::new(record.clone())));
             let told = told.get(&record.address);
             let status = told.filter(|s| s.born_ms == record.born_ms).copied();
             // The engine has started again, and the list does not say so yet. Its id is another one now.
@@ -239,16 +266,17 @@
             let evacuated = directory.evacuated.contains(&record.data_centre);
             if let Some(upstream) = self.upstreams.get_mut(key) {
                 upstream.update(record, *learned, service, status);
-                let ready = record.state == UpstreamState::Ready && !evacuated;
-                upstream.open = ready && !replaced && !upstream.replaced;
+                upstream.standing.listed = record.state == UpstreamState::Ready && !evacuated;
+                upstream.standing.started_again = replaced;
             }
             found.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
         }
-        for (id, key) in std::mem::take(&mut self.by_id) {
-            if !found.contains_key(&id) {
-                self.upstreams.remove(key);
-            }
+        self.lapsed
+            .extend(std::mem::replace(&mut self.by_id, found));
+        while self.lapsed.len() > MAX_LAPSED {
+            let oldest = self.lapsed.pop_front();
+            oldest.and_then(|(_, key)| self.upstreams.remove(key));
         }
         let begin_by = self.settings.started + self.settings.begin_within_at_start;
         let found_since = begin_by.saturating_sub(self.settings.begin_within);
@@ -265,6 +293,44 @@
         times_changed
     }
 
+    /// An upstream that is back in the list.
+    fn back_from_lapse(&mut self, id: &UpstreamId) -> Option<UpstreamKey> {
+        let at = self.lapsed.iter().position(|(lapsed, _)| lapsed == id)?;
+        self.lapsed.remove(at).map(|(_, key)| key)
+    }
+
+    /// Notes that an answer from an upstream's address says that its sender leaves; tells whether that
+    /// is news.
+    ///
+    /// If it came from another one than was asked (`misdirected`), it is about whichever else is
+    /// listed at the address.
+    pub fn leaves(&mut self, key: UpstreamKey, misdirected: bool) -> bool {
+        let Some(address) = self.upstreams.get(key).map(|u| u.record.address) else {
+            return false;
+        };
+        let mut news = false;
+        for (other, upstream) in &mut self.upstreams {
+            let meant = match misdirected {
+                true => other != key && upstream.record.address == address,
+                false => other == key,
+            };
+            news |= meant && upstream.standing.leave();
+        }
+        news
+    }
+
+    /// Notes that an upstream has said that it wants nothing for a while; gives the time for which it is
+    /// left alone.
+    ///
+    /// `asked` is the time that it said, or nothing if that cannot be read.
+    pub fn rests(&mut self, now: Moment, key: UpstreamKey, asked: Option<Moment>) -> Moment {
+        let pause = asked.map_or(UNREADABLE_REST, |asked| asked.min(LONGEST_REST));
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.standing.rest(now + pause);
+        }
+        pause
+    }
+
     /// What a request for `model` finds at an upstream; nothing if the upstream names no version of it.
     pub fn served_version(&self, key: UpstreamKey, model: &str) -> Option<ServedVersion> {
         let version = self.upstreams.get(key)?.version_of(model)?;
@@ -298,7 +364,8 @@
     /// How many upstreams are in each state; one that is in several counts in the first that applies.
     pub fn census(&self, now: Moment) -> HashMap<UpstreamCondition, usize> {
         let mut census = HashMap::new();
-        for upstream in self.upstreams.values() {
+        let listed = self.pools.values().flat_map(|pool| pool.members());
+        for upstream in listed.filter_map(|key| self.upstreams.get(*key)) {
             *census.entry(upstream.condition(now)).or_default() += 1;
         }
         census
@@ -383,7 +450,11 @@
             entries: self.entries,
         };
         let Some(best) = pool.best(&cx, &mut self.upstreams, demand) else {
-            return Decision::Refuse(none);
+            let back = pool.first_back(&cx, &self.upstreams, demand);
+            return Decision::Refuse(back.map_or(none, |back| Refused {
+                reason: RefusalReason::Resting,
+                retry_after: back.saturating_sub(now),
+            }));
         };
         if best.fits {
             return Decision::Send(Chosen {
@@ -397,9 +468,11 @@
             return Decision::Wait;
         }
         let excess = Moment::from_secs_f64(best.excess_ms.max(0.0) / 1e3);
+        let back = pool.first_back(&cx, &self.upstreams, demand);
+        let room = back.map_or(excess, |back| excess.min(back.saturating_sub(now)));
         Decision::Refuse(Refused {
             reason: RefusalReason::Overload,
-            retry_after: excess.max(LEAST_RETRY_AFTER),
+            retry_after: room.max(LEAST_RETRY_AFTER),
         })
     }
 
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -3,7 +3,7 @@
 use balsamjunction_directory::{EngineModel, Service};
 use slotmap::SlotMap;
 
-use super::{Demand, DispatchSettings, NamedVersions, Upstream, UpstreamKey};
+use super::{standing::Closed, Demand, DispatchSettings, NamedVersions, Upstream, UpstreamKey};
 use crate::{estimate, Moment};
 
 /// What an upstream in another data centre costs more than one nearby, in milliseconds of waiting.
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Its members.
+    pub fn members(&self) -> &[UpstreamKey] {
+        &self.members
+    }
+
     /// The member that would serve a request best, if any may.
     pub fn best(
         &self,
@@ -112,9 +117,24 @@
 
     /// Whether a request may go to a member at all, however busy it is.
     pub fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
-        let region = cx.settings.regions.get(&upstream.record.data_centre);
-        let home = region.is_none_or(|region| demand.allows(region));
-        upstream.open && home && holds(cx, upstream, demand)
+        upstream.standing.closed(cx.now).is_none() && suits(cx, upstream, demand)
+    }
+
+    /// When the first member wants work again that rests and could then serve the request.
+    pub fn first_back(
+        &self,
+        cx: &Context<'_>,
+        upstreams: &SlotMap<UpstreamKey, Upstream>,
+        demand: &Demand,
+    ) -> Option<Moment> {
+        let members = self.members.iter().filter_map(|key| upstreams.get(*key));
+        let resting = members.filter(|upstream| suits(cx, upstream, demand));
+        resting
+            .filter_map(|upstream| match upstream.standing.closed(cx.now)? {
+                Closed::Resting(until) => Some(until),
+                _ => None,
+            })
+            .min()
     }
 
     fn rate(
@@ -152,6 +172,13 @@
     }
 }
 
+/// Whether a request may go to an upstream by where it stands and what it holds.
+fn suits(cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
+    let region = cx.settings.regions.get(&upstream.record.data_centre);
+    let home = region.is_none_or(|region| demand.allows(region));
+    home && holds(cx, upstream, demand)
+}
+
 /// Whether an upstream has weights on which a request may be sent to it now.
 fn holds(cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
     let Some(model) = &demand.model else {
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -4,7 +4,10 @@
 use balsamjunction_protocol::mesh::EngineStatus;
 use smol_str::SmolStr;
 
-use super::{Ending, UpstreamCondition};
+use super::{
+    standing::{Closed, Standing},
+    Ending, UpstreamCondition,
+};
 use crate::{estimate::Occupancy, sliding::SlidingCount, Moment};
 
 /// What others have at an upstream is believed for this long after it was seen. Were it to fade at
@@ -41,9 +44,7 @@
     /// What it registered.
     pub record: UpstreamRecord,
     /// Whether it takes new work at all.
-    pub open: bool,
-    /// Whether another upstream has its address now, as that one has said.
-    pub replaced: bool,
+    pub standing: Standing,
     /// Whether it takes other weights now.
     pub turning: bool,
     /// Requests of this entry that run or wait there.
@@ -68,8 +69,7 @@
     pub fn new(record: UpstreamRecord) -> Self {
         Self {
             record,
-            open: false,
-            replaced: false,
+            standing: Standing::default(),
             turning: false,
             own_requests: 0,
             own_unread: 0.0,
@@ -127,8 +127,11 @@
 
     /// What keeps requests from it, if anything does.
     pub fn condition(&self, now: Moment) -> UpstreamCondition {
-        if !self.open {
-            return UpstreamCondition::Closed;
+        match self.standing.closed(now) {
+            Some(Closed::Unlisted | Closed::Replaced) => return UpstreamCondition::Closed,
+            Some(Closed::Leaving) => return UpstreamCondition::Leaving,
+            Some(Closed::Resting(_)) => return UpstreamCondition::Resting,
+            None => {}
         }
         if self.turning {
             return UpstreamCondition::Turning;
@@ -221,8 +224,7 @@
             Ending::Failed if self.turning => {}
             Ending::Misdirected => {
                 // One that starts again under the same id has another start, and is another upstream here.
-                self.replaced = true;
-                self.open = false;
+                self.standing.replace();
             }
             Ending::Unreachable => self.suspend(now),
             Ending::Failed => {
