Streams whose bytes end no event, and bytes without end

Cause: a stream was given up after 1.5 s without bytes, so one that sent a byte or a comment now and then lasted to its caller's deadline; bytes that were always there were taken after the deadline too; an event without an end was gathered in memory and searched from its start with each part, so one such stream took a whole core and no timer of that thread ran. Change: an upstream is silent until it tells something, an event is at most 64 KiB, the time is looked at before bytes are taken, and an answer's head at most 64 KiB are read ahead.

--- a/crates/daemon/src/gateway/answer.rs
+++ b/crates/daemon/src/gateway/answer.rs
@@ -147,6 +147,7 @@
     /// An answer whose head has come.
     pub fn new(run: Run, sent: Sent, flight: Flight, in_progress: InProgress) -> Self {
         let success = sent.response.status().is_success();
+        let opened = run.context.now();
         let resumable = run.call.route.kind == RouteKind::Streaming && run.call.route.resumable;
         Self {
             target: flight.target(),
@@ -155,7 +156,7 @@
             sent,
             flight,
             seen_event: false,
-            last_event: Moment::ZERO,
+            last_event: opened,
             longest_pause: Duration::ZERO,
             _in_progress: in_progress,
         }
@@ -179,11 +180,18 @@
             let detail = match self.frame().await {
                 Ok(Some(buf)) => {
                     let Some(splitter) = &mut self.splitter else {
+                        self.progress();
                         return Ok(Some(buf));
                     };
                     match splitter.push(&buf) {
-                        Some(whole) => return Ok(Some(whole)),
-                        None => continue,
+                        Ok(Some(events)) => {
+                            if events.told {
+                                self.progress();
+                            }
+                            return Ok(Some(events.buf));
+                        }
+                        Ok(None) => continue,
+                        Err(e) => e.to_string(),
                     }
                 }
                 Ok(None) => {
@@ -212,13 +220,24 @@
         self.sent.response.status().is_server_error()
     }
 
-    async fn frame(&mut self) -> Result<Option<Bytes>, io::Error> {
+    /// How long more bytes are waited for: to the end of the caller's time, and of a stream that can go
+    /// on elsewhere until its upstream has told nothing for too long, whatever bytes it sends.
+    fn patience(&self) -> Duration {
         let left = self.run.left();
-        let patience = match self.splitter {
-            Some(_) => self.run.silence().min(left),
-            None => left,
-        };
+        if self.splitter.is_none() {
+            return left;
+        }
+        let silent = self.run.context.now().saturating_sub(self.last_event);
+        left.min(self.run.silence().saturating_sub(silent))
+    }
+
+    async fn frame(&mut self) -> Result<Option<Bytes>, io::Error> {
         loop {
+            let patience = self.patience();
+            // Bytes that are there already would be taken though the time is over.
+            if patience.is_zero() {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             let frame = self.sent.response.body_mut().frame();
             let frame = actix_rt::time::timeout(patience, frame).await;
             let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
@@ -229,18 +248,22 @@
             let Ok(buf) = frame.into_data() else {
                 continue;
             };
-            let now = self.run.context.now();
-            if !std::mem::replace(&mut self.seen_event, true) {
-                self.flight.first_event();
-            } else {
-                let pause = now.saturating_sub(self.last_event);
-                self.longest_pause = self.longest_pause.max(pause);
-            }
-            self.last_event = now;
             return Ok(Some(buf));
         }
     }
 
+    /// Notes that the upstream has told something.
+    fn progress(&mut self) {
+        let now = self.run.context.now();
+        if !std::mem::replace(&mut self.seen_event, true) {
+            self.flight.first_event();
+        } else {
+            let pause = now.saturating_sub(self.last_event);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+        self.last_event = now;
+    }
+
     /// Goes on at another upstream after the last whole event, if that may be.
     async fn resume(&mut self, detail: String) -> Result<(), io::Error> {
         self.flight.end_as(Ending::Failed);
@@ -276,6 +299,7 @@
         self.sent = *sent;
         self.flight = flight;
         self.seen_event = false;
+        self.last_event = self.run.context.now();
         Ok(())
     }
 }
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -19,6 +19,9 @@
 /// An upstream that does not accept in this time is passed over; nothing was sent to it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most that is read ahead of an answer, its head included; heads hold some hundred bytes.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1_024;
+
 /// Why an upstream gave no answer.
 #[derive(Debug, Display, Error)]
 pub enum SendError {
@@ -71,7 +74,10 @@
 
 /// Sends a request and waits for the head of its answer.
 pub async fn send(tcp: TcpStream, req: Request<Full<Bytes>>) -> Result<Sent, SendError> {
-    let handshake = http1::handshake(TokioIo::new(tcp)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_READ_AHEAD_BYTES)
+        .handshake(TokioIo::new(tcp))
+        .await;
     let (mut sender, connection) = handshake.map_err(SendError::Broken)?;
     let _connection = Connection(actix_rt::spawn(async move {
         // Errors of the connection show at the body.
--- a/crates/lab/src/standin/published/engine.rs
+++ b/crates/lab/src/standin/published/engine.rs
@@ -191,14 +191,25 @@
 
     /// Its entry in the platform's list.
     pub fn entry(&self, state: &str) -> Value {
-        let models = self.state().version.map(held);
+        let version = self.state().version;
+        let options = EngineOptions {
+            version,
+            ..self.options.clone()
+        };
+        options.entry(self.address, state)
+    }
+}
+
+impl EngineOptions {
+    /// The entry in the platform's list of an engine that listens at `address`.
+    pub fn entry(&self, address: SocketAddr, state: &str) -> Value {
         let mut entry = json!({
-            "service": self.options.service, "address": self.address.to_string(),
-            "zone": self.options.data_centre, "version": "v1", "slots": 4, "state": state,
+            "service": self.service, "address": address.to_string(),
+            "zone": self.data_centre, "version": "v1", "slots": 4, "state": state,
             "coldRemainingMs": 0, "born": BORN_MS, "sequence": 1,
         });
-        if let Some(models) = models {
-            entry["models"] = models;
+        if let Some(version) = self.version {
+            entry["models"] = held(version);
         }
         entry
     }
--- a/crates/lab/src/standin/published/mod.rs
+++ b/crates/lab/src/standin/published/mod.rs
@@ -5,12 +5,14 @@
 
 mod engine;
 mod origin;
+mod scripted;
 mod server;
 mod store;
 
 pub use self::{
     engine::{Engine, EngineFault, EngineOptions, Run},
     origin::{Origin, CHUNKS, CHUNK_BYTES},
+    scripted::{Script, Scripted},
     server::{Body, Reply},
     store::{Store, StoreFault},
 };
--- /dev/null
+++ b/crates/lab/src/standin/published/scripted.rs
@@ -0,0 +1,137 @@
+//! A server that writes what a test gives it, whether or not that is an answer.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use memchr::memmem;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::error::LabError;
+
+/// What is written once a request has come.
+#[derive(Clone, Debug, Default)]
+pub struct Script {
+    /// Written first; `{id}` stands for the attempt's id.
+    pub opening: String,
+    /// Written again and again until the caller closes, if there is any.
+    pub filler: Bytes,
+    /// Pause before each filler.
+    pub pause: Duration,
+    /// Whether the connection stays open once there is nothing to write.
+    pub stays_open: bool,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    requests: AtomicUsize,
+    open: AtomicUsize,
+    written: AtomicU64,
+}
+
+/// The server.
+#[derive(Clone, Debug)]
+pub struct Scripted {
+    /// Where it listens.
+    pub address: SocketAddr,
+    counts: Arc<Counts>,
+}
+
+impl Scripted {
+    /// Starts a server that answers every request by the same script.
+    pub async fn start(script: Script) -> Result<Self, LabError> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let counts = Arc::new(Counts::default());
+        let accepted = counts.clone();
+        actix_rt::spawn(async move {
+            while let Ok((tcp, _)) = listener.accept().await {
+                let (script, counts) = (script.clone(), accepted.clone());
+                actix_rt::spawn(async move {
+                    counts.open.fetch_add(1, Ordering::AcqRel);
+                    // The other side closes in the middle of most scripts.
+                    let _ = play(tcp, &script, &counts).await;
+                    counts.open.fetch_sub(1, Ordering::AcqRel);
+                });
+            }
+        });
+        Ok(Self { address, counts })
+    }
+
+    /// Requests that came.
+    pub fn requests(&self) -> usize {
+        self.counts.requests.load(Ordering::Acquire)
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.counts.open.load(Ordering::Acquire)
+    }
+
+    /// Bytes that were written.
+    pub fn written(&self) -> u64 {
+        self.counts.written.load(Ordering::Acquire)
+    }
+}
+
+async fn play(mut tcp: TcpStream, script: &Script, counts: &Counts) -> std::io::Result<()> {
+    loop {
+        let Some(head) = read_request(&mut tcp).await? else {
+            return Ok(());
+        };
+        counts.requests.fetch_add(1, Ordering::AcqRel);
+        let id = header(&head, "balsamjunction-attempt-id").unwrap_or_default();
+        let opening = script.opening.replace("{id}", &id);
+        tcp.write_all(opening.as_bytes()).await?;
+        counts
+            .written
+            .fetch_add(opening.len() as u64, Ordering::AcqRel);
+        while !script.filler.is_empty() {
+            if !script.pause.is_zero() {
+                actix_rt::time::sleep(script.pause).await;
+            }
+            tcp.write_all(&script.filler).await?;
+            let written = script.filler.len() as u64;
+            counts.written.fetch_add(written, Ordering::AcqRel);
+        }
+        if !script.stays_open {
+            return tcp.shutdown().await;
+        }
+    }
+}
+
+/// The head of the next request, whose body is read as well; nothing at the end of the connection.
+async fn read_request(tcp: &mut TcpStream) -> std::io::Result<Option<String>> {
+    let mut buf = Vec::new();
+    loop {
+        if let Some(end) = memmem::find(&buf, b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+            let length = header(&head, "content-length").and_then(|n| n.parse().ok());
+            let whole = end + 4 + length.unwrap_or(0);
+            while buf.len() < whole {
+                if tcp.read_buf(&mut buf).await? == 0 {
+                    return Ok(None);
+                }
+            }
+            return Ok(Some(head));
+        }
+        if tcp.read_buf(&mut buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(found, _)| found.trim().eq_ignore_ascii_case(name));
+    values.next().map(|(_, value)| value.trim().to_owned())
+}
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -7,13 +7,13 @@
     time::{Duration, Instant},
 };
 
-use awc::{Client, ClientResponse};
+use awc::{error::SendRequestError, Client, ClientResponse};
 use balsamjunction_lab::{
     bench::{
         address::Addresses,
         process::{Launch, Processes},
     },
-    standin::published::{Engine, EngineOptions, Origin, Store},
+    standin::published::{Engine, EngineOptions, Origin, Script, Scripted, Store},
 };
 use serde_json::{json, Value};
 
@@ -163,6 +163,25 @@
         self.store.put(&key, &engine.entry(state));
     }
 
+    /// Starts a server that answers by a script, and registers it.
+    pub async fn scripted(&self, options: EngineOptions, script: Script) -> Scripted {
+        let scripted = Scripted::start(script).await.expect("it starts");
+        let entry = options.entry(scripted.address, "ready");
+        self.store.put(&format!("servers/{}", options.id), &entry);
+        scripted
+    }
+
+    /// The most memory that a process has held, in bytes.
+    pub fn peak_memory(&self, name: &str) -> u64 {
+        let id = self.processes.id(name).expect("it was started");
+        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse::<u64>().ok())
+            .expect("the kernel tells")
+            * 1_024
+    }
+
     /// Names the version of the weights that engines are to serve.
     pub fn name_version(&self, version: u64) {
         let value = json!({"model": "m1", "version": version});
@@ -320,6 +339,18 @@
         id: &str,
         headers: &[(&str, &str)],
     ) -> Got {
+        let got = self.try_call_with(method, path, id, headers).await;
+        got.expect("the gateway answers")
+    }
+
+    /// The same; an error if the gateway closes the connection before the head of an answer.
+    pub async fn try_call_with(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Got, SendRequestError> {
         let method = method.parse().expect("the method is valid");
         let url = format!("http://{}{path}", self.callers);
         let mut request = client()
@@ -333,18 +364,18 @@
         let sent = request
             .timeout(Duration::from_secs(10))
             .send_body("body of the call");
-        let mut got = sent.await.expect("the gateway answers");
+        let mut got = sent.await?;
         let text = |name: &str| Some(got.headers().get(name)?.to_str().ok()?.to_owned());
         let retry_after = text("retry-after").and_then(|value| value.parse().ok());
         let signature = text("balsamjunction-server-signature");
         let status = got.status().as_u16();
         let body = got.body().await.ok();
-        Got {
+        Ok(Got {
             status,
             retry_after,
             signature,
             body: body.map(|buf| String::from_utf8_lossy(&buf).into_owned()),
-        }
+        })
     }
 
     /// A generation whose events the test reads as they come.
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod departures;
 mod explained;
+mod hostile;
 mod lifecycle;
 mod requests;
 mod soak;
