Each entry prefers a part of the upstreams nearby; entries that have just started spare cold ones

Each knew itself only and took the whole of what a cold engine bears, and all of them chose the same engine, since equal estimates were decided by the order of the list. Change: for two seconds after its start an entry sends one request a second at most to a cold engine; where there are more entries than a cold engine bears requests, those that rank first send one each; equal estimates are decided by each entry's own taste, and engines outside an entry's part of its data centre are taken to have one usual prompt unread that shows in no count.

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -128,7 +128,7 @@
             && self.fresher_than(READY_PART)
     }
 
-    fn entries(&self) -> usize {
+    fn entry_count(&self) -> usize {
         self.beliefs
             .members(|members, now| members.sharers(now, ProcessRole::Entry))
     }
@@ -211,7 +211,7 @@
 
     /// Takes one retry for a service, if one is left.
     pub fn spend_retry(&self, service: &SmolStr) -> bool {
-        let entries = self.entries();
+        let entries = self.entry_count();
         let now = self.now();
         let mut allowances = lock(&self.allowances);
         let allowance = allowances.get_mut(service);
@@ -225,7 +225,7 @@
     fn configure(&self) {
         let directory = self.beliefs.directory();
         let engines = self.beliefs.engines();
-        let entries = self.entries();
+        let entries = self.beliefs.members(|members, now| members.entries(now));
         let times_changed = lock(&self.dispatch)
             .dispatcher
             .configure(&directory, &engines, entries);
@@ -247,7 +247,7 @@
             let gauge = metrics.mesh.upstreams.get_or_create(&StateLabels { state });
             gauge.set(count as i64);
         }
-        let entries = self.entries();
+        let entries = self.entry_count();
         for (service, allowance) in lock(&self.allowances).iter_mut() {
             let service = service.to_string();
             let left = metrics
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! docs/ROUTING.md.
 
 mod pool;
+mod shares;
 mod standing;
 mod upstream;
 mod versions;
@@ -19,6 +20,7 @@
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
+pub use self::shares::Entries;
 use self::{pool::Pool, upstream::Upstream, versions::NamedVersions};
 use crate::Moment;
 
@@ -188,7 +190,7 @@
     pools: HashMap<SmolStr, Pool>,
     waiting: SlotMap<WaitKey, Waiting>,
     named: NamedVersions,
-    entries: usize,
+    entries: Entries,
 }
 
 /// An upstream's id, and its start in milliseconds since the Unix epoch.
@@ -227,21 +229,21 @@
             pools: HashMap::new(),
             waiting: SlotMap::with_key(),
             named: NamedVersions::default(),
-            entries: 1,
+            entries: Entries::default(),
         }
     }
 
     /// Takes over what is published, and what sidecars say of their engines.
     ///
-    /// `entries` is the number of entries that share each upstream's bounds. Tells whether the times of
+    /// `entries` are those that share each upstream's bounds. Tells whether the times of
     /// versions have changed, by which requests that were sent must begin.
     pub fn configure(
         &mut self,
         directory: &Directory,
         engines: &[EngineStatus],
-        entries: usize,
+        entries: Entries,
     ) -> bool {
-        self.entries = entries.max(1);
+        self.entries = entries;
         let Some(table) = &directory.table else {
             return false;
         };
@@ -268,6 +270,7 @@
                 upstream.update(record, *learned, service, status);
                 upstream.standing.listed = record.state == UpstreamState::Ready && !evacuated;
                 upstream.standing.started_again = replaced;
+                upstream.take_share(&self.entries);
             }
             found.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
@@ -286,7 +289,15 @@
             .services
             .iter()
             .map(|service| {
-                let pool = Pool::new(service, members.remove(&service.name));
+                let members = members.remove(&service.name).unwrap_or_default();
+                let near: Vec<_> = members
+                    .iter()
+                    .filter_map(|key| Some((self.upstreams.get(*key)?, key)))
+                    .filter(|(u, _)| u.record.data_centre == self.settings.data_centre)
+                    .map(|(u, key)| (u.record.id.clone(), *key))
+                    .collect();
+                let part = self.entries.part(near);
+                let pool = Pool::new(service, members, part);
                 (service.name.clone(), pool)
             })
             .collect();
@@ -350,7 +361,7 @@
             now,
             settings: &self.settings,
             named: &self.named,
-            entries: self.entries,
+            entries: self.entries.count(),
         };
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, demand)))
     }
@@ -447,7 +458,7 @@
             now,
             settings: &self.settings,
             named: &self.named,
-            entries: self.entries,
+            entries: self.entries.count(),
         };
         let Some(best) = pool.best(&cx, &mut self.upstreams, demand) else {
             let back = pool.first_back(&cx, &self.upstreams, demand);
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -1,5 +1,7 @@
 //! The upstreams of one service, and the choice among them.
 
+use std::collections::HashSet;
+
 use balsamjunction_directory::{EngineModel, Service};
 use slotmap::SlotMap;
 
@@ -29,6 +31,7 @@
     model: Option<EngineModel>,
     max_connections: u32,
     members: Vec<UpstreamKey>,
+    part: HashSet<UpstreamKey>,
 }
 
 /// What a choice depends on beside the pool.
@@ -59,12 +62,13 @@
 }
 
 impl Pool {
-    /// The pool of a service with its members.
-    pub fn new(service: &Service, members: Option<Vec<UpstreamKey>>) -> Self {
+    /// The pool of a service with its members, and the part of them that this entry prefers.
+    pub fn new(service: &Service, members: Vec<UpstreamKey>, part: Vec<UpstreamKey>) -> Self {
         Self {
             model: service.engine.clone(),
             max_connections: service.max_connections,
-            members: members.unwrap_or_default(),
+            members,
+            part: part.into_iter().collect(),
         }
     }
 
@@ -92,7 +96,10 @@
             if !begins_in_time(cx, upstream, demand, candidate.expected_ms) {
                 continue;
             }
-            let mut cost = candidate.expected_ms;
+            let mut cost = candidate.expected_ms + upstream.taste_ms();
+            if !self.part.contains(key) {
+                cost += self.unseen_ms();
+            }
             if upstream.record.data_centre != cx.settings.data_centre {
                 cost += FAR_PENALTY_MS;
             }
@@ -115,6 +122,15 @@
         best.map(|(_, candidate)| candidate)
     }
 
+    /// What others are taken to have sent to an engine outside this entry's part that shows in no count:
+    /// one usual prompt, in milliseconds of reading.
+    fn unseen_ms(&self) -> f64 {
+        let model = self.model.as_ref();
+        model.map_or(0.0, |m| {
+            m.usual_prompt_tokens / m.read_tokens_per_ms.max(f64::EPSILON)
+        })
+    }
+
     /// Whether a request may go to a member at all, however busy it is.
     pub fn may_serve(&self, cx: &Context<'_>, upstream: &Upstream, demand: &Demand) -> bool {
         upstream.standing.closed(cx.now).is_none() && suits(cx, upstream, demand)
@@ -161,7 +177,8 @@
             None => occupancy.requests < slots,
         };
         let share = (self.max_connections as usize / cx.entries).max(1);
-        let allowed = upstream.own_requests < share && upstream.may_send(cx.now, cx.entries);
+        let allowed =
+            upstream.own_requests < share && upstream.may_send(cx.now, cx.settings.started);
         Best {
             upstream: key,
             expected_ms,
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,7 +6,7 @@
 
 use super::{
     standing::{Closed, Standing},
-    Ending, UpstreamCondition,
+    Ending, Entries, UpstreamCondition,
 };
 use crate::{estimate::Occupancy, sliding::SlidingCount, Moment};
 
@@ -35,6 +35,9 @@
 /// Part of the cold rate that one entry may send to an upstream that is not known to be cold, which
 /// may become cold at any moment.
 const WARM_PART: f64 = 0.7;
+/// Time after its start within which an entry hears of all others; where all start at once, the first
+/// exchanges find few that know anybody.
+const ALL_KNOWN_AFTER: Moment = Moment::from_secs(2);
 /// Window of the bound on cold upstreams.
 const COLD_WINDOW: Moment = Moment::from_secs(1);
 
@@ -54,6 +57,8 @@
     others_seen: Moment,
     cold_until: Moment,
     cold_per_s: f64,
+    cold_share: f64,
+    taste_ms: f64,
     sends: SlidingCount,
     failures: f64,
     suspended_until: Moment,
@@ -77,6 +82,8 @@
             others_seen: Moment::ZERO,
             cold_until: Moment::ZERO,
             cold_per_s: 0.0,
+            cold_share: 1.0,
+            taste_ms: 0.0,
             sends: SlidingCount::new(COLD_WINDOW),
             failures: 0.0,
             suspended_until: Moment::ZERO,
@@ -146,15 +153,30 @@
     }
 
     /// Whether the bound on cold upstreams lets this entry send another request.
-    pub fn may_send(&mut self, now: Moment, entries: usize) -> bool {
+    ///
+    /// An entry that has just started, at `started`, does not know all others yet, so it sends as if
+    /// they were many.
+    pub fn may_send(&mut self, now: Moment, started: Moment) -> bool {
         if self.cold_per_s <= 0.0 {
             return true;
         }
         let share = match now < self.cold_until {
-            true => self.cold_per_s / entries as f64,
-            false => self.cold_per_s * WARM_PART,
+            true if now < started + ALL_KNOWN_AFTER => self.cold_share.min(1.0),
+            true => self.cold_share,
+            false => (self.cold_per_s * WARM_PART).max(1.0),
         };
-        (self.sends.count(now) as f64) + 1.0 <= share.max(1.0)
+        (self.sends.count(now) as f64) + 1.0 <= share
+    }
+
+    /// Takes over with whom this entry shares the upstream.
+    pub fn take_share(&mut self, entries: &Entries) {
+        self.cold_share = entries.share(&self.record.id, self.cold_per_s);
+        self.taste_ms = entries.taste_ms(&self.record.id);
+    }
+
+    /// By how much this entry likes it less than another that looks the same, in milliseconds.
+    pub fn taste_ms(&self) -> f64 {
+        self.taste_ms
     }
 
     /// What runs and waits there, as far as is known.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    dispatch::Entries,
     rendezvous::{ranked, weight},
     Moment,
 };
@@ -164,16 +165,43 @@
             .map(|known| &known.record)
     }
 
+    /// The entries that this one knows.
+    pub fn entries(&self, now: Moment) -> Entries {
+        let role = ProcessRole::Entry;
+        let own = self.own.host.clone();
+        let at_work = self.may_be_at_work(now, role);
+        let mut all: Vec<SmolStr> = at_work.map(|record| record.host.clone()).collect();
+        let near = self.live(now, role);
+        let near = near.filter(|record| record.data_centre == self.own.data_centre);
+        let mut near: Vec<SmolStr> = near.map(|record| record.host.clone()).collect();
+        for names in [&mut all, &mut near] {
+            names.push(own.clone());
+            names.sort();
+            names.dedup();
+        }
+        Entries { own, all, near }
+    }
+
+    fn may_be_at_work(
+        &self,
+        now: Moment,
+        role: ProcessRole,
+    ) -> impl Iterator<Item = &MemberRecord> {
+        let known = self.known.values();
+        let heard = known.filter(move |known| {
+            known.record.role == role && now.saturating_sub(known.heard) < COUNT_FOR
+        });
+        heard.map(|known| &known.record)
+    }
+
     /// Processes of a role, this one included, that may be at work; at least one.
     ///
     /// Shares of a common bound are divided by this number, so a process counts until it is surely
     /// gone.
     pub fn sharers(&self, now: Moment, role: ProcessRole) -> usize {
-        let others = self.known.values().filter(|known| {
-            known.record.role == role && now.saturating_sub(known.heard) < COUNT_FOR
-        });
+        let others = self.may_be_at_work(now, role).count();
         let own = usize::from(self.own.role == role);
-        (others.count() + own).max(1)
+        (others + own).max(1)
     }
 
     /// A process to exchange views with: mostly a live one nearby, at times a far one or a seed, so
