Whole records of members travel only to peers that lack them

Cause: every exchange of views between entries carried every member's record, and every stager whose set of members differed from its entry's in one member got all of them, three times a second; with 240 members that are some 40 KB a message, to be decoded each time. Change: views are a key and a beat each; a peer answers with the records whose keys it does not find, later beats, and the keys that it lacks itself. Stagers ask for members at most every 600 ms. Tests without network: with 240 members known, an exchange between 35 entries carries one record and at most two beats a member; beats alone keep members up, and a stopped one is missed; a record that changes passes whole.

--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -54,16 +54,19 @@
     let request: SyncRequest = header::from_bytes(&body)?;
     check_version(request.v)?;
     beliefs.merge_members(request.members);
-    let (members, same_members) =
-        beliefs.members(
-            |members, now| match members.digest(now) == request.member_digest {
-                true => (vec![members.own().clone()], true),
-                false => (members.records(now), false),
-            },
-        );
+    let views = request.views.as_deref();
+    let (told, pulses, lacks, same_members) = beliefs.members(|members, now| {
+        let lacks = views.map(|views| members.take_pulses(now, views));
+        let news = views.map(|views| members.news_for(now, views));
+        let (told, pulses) = news.unwrap_or_else(|| (vec![members.own().clone()], Vec::new()));
+        let same = members.digest(now) == request.member_digest;
+        (told, pulses, lacks.unwrap_or_default(), same)
+    });
     let pull = request.pull.as_ref();
     message(&SyncAnswer {
-        members,
+        members: told,
+        pulses,
+        lacks,
         same_members,
         proof: beliefs.proof_age(),
         update: pull.and_then(|pull| beliefs.answer_pull(pull)),
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -37,6 +37,8 @@
     Facts(ReplicaPull),
     /// To learn what a sidecar needs to know.
     Weights,
+    /// To learn who is up.
+    Members,
 }
 
 /// Exchanges views for as long as the process runs.
@@ -107,31 +109,35 @@
     purpose: Purpose,
 ) -> Result<SyncAnswer, PeerError> {
     let weights = matches!(purpose, Purpose::Weights);
-    let (members, member_digest) = beliefs.members(|members, now| {
-        let told = match purpose {
-            Purpose::Views(_) => members.records(now),
-            Purpose::Facts(_) | Purpose::Weights => vec![members.own().clone()],
-        };
-        (told, members.digest(now))
-    });
-    let request = SyncRequest {
+    let request = beliefs.members(|members, now| SyncRequest {
         v: PROTOCOL_VERSION,
-        members,
-        member_digest,
+        members: vec![members.own().clone()],
+        member_digest: members.digest(now),
+        views: match purpose {
+            Purpose::Views(_) | Purpose::Members => Some(members.pulses(now)),
+            Purpose::Facts(_) | Purpose::Weights => None,
+        },
         pull: match purpose {
             Purpose::Views(pull) => pull,
             Purpose::Facts(pull) => Some(pull),
-            Purpose::Weights => None,
+            Purpose::Weights | Purpose::Members => None,
         },
         weights,
-    };
+    });
     let asked = beliefs.clock.now();
     let mut answer: SyncAnswer =
         client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
     beliefs.merge_members(std::mem::take(&mut answer.members));
-    if weights && answer.same_members {
-        // Sidecars hear of others through entries alone, and tell nobody of them.
-        beliefs.members(|members, now| members.confirm(now));
+    beliefs.members(|members, now| {
+        // What the peer knows and this process does not has just come as a record.
+        members.take_pulses(now, &answer.pulses);
+        if weights && answer.same_members {
+            // Sidecars hear of others through entries alone, and tell nobody of them.
+            members.confirm(now);
+        }
+    });
+    if matches!(purpose, Purpose::Views(_)) && !answer.lacks.is_empty() {
+        tell_members(beliefs, client, address, &answer.lacks).await?;
     }
     if let Some(update) = answer.update.take() {
         beliefs.absorb(asked, update, &format!("peer {address}"));
@@ -140,6 +146,25 @@
     Ok(answer)
 }
 
+/// Tells a peer of members that it lacks.
+async fn tell_members(
+    beliefs: &Beliefs,
+    client: &Client,
+    address: SocketAddr,
+    keys: &[u64],
+) -> Result<(), PeerError> {
+    let request = beliefs.members(|members, now| SyncRequest {
+        v: PROTOCOL_VERSION,
+        members: members.records_of(now, keys),
+        member_digest: members.digest(now),
+        views: None,
+        pull: None,
+        weights: false,
+    });
+    let _: SyncAnswer = client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
+    Ok(())
+}
+
 /// Tells all other entries of changes after the revision `since`.
 pub async fn tell_changes(beliefs: Arc<Beliefs>, client: Client, since: u64) {
     let Some(update) = beliefs.answer_pull(&ReplicaPull { at: since }) else {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -36,6 +36,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Mean time between questions to entries, spread by half to both sides.
 const NEWS_INTERVAL: Duration = Duration::from_millis(300);
+/// Least time between questions for all members, which cost a dozen bytes a member; a member is suspected
+/// after 2.5 s of silence.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(600);
 /// News that is older than this is not believed, and the store is read instead.
 const NEWS_LIFE: Duration = Duration::from_millis(2_500);
 /// An entry that has not heard of a turn after this time hears of it from others.
@@ -67,6 +70,8 @@
     pub pacer: RefCell<Pacer>,
     seeds: Seeds,
     store: Store,
+    /// When an entry was last asked who is up.
+    members_asked: Cell<Moment>,
     report: RefCell<Option<EngineReport>>,
     news: RefCell<Option<(WeightsNews, Moment)>>,
     wanted: RefCell<Vec<(VersionId, Moment)>>,
@@ -108,6 +113,7 @@
             engine: Engine::new(client.clone(), settings.engine),
             store: Store::new(client.clone(), settings.mesh.store),
             client,
+            members_asked: Cell::new(Moment::ZERO),
             report: RefCell::default(),
             news: RefCell::default(),
             wanted: RefCell::default(),
@@ -278,6 +284,9 @@
                 mesh::exchange_once(&self.beliefs, &self.client, address, Purpose::Weights);
             match answer.await {
                 Ok(answer) => {
+                    if !answer.same_members {
+                        self.learn_members(address).await;
+                    }
                     if let Some(news) = answer.weights {
                         let age = Duration::from_millis(news.age_ms);
                         self.take_news(news, asked.saturating_sub(age));
@@ -296,6 +305,20 @@
         }
     }
 
+    /// Asks an entry that knows of others who is up, unless that was done a moment ago.
+    async fn learn_members(&self, address: SocketAddr) {
+        let now = self.now();
+        if now.saturating_sub(self.members_asked.get()) < MEMBERS_INTERVAL {
+            return;
+        }
+        self.members_asked.set(now);
+        let told =
+            mesh::exchange_once(&self.beliefs, &self.client, address, Purpose::Members).await;
+        if let Err(e) = told {
+            debug!("{address} did not tell who is up: {e}");
+        }
+    }
+
     /// Reads the versions straight from the store.
     async fn read_store(&self) -> Result<WeightsNews, PlatformError> {
         let mut news = WeightsNews::default();
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -1,13 +1,19 @@
 //! Which processes of the system are up, as each process believes it.
 //!
 //! Every process counts its own beats; the counts travel by pairwise exchange. A process whose beat
-//! stands still is suspected and then removed. See docs/DESIGN.md, "Membership".
+//! stands still is suspected and then removed. Whole records travel only to peers that lack them; beats
+//! of the others are told in a few bytes each. See docs/DESIGN.md, "Membership".
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, HashSet},
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+};
 
-use balsamjunction_protocol::mesh::{EngineStatus, MemberRecord, ProcessRole};
+use balsamjunction_protocol::mesh::{EngineStatus, MemberPulse, MemberRecord, ProcessRole};
 use rand::{seq::IteratorRandom, Rng};
 use smol_str::SmolStr;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     dispatch::Entries,
@@ -143,14 +149,63 @@
             .retain(|_, known| now.saturating_sub(known.heard) < FORGET_AFTER);
     }
 
-    /// What others are told: this process and all that are not silent.
-    pub fn records(&self, now: Moment) -> Vec<MemberRecord> {
+    /// This process and all that are not silent.
+    fn heard(&self, now: Moment) -> impl Iterator<Item = &MemberRecord> {
         let heard = self
             .known
             .values()
-            .filter(|known| now.saturating_sub(known.heard) < SUSPECT_AFTER);
-        let heard = heard.map(|known| known.record.clone());
-        std::iter::once(self.own.clone()).chain(heard).collect()
+            .filter(move |known| now.saturating_sub(known.heard) < SUSPECT_AFTER);
+        std::iter::once(&self.own).chain(heard.map(|known| &known.record))
+    }
+
+    /// What this process believes, in a few bytes a member.
+    pub fn pulses(&self, now: Moment) -> Vec<MemberPulse> {
+        let records = self.heard(now);
+        records.map(pulse).collect()
+    }
+
+    /// Takes later beats of known members; gives the keys that are not known.
+    pub fn take_pulses(&mut self, now: Moment, pulses: &[MemberPulse]) -> Vec<u64> {
+        let own = pulse(&self.own).key;
+        let told: HashMap<u64, u64> = pulses.iter().map(|p| (p.key, p.beat)).collect();
+        let mut lacking: HashSet<u64> = told.keys().copied().filter(|key| *key != own).collect();
+        for known in self.known.values_mut() {
+            let key = pulse(&known.record).key;
+            if !lacking.remove(&key) {
+                continue;
+            }
+            if told[&key] > known.record.beat {
+                known.record.beat = told[&key];
+                known.heard = now;
+            }
+        }
+        lacking.into_iter().collect()
+    }
+
+    /// What a peer with these views lacks: whole records, and later beats.
+    pub fn news_for(
+        &self,
+        now: Moment,
+        views: &[MemberPulse],
+    ) -> (Vec<MemberRecord>, Vec<MemberPulse>) {
+        let told: HashMap<u64, u64> = views.iter().map(|p| (p.key, p.beat)).collect();
+        let (mut records, mut pulses) = (Vec::new(), Vec::new());
+        for record in self.heard(now) {
+            let pulse = pulse(record);
+            match told.get(&pulse.key) {
+                None => records.push(record.clone()),
+                Some(beat) if *beat < pulse.beat => pulses.push(pulse),
+                Some(_) => {}
+            }
+        }
+        (records, pulses)
+    }
+
+    /// The records with these keys.
+    pub fn records_of(&self, now: Moment, keys: &[u64]) -> Vec<MemberRecord> {
+        let keys: HashSet<u64> = keys.iter().copied().collect();
+        let wanted = self.heard(now).filter(|r| keys.contains(&pulse(r).key));
+        wanted.cloned().collect()
     }
 
     /// Other processes of a role that are believed to be up.
@@ -231,11 +286,32 @@
 
     /// Equal for equal sets of live processes, whatever their beats.
     pub fn digest(&self, now: Moment) -> u64 {
-        let records = self.records(now);
         let hash = |r: &MemberRecord| {
             let state = (r.incarnation << 1) | u64::from(r.leaving);
             weight(&state.to_le_bytes(), &r.host)
         };
-        records.iter().map(hash).fold(0, |sum, one| sum ^ one)
+        self.heard(now).map(hash).fold(0, |sum, one| sum ^ one)
+    }
+}
+
+/// Tells a member's record from all others of it but for its beat.
+fn pulse(record: &MemberRecord) -> MemberPulse {
+    let MemberRecord {
+        host,
+        role,
+        data_centre,
+        address,
+        incarnation,
+        beat,
+        leaving,
+        reads_store,
+        engine,
+    } = record;
+    let mut hasher = Xxh3::new();
+    let place = (host, *role as u8, data_centre, address);
+    (place, incarnation, leaving, reads_store, engine).hash(&mut hasher);
+    MemberPulse {
+        key: hasher.finish(),
+        beat: *beat,
     }
 }
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -31,6 +31,97 @@
     }
 }
 
+/// What process `n` and its peer tell each other; gives the records and the pulses that were told.
+fn exchange(views: &mut [Membership], n: usize, peer: usize, now: Moment) -> (usize, usize) {
+    let mine = views[n].pulses(now);
+    let own = views[n].own().clone();
+    views[peer].merge(now, vec![own]);
+    let lacks = views[peer].take_pulses(now, &mine);
+    let (records, pulses) = views[peer].news_for(now, &mine);
+    let asked_for = views[n].records_of(now, &lacks);
+    let told = (
+        1 + records.len() + asked_for.len(),
+        mine.len() + pulses.len(),
+    );
+    views[n].merge(now, records);
+    assert!(views[n].take_pulses(now, &pulses).is_empty());
+    views[peer].merge(now, asked_for);
+    told
+}
+
+// At 240 hosts every exchange carried every record, some 40 KB, twice.
+#[test]
+fn processes_that_know_each_other_tell_no_records_but_their_own() {
+    let mut views: Vec<_> = (0..35).map(|n| Membership::new(entry(n))).collect();
+    let everybody: Vec<_> = (0..240).map(entry).collect();
+    for view in &mut views {
+        view.merge(at(0), everybody.clone());
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+
+    let mut most = (0, 0);
+    for round in 1..6 {
+        let now = at(400 * round);
+        for n in 0..views.len() {
+            views[n].beat();
+            let target = views[n].exchange_target(now, ProcessRole::Entry, &[], &mut rng);
+            let peer = (0..35).find(|m| Some(entry(*m).address) == target);
+            let Some(peer) = peer else { continue };
+            let (records, pulses) = exchange(&mut views, n, peer, now);
+            most = (most.0.max(records), most.1.max(pulses));
+        }
+    }
+
+    assert_eq!(most.0, 1);
+    assert!(most.1 <= 2 * 240);
+}
+
+// Beats that are told without records must keep their members alive as records did.
+#[test]
+fn beats_alone_keep_members_up_and_their_absence_does_not() {
+    let mut views: Vec<_> = (0..6).map(|n| Membership::new(entry(n))).collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let seeds = [entry(0).address];
+    let stopped = 4;
+
+    for round in 0..40 {
+        let now = at(400 * round);
+        for n in 0..views.len() {
+            if n == stopped && round > 20 {
+                continue;
+            }
+            views[n].beat();
+            let target = views[n].exchange_target(now, ProcessRole::Entry, &seeds, &mut rng);
+            let peer = (0..6).find(|m| Some(entry(*m).address) == target);
+            let Some(peer) = peer.filter(|peer| *peer != stopped || round <= 20) else {
+                continue;
+            };
+            exchange(&mut views, n, peer, now);
+        }
+    }
+
+    let now = at(400 * 40);
+    for (n, view) in views.iter().enumerate().filter(|(n, _)| *n != stopped) {
+        let live = view.live(now, ProcessRole::Entry);
+        let live: Vec<_> = live.map(|record| record.host.clone()).collect();
+        assert_eq!(live.len(), 4, "entry {n} believes {live:?}");
+        assert!(!live.contains(&entry(stopped).host));
+    }
+}
+
+// A record that changes, as a sidecar's does when its engine turns, must pass whole.
+#[test]
+fn a_record_that_changes_is_told_whole() {
+    let mut views: Vec<_> = (0..2).map(|n| Membership::new(entry(n))).collect();
+    exchange(&mut views, 0, 1, at(0));
+
+    views[0].set_reads_store(false);
+    exchange(&mut views, 1, 0, at(10));
+
+    let known = views[1].live(at(20), ProcessRole::Entry).next();
+    assert_eq!(known.map(|record| record.reads_store), Some(false));
+}
+
 #[test]
 fn processes_that_know_one_seed_find_each_other() {
     let mut views: Vec<_> = (0..20).map(|n| Membership::new(entry(n))).collect();
@@ -46,9 +137,7 @@
             let peer = (0..20)
                 .find(|m| entry(*m).address == target)
                 .expect("a known address");
-            let (mine, theirs) = (views[n].records(now), views[peer].records(now));
-            views[peer].merge(now, mine);
-            views[n].merge(now, theirs);
+            exchange(&mut views, n, peer, now);
         }
     }
 
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -46,8 +46,17 @@
     pub engine: Option<EngineStatus>,
 }
 
+/// A process as its teller knows it, in a few bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPulse {
+    /// Equal for records that differ in their beats only.
+    pub key: u64,
+    /// The beat.
+    pub beat: u64,
+}
+
 /// What a sidecar knows of its engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EngineStatus {
     /// Where the engine listens.
     pub address: SocketAddr,
@@ -73,10 +82,13 @@
 pub struct SyncRequest {
     /// Protocol version of the sender.
     pub v: u16,
-    /// The sender, and whom else it believes to be up.
+    /// The sender, or those that the peer lacks.
     pub members: Vec<MemberRecord>,
-    /// Equal for equal sets of live members; the answer leaves members out if it has the same.
+    /// Equal for equal sets of live members.
     pub member_digest: u64,
+    /// Whom the sender believes to be up, if it wants to hear whom the peer does.
+    #[serde(default)]
+    pub views: Option<Vec<MemberPulse>>,
     /// Asks for newer facts, if the sender's own are not fresh.
     #[serde(default)]
     pub pull: Option<ReplicaPull>,
@@ -88,8 +100,14 @@
 /// A peer's view.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SyncAnswer {
-    /// Whom the peer believes to be up, itself included; only itself if `same_members`.
+    /// The peer itself, and whom else the sender lacks, if it wants to hear that.
     pub members: Vec<MemberRecord>,
+    /// Members whose later beats the peer has heard of.
+    #[serde(default)]
+    pub pulses: Vec<MemberPulse>,
+    /// Keys of the sender's views that the peer does not know.
+    #[serde(default)]
+    pub lacks: Vec<u64>,
     /// Whether the peer believes the same processes to be up as the sender.
     #[serde(default)]
     pub same_members: bool,
