--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -110,7 +110,11 @@
             beliefs: shared.beliefs,
             holdings: shared.holdings,
             metrics: shared.metrics,
-            engine: Engine::new(client.clone(), settings.engine),
+            engine: Engine::new(
+                client.clone(),
+                balsamjunction_client::new(None),
+                settings.engine,
+            ),
             store: Store::new(client.clone(), settings.mesh.store),
             client,
             members_asked: Cell::new(Moment::ZERO),
--- a/crates/lab/src/standin/published/scripted.rs
+++ b/crates/lab/src/standin/published/scripted.rs
@@ -27,12 +27,13 @@
     pub filler: Bytes,
     /// Pause before each filler.
     pub pause: Duration,
-    /// Whether the connection stays open once there is nothing to write.
+    /// Whether the connection stays open for further requests once there is nothing to write.
     pub stays_open: bool,
 }
 
 #[derive(Debug, Default)]
 struct Counts {
+    connections: AtomicUsize,
     requests: AtomicUsize,
     open: AtomicUsize,
     written: AtomicU64,
@@ -57,6 +58,7 @@
             while let Ok((tcp, _)) = listener.accept().await {
                 let (script, counts) = (script.clone(), accepted.clone());
                 actix_rt::spawn(async move {
+                    counts.connections.fetch_add(1, Ordering::AcqRel);
                     counts.open.fetch_add(1, Ordering::AcqRel);
                     // The other side closes in the middle of most scripts.
                     let _ = play(tcp, &script, &counts).await;
@@ -72,6 +74,11 @@
         self.counts.requests.load(Ordering::Acquire)
     }
 
+    /// Connections that were made.
+    pub fn connections(&self) -> usize {
+        self.counts.connections.load(Ordering::Acquire)
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.counts.open.load(Ordering::Acquire)
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use balsamjunction_lab::standin::published::{Script, Scripted};
+use balsamjunction_platform as platform;
 use balsamjunction_protocol::paths;
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -11,7 +12,7 @@
     net::TcpStream,
 };
 
-use crate::common::{engine, event_ids, plain, until, Gateway, Got, Site, KEY};
+use crate::common::{client, engine, event_ids, plain, until, Gateway, Got, Site, KEY};
 
 /// Requests that meet bytes without end at the same time.
 const AT_ONCE: usize = 24;
@@ -226,6 +227,37 @@
     assert_eq!(scripted.requests(), 12);
 }
 
+// A second copy of an engine's answer on a stager's connection could pass for the answer to an order.
+#[actix_rt::test]
+async fn orders_and_chunks_of_a_stager_meet_no_copies_of_earlier_answers() {
+    let held = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"held\":[]}";
+    let script = Script {
+        opening: held.to_owned(),
+        stays_open: true,
+        ..Script::default()
+    };
+    let scripted = Scripted::start(script).await.expect("it starts");
+    let engine = platform::Engine::new(client(), client(), scripted.address);
+    let order = platform::LoadOrder {
+        model: "m1".into(),
+        version: 2,
+        mode: platform::TurnMode::Finish,
+    };
+
+    for _ in 0..3 {
+        engine.staged("m1").await.expect("it answers");
+        engine
+            .stage("m1", 0, Bytes::from_static(b"x"))
+            .await
+            .expect("it answers");
+        engine.read_staged("m1", 0).await.expect("it answers");
+        engine.load(&order).await.expect("it answers");
+    }
+
+    assert_eq!(scripted.requests(), 12);
+    assert_eq!(scripted.connections(), 12);
+}
+
 // An error's body was read to its end before the request went elsewhere.
 #[actix_rt::test]
 async fn the_body_of_a_failure_without_end_holds_up_nobody() {
