Shares of upstreams are worked out anew only when the entries change

In a fleet of more entries than a cold engine bears requests, each configuration of the dispatcher ranked all entries for every upstream. No decision changes.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -191,6 +191,7 @@
     waiting: SlotMap<WaitKey, Waiting>,
     named: NamedVersions,
     entries: Entries,
+    entries_generation: u64,
 }
 
 /// An upstream's id, and its start in milliseconds since the Unix epoch.
@@ -230,6 +231,7 @@
             waiting: SlotMap::with_key(),
             named: NamedVersions::default(),
             entries: Entries::default(),
+            entries_generation: 0,
         }
     }
 
@@ -243,7 +245,10 @@
         engines: &[EngineStatus],
         entries: Entries,
     ) -> bool {
-        self.entries = entries;
+        if self.entries != entries {
+            self.entries = entries;
+            self.entries_generation += 1;
+        }
         let Some(table) = &directory.table else {
             return false;
         };
@@ -270,7 +275,7 @@
                 upstream.update(record, *learned, service, status);
                 upstream.standing.listed = record.state == UpstreamState::Ready && !evacuated;
                 upstream.standing.started_again = replaced;
-                upstream.take_share(&self.entries);
+                upstream.take_share(&self.entries, self.entries_generation);
             }
             found.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -57,14 +57,10 @@
         if even >= 1.0 {
             return even;
         }
-        let weight = |entry: &SmolStr| {
-            (
-                rendezvous::weight(upstream.as_bytes(), entry),
-                entry.clone(),
-            )
-        };
-        let own = weight(&self.own);
-        let before = self.all.iter().filter(|entry| weight(entry) > own).count();
+        let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
+        let own = rank(self.own.as_str());
+        let all = self.all.iter().map(SmolStr::as_str);
+        let before = all.filter(|entry| rank(entry) > own).count();
         match (before as f64) + 1.0 <= per_s.max(1.0) {
             true => 1.0,
             false => 0.0,
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -59,6 +59,8 @@
     cold_per_s: f64,
     cold_share: f64,
     taste_ms: f64,
+    /// For which generation of entries, and for which bound, the two hold.
+    shared_as: Option<(u64, f64)>,
     sends: SlidingCount,
     failures: f64,
     suspended_until: Moment,
@@ -84,6 +86,7 @@
             cold_per_s: 0.0,
             cold_share: 1.0,
             taste_ms: 0.0,
+            shared_as: None,
             sends: SlidingCount::new(COLD_WINDOW),
             failures: 0.0,
             suspended_until: Moment::ZERO,
@@ -168,8 +171,12 @@
         (self.sends.count(now) as f64) + 1.0 <= share
     }
 
-    /// Takes over with whom this entry shares the upstream.
-    pub fn take_share(&mut self, entries: &Entries) {
+    /// Takes over with whom this entry shares the upstream; `generation` grows whenever these change.
+    pub fn take_share(&mut self, entries: &Entries, generation: u64) {
+        let shared_as = Some((generation, self.cold_per_s));
+        if std::mem::replace(&mut self.shared_as, shared_as) == shared_as {
+            return;
+        }
         self.cold_share = entries.share(&self.record.id, self.cold_per_s);
         self.taste_ms = entries.taste_ms(&self.record.id);
     }
