--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -311,7 +311,8 @@
 
     /// Tells an answer of this upstream to this request from everything else.
     fn judge(&mut self, sent: Sent, mut flight: Flight, target: &UpstreamRecord) -> Attempted {
-        self.note_standing(&sent, &flight, target);
+        self.note_leaving(&sent, &flight, target);
+        self.note_rest(&sent, &flight, target);
         if sent
             .header(headers::ATTEMPT_ID)
             .is_some_and(|id| id != self.call.id.as_str())
@@ -351,33 +352,34 @@
         Attempted::Answer(Box::new(sent), flight)
     }
 
-    /// Takes over what any answer says of whether its sender wants more work, before it is passed on.
-    fn note_standing(&self, sent: &Sent, flight: &Flight, target: &UpstreamRecord) {
-        let status = sent.response.status();
-        let events = &self.context.beliefs.events;
-        let metrics = &self.context.metrics.mesh;
-        let misdirected = status == hyper::StatusCode::MISDIRECTED_REQUEST;
-        let leaving = sent.header(headers::LEAVING);
-        if leaving.is_some_and(headers::parse_leaving) && flight.leaves(misdirected) {
-            metrics.leaving_upstreams.inc();
-            events.emit(&Event::UpstreamLeaves {
-                id: self.call.id.clone(),
-                upstream: target.id.clone(),
-                misdirected,
-            });
+    /// Closes whoever says that it leaves, before the answer that says so is passed on.
+    fn note_leaving(&self, sent: &Sent, flight: &Flight, target: &UpstreamRecord) {
+        let misdirected = sent.response.status() == hyper::StatusCode::MISDIRECTED_REQUEST;
+        let leaving = sent
+            .header(headers::LEAVING)
+            .is_some_and(headers::parse_leaving);
+        if !leaving || !flight.leaves(misdirected) {
+            return;
         }
+        self.context.metrics.mesh.leaving_upstreams.inc();
+        self.context.beliefs.events.emit(&Event::UpstreamLeaves {
+            id: self.call.id.clone(),
+            upstream: target.id.clone(),
+            misdirected,
+        });
+    }
+
+    /// Leaves an upstream alone for as long as it says when it turns a request away.
+    fn note_rest(&self, sent: &Sent, flight: &Flight, target: &UpstreamRecord) {
+        let turned_away = sent.response.status() == hyper::StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = sent.response.headers().get(headers::RETRY_AFTER);
-        let Some(retry_after) = retry_after else {
+        let Some(retry_after) = retry_after.filter(|_| turned_away) else {
             return;
         };
-        if status != hyper::StatusCode::SERVICE_UNAVAILABLE {
-            return;
-        }
-        let value = String::from_utf8_lossy(retry_after.as_bytes());
-        let asked = headers::parse_retry_after(&value);
+        let asked = headers::parse_retry_after(&String::from_utf8_lossy(retry_after.as_bytes()));
         let pause = flight.rests(asked.ok());
-        metrics.rests.inc();
-        events.emit(&Event::UpstreamRests {
+        self.context.metrics.mesh.rests.inc();
+        self.context.beliefs.events.emit(&Event::UpstreamRests {
             id: self.call.id.clone(),
             upstream: target.id.clone(),
             for_ms: pause.as_millis() as u64,
