--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -451,3 +451,100 @@
         assert!(scripted.requests() >= 1);
     }
 }
+
+/// What a process may hold for a platform or a peer whose answers have no end: half of the memory of the
+/// smallest host.
+const MEMORY_FOR_ANSWERS: u64 = 64 * 1_024 * 1_024;
+/// Long enough for several questions to whoever answers without an end.
+const SEVERAL_QUESTIONS: Duration = Duration::from_secs(3);
+
+/// Answers of a platform or a peer without an end: in the head, in a header line, in the body.
+fn endless_answers() -> [Script; 3] {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    [
+        endless(head, "x-more: of the same\r\n"),
+        endless(&format!("{head}x-long: "), "x"),
+        endless(
+            &format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
+            "4\r\n[[[[\r\n",
+        ),
+    ]
+}
+
+// Bytes without end from the store: the process must live, and hear of the facts from its peers.
+#[actix_rt::test]
+async fn a_store_that_answers_without_end_is_done_without() {
+    for script in endless_answers() {
+        let mut site = Site::start().await;
+        site.engine(plain("d1")).await;
+        let first = site.gateway("g1", &[]);
+        first.until_ready().await;
+        let store = Scripted::start(script).await.expect("it starts");
+        let second = site.gateway_at("g2", &[first], store.address);
+        second.until_ready().await;
+
+        actix_rt::time::sleep(SEVERAL_QUESTIONS).await;
+        let got = second.call("POST", "/order/new", "a1").await;
+
+        assert_eq!(got.status, 200);
+        assert!(store.requests() > 0);
+        let most = site.peak_memory("g2");
+        assert!(most < MEMORY_FOR_ANSWERS, "{most} bytes");
+    }
+}
+
+// The same from a peer that is named as a seed.
+#[actix_rt::test]
+async fn a_peer_that_answers_without_end_is_done_without() {
+    for script in endless_answers() {
+        let mut site = Site::start().await;
+        site.engine(plain("d1")).await;
+        let peer = Scripted::start(script).await.expect("it starts");
+        let nowhere = "127.0.0.1:1".parse().expect("an address");
+        let seed = Gateway {
+            callers: nowhere,
+            readiness: nowhere,
+            inner: peer.address,
+            metrics: nowhere,
+        };
+        let gateway = site.gateway("g1", &[seed]);
+        gateway.until_ready().await;
+
+        actix_rt::time::sleep(SEVERAL_QUESTIONS).await;
+        let got = gateway.call("POST", "/order/new", "a1").await;
+
+        assert_eq!(got.status, 200);
+        assert!(peer.requests() > 0);
+        let most = site.peak_memory("g1");
+        assert!(most < MEMORY_FOR_ANSWERS, "{most} bytes");
+    }
+}
+
+// The same from the origin of weights; the version arrives once the origin is well.
+#[actix_rt::test]
+async fn an_origin_that_answers_without_end_is_waited_out() {
+    for script in endless_answers() {
+        let mut site = Site::start().await;
+        let sick = Scripted::start(script).await.expect("it starts");
+        let well = site.origin.address.to_string();
+        let name_origin = |config: &mut serde_json::Value, address: String| {
+            config["services"][2]["origin"] = serde_json::json!(address);
+        };
+        site.configure(|config| name_origin(config, sick.address.to_string()));
+        let engine = site.engine(engine("e1", 2, 5)).await;
+        let gateway = site.gateway("g1", &[]);
+        gateway.until_ready().await;
+        site.stager("s1", &engine, &[gateway]);
+        site.name_version(2);
+
+        actix_rt::time::sleep(SEVERAL_QUESTIONS).await;
+        let most = site.peak_memory("s1");
+        let asked = sick.requests();
+        site.configure(|config| name_origin(config, well));
+
+        assert!(asked > 0);
+        assert!(most < MEMORY_FOR_ANSWERS, "{most} bytes");
+        until("the version", async || engine.version() == Some(2)).await;
+        assert_eq!(engine.mixed_loads(), 0);
+    }
+}
