--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -269,12 +269,12 @@
             let told = told.get(&record.address);
             let status = told.filter(|s| s.born_ms == record.born_ms).copied();
             // The engine has started again, and the list does not say so yet. Its id is another one now.
-            let replaced = told.is_some_and(|s| s.born_ms > record.born_ms);
+            let started_again = told.is_some_and(|s| s.born_ms > record.born_ms);
             let evacuated = directory.evacuated.contains(&record.data_centre);
             if let Some(upstream) = self.upstreams.get_mut(key) {
                 upstream.update(record, *learned, service, status);
                 upstream.standing.listed = record.state == UpstreamState::Ready && !evacuated;
-                upstream.standing.started_again = replaced;
+                upstream.standing.started_again = started_again;
                 upstream.take_share(&self.entries, self.entries_generation);
             }
             found.insert(id, key);
@@ -286,6 +286,8 @@
             let oldest = self.lapsed.pop_front();
             oldest.and_then(|(_, key)| self.upstreams.remove(key));
         }
+        // When a version was named that is found at the start is not known; it is given the time by which
+        // requests must have begun on older ones.
         let begin_by = self.settings.started + self.settings.begin_within_at_start;
         let found_since = begin_by.saturating_sub(self.settings.begin_within);
         let times_changed = self.named.note(directory, found_since);
@@ -295,13 +297,7 @@
             .iter()
             .map(|service| {
                 let members = members.remove(&service.name).unwrap_or_default();
-                let near: Vec<_> = members
-                    .iter()
-                    .filter_map(|key| Some((self.upstreams.get(*key)?, key)))
-                    .filter(|(u, _)| u.record.data_centre == self.settings.data_centre)
-                    .map(|(u, key)| (u.record.id.clone(), *key))
-                    .collect();
-                let part = self.entries.part(near);
+                let part = self.part_of(&members);
                 let pool = Pool::new(service, members, part);
                 (service.name.clone(), pool)
             })
@@ -309,6 +305,16 @@
         times_changed
     }
 
+    /// The members of a pool that this entry prefers.
+    fn part_of(&self, members: &[UpstreamKey]) -> Vec<UpstreamKey> {
+        let known = members
+            .iter()
+            .filter_map(|key| Some((self.upstreams.get(*key)?, *key)));
+        let near = known.filter(|(u, _)| u.record.data_centre == self.settings.data_centre);
+        let named = near.map(|(upstream, key)| (upstream.record.id.clone(), key));
+        self.entries.part(named.collect())
+    }
+
     /// An upstream that is back in the list.
     fn back_from_lapse(&mut self, id: &UpstreamId) -> Option<UpstreamKey> {
         let at = self.lapsed.iter().position(|(lapsed, _)| lapsed == id)?;
