--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -143,6 +143,18 @@
         /// Free text: the time that the upstream asked for.
         detail: String,
     },
+    /// A response stated the limit of its sender (`Server-Limit`).
+    UpstreamLimit {
+        /// Id of the request.
+        id: SmolStr,
+        /// Id of the upstream.
+        upstream: SmolStr,
+        /// The limit in requests per second; absent if it cannot be read.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        per_s: Option<f64>,
+        /// Free text: the value as the upstream stated it.
+        detail: String,
+    },
     /// The final response to a request began.
     Answered {
         /// Id of the request.
@@ -203,7 +215,7 @@
             Self::Sent { id, once, .. }
             | Self::AttemptFailed { id, once, .. }
             | Self::Answered { id, once, .. } => (!once).then_some(id),
-            Self::UpstreamBackoff { id, .. } => Some(id),
+            Self::UpstreamBackoff { id, .. } | Self::UpstreamLimit { id, .. } => Some(id),
             Self::Process { .. }
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -347,6 +347,7 @@
     ) -> AttemptResult {
         self.record_leaving(&response, &in_flight, upstream);
         self.record_backoff(&response, &in_flight, upstream);
+        self.log_limit(&response, upstream);
         if response
             .header(headers::ATTEMPT_ID)
             .is_some_and(|id| id != self.request.id.as_str())
@@ -452,6 +453,28 @@
             });
     }
 
+    /// Logs the limit that a response states for its sender.
+    fn log_limit(&self, response: &UpstreamResponse, upstream: &UpstreamRecord) {
+        let Some(limit) = response.inner.headers().get(headers::LIMIT) else {
+            return;
+        };
+        let value = String::from_utf8_lossy(limit.as_bytes());
+        let per_s = headers::parse_limit(&value);
+        self.context.metrics.mesh.limit_responses.inc();
+        self.context
+            .cluster_view
+            .events
+            .emit(&Event::UpstreamLimit {
+                id: self.request.id.clone(),
+                upstream: upstream.id.clone(),
+                per_s: per_s.ok(),
+                detail: match per_s {
+                    Ok(_) => format!("the upstream stated a limit of {value} requests per second"),
+                    Err(e) => format!("Server-Limit cannot be read: {e}"),
+                },
+            });
+    }
+
     /// Counts a response on an overdue version: its request should have been cancelled before it started.
     fn count_overdue_response(&self, response: &UpstreamResponse) {
         let model = self.requirements.model.as_ref();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,6 +75,8 @@
     pub leaving_upstreams: Counter,
     /// Responses by which an upstream asked for a backoff (`Retry-After`).
     pub backoff_responses: Counter,
+    /// Responses that stated a limit of their sender (`Server-Limit`).
+    pub limit_responses: Counter,
 }
 
 impl MeshMetrics {
@@ -96,6 +98,7 @@
             cancelled_requests: Counter::default(),
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
+            limit_responses: Counter::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -125,6 +128,8 @@
         r.register("leaving_upstreams", leaving, m.leaving_upstreams.clone());
         let rests = "Answers by which an upstream wanted nothing for a while";
         r.register("rests", rests, m.backoff_responses.clone());
+        let limits = "Responses that stated a limit of their upstream";
+        r.register("limit_responses", limits, m.limit_responses.clone());
         metrics
     }
 }
