--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -92,6 +92,7 @@
     inconsistent_loads: u32,
     leaving: bool,
     retry_after: Option<SmolStr>,
+    limit: Option<SmolStr>,
     arrival_times: Vec<Instant>,
 }
 
@@ -167,6 +168,11 @@
         self.state().retry_after = retry_after.map(SmolStr::new);
     }
 
+    /// Sets the header `Server-Limit` of every response from now on; they lack it if absent.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.state().limit = limit.map(SmolStr::new);
+    }
+
     /// Requests that were executed, in the order in which execution started.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -249,6 +255,9 @@
     if lock(state).leaving {
         set_header(&mut response, "server-leaving", "1");
     }
+    if let Some(limit) = &lock(state).limit {
+        set_header(&mut response, "server-limit", limit);
+    }
     Ok(response)
 }
 
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod explained;
 mod hostile;
 mod lifecycle;
+mod limits;
 mod requests;
 mod soak;
 mod streams;
