Keep the limit that an upstream states, for all gateways together

What was seen: an engine that stated a limit (Server-Limit) of 1.6 a second got 17 requests in 4 s, 15 allowed; one of 1 a second got 15, 11 allowed. With real gateways against stand-ins and a limit of 1: 174 in 4 s from one gateway, 348 from four, 11 allowed.

Cause: no process read the header. The limit is also a bound summed over machines, which a gateway that keeps it by itself would exceed by the number of gateways.

Change: an entry learns limits from responses and from the others (a push on change, and with each exchange of views), and orders observations without a common clock: a response counts as later only if its request was sent after the last observation; of two reports that may be in either order, the lower limit holds. Each limit is divided among the entries that rank first for the upstream, a few more than requests in a second, since an even part of a low limit is under one request in 4 s and hundreds of entries would send hundreds. A token bucket keeps each share; it is asked when an upstream is selected, so for first sends, retries, resumed streams and what waits, and again once a connection is made if the limit was learned or lowered meanwhile. Entries that fall silent keep their share for two hours: they may run in another partition. A request that only limited upstreams may serve is refused at once with the time until the next place; otherwise it goes elsewhere.

In virtual time with 1 to 200 entries that join, restart, freeze, lose messages or are partitioned no window exceeds the allowance, no request is refused, and all entries forget a limit that has ended within 5 s.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -104,6 +104,9 @@
         /// newer version is published.
         #[serde(skip_serializing_if = "Option::is_none")]
         begin_within_ms: Option<u64>,
+        /// Id of the upstream that would have been selected if its limit allowed another request.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        instead_of: Option<SmolStr>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -143,16 +146,17 @@
         /// Free text: the time that the upstream asked for.
         detail: String,
     },
-    /// A response stated the limit of its sender (`Server-Limit`).
+    /// The limit that an upstream states (`Server-Limit`) was learned, changed or ended.
     UpstreamLimit {
-        /// Id of the request.
-        id: SmolStr,
+        /// Id of the request whose response showed the change; absent if another process reported it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        id: Option<SmolStr>,
         /// Id of the upstream.
         upstream: SmolStr,
-        /// The limit in requests per second; absent if it cannot be read.
+        /// The limit in requests per second, for all gateways together; absent if it has ended.
         #[serde(skip_serializing_if = "Option::is_none")]
         per_s: Option<f64>,
-        /// Free text: the value as the upstream stated it.
+        /// Free text: the source, or the value as the upstream stated it.
         detail: String,
     },
     /// The final response to a request began.
@@ -175,6 +179,9 @@
         /// The version of the weights on which the response began, as the upstream reports it.
         #[serde(skip_serializing_if = "Option::is_none")]
         version: Option<u64>,
+        /// Id of the upstream whose limit allows a request first, if limits are the reason.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limited: Option<SmolStr>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -215,7 +222,8 @@
             Self::Sent { id, once, .. }
             | Self::AttemptFailed { id, once, .. }
             | Self::Answered { id, once, .. } => (!once).then_some(id),
-            Self::UpstreamBackoff { id, .. } | Self::UpstreamLimit { id, .. } => Some(id),
+            Self::UpstreamBackoff { id, .. } => Some(id),
+            Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -99,6 +99,7 @@
                 retry_after: rejection.retry_after,
                 arrived_at,
                 version: None,
+                limited: None,
                 at_most_once: rejection.at_most_once,
             };
             return response::build_local_response(&context, &response);
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -5,8 +5,12 @@
 use actix_web::{http::StatusCode, HttpResponse};
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::dispatch::{
-    AttemptOutcome, DispatchRefusal, RefusalReason, RequestRequirements, ServedVersion,
+use balsamjunction_policy::{
+    dispatch::{
+        AttemptOutcome, DispatchRefusal, RefusalReason, RequestRequirements, ServedVersion,
+        UNREADABLE_LIMIT_PER_S,
+    },
+    Moment,
 };
 use balsamjunction_protocol::Crash;
 use bytes::Bytes;
@@ -99,6 +103,7 @@
             retry_after: failure.retry_after,
             arrived_at: attempts.request.arrived_at,
             version: None,
+            limited: failure.limited.as_ref(),
             at_most_once: attempts.request.runs_at_most_once(),
         },
     )
@@ -109,6 +114,8 @@
     status: StatusCode,
     reason: ResponseReason,
     retry_after: Option<Duration>,
+    /// Id of the upstream whose limit allows a request first, if limits are the reason.
+    limited: Option<SmolStr>,
 }
 
 impl RequestAttempts {
@@ -138,6 +145,7 @@
             status: StatusCode::GATEWAY_TIMEOUT,
             reason: ResponseReason::TimedOut,
             retry_after: None,
+            limited: None,
         }
     }
 
@@ -213,8 +221,13 @@
             RefusalReason::NoUpstream => ResponseReason::NoUpstream,
             RefusalReason::Overload => ResponseReason::Overload,
             RefusalReason::BackingOff => ResponseReason::UpstreamsBackingOff,
+            RefusalReason::Limited => ResponseReason::UpstreamsLimited,
         };
-        self.build_failure(reason, refusal.retry_after)
+        let limited = refusal.limited;
+        Failure {
+            limited: limited.and_then(|key| self.context.upstream_id(key)),
+            ..self.build_failure(reason, refusal.retry_after)
+        }
     }
 
     fn build_failure(&self, reason: ResponseReason, retry_after: Duration) -> Failure {
@@ -225,6 +238,7 @@
             status: StatusCode::BAD_GATEWAY,
             reason,
             retry_after: None,
+            limited: None,
         }
     }
 
@@ -248,6 +262,7 @@
             version: served.map(|served| served.version),
             begin_within_ms: start_deadline
                 .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
+            instead_of: in_flight.instead_of(),
             once: self.request.runs_at_most_once(),
         });
         let tcp = match send::connect(upstream.address).await {
@@ -260,7 +275,8 @@
         };
         if !in_flight.may_be_sent(&self.requirements) {
             let detail =
-                "the upstream became unavailable while the connection was opened".to_owned();
+                "the upstream became unavailable or limited while the connection was opened"
+                    .to_owned();
             self.log_failed_attempt(&upstream, "not-sent", detail);
             return AttemptResult::NotRun;
         }
@@ -273,6 +289,7 @@
         self.retry_reserved = false;
         let req = self.build_request(&upstream, resume_after);
         let silence_timeout = self.silence_timeout();
+        let sent_at = self.context.now();
         let response = tokio::select! {
             // A response that is available at the deadline takes precedence: the request has started.
             biased;
@@ -281,7 +298,9 @@
                 return self.cancel_overdue(&mut in_flight, &upstream),
         };
         let detail = match response {
-            Ok(Ok(response)) => return self.classify_response(response, in_flight, &upstream),
+            Ok(Ok(response)) => {
+                return self.classify_response(response, in_flight, &upstream, sent_at)
+            }
             Ok(Err(e)) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
                     self.report_crash(&upstream);
@@ -344,14 +363,12 @@
         response: UpstreamResponse,
         mut in_flight: InFlightRequest,
         upstream: &UpstreamRecord,
+        sent_at: Moment,
     ) -> AttemptResult {
         self.record_leaving(&response, &in_flight, upstream);
         self.record_backoff(&response, &in_flight, upstream);
-        self.log_limit(&response, upstream);
-        if response
-            .header(headers::ATTEMPT_ID)
-            .is_some_and(|id| id != self.request.id.as_str())
-        {
+        self.record_limit(&response, upstream, sent_at);
+        if self.answers_another_request(&response) {
             in_flight.set_outcome(AttemptOutcome::Failed);
             self.log_failed_attempt(
                 upstream,
@@ -395,6 +412,11 @@
         AttemptResult::Response(Box::new(response), in_flight)
     }
 
+    fn answers_another_request(&self, response: &UpstreamResponse) -> bool {
+        let id = response.header(headers::ATTEMPT_ID);
+        id.is_some_and(|id| id != self.request.id.as_str())
+    }
+
     /// Takes an upstream that reports to be leaving out of service, before its response is forwarded.
     fn record_leaving(
         &self,
@@ -453,26 +475,58 @@
             });
     }
 
-    /// Logs the limit that a response states for its sender.
-    fn log_limit(&self, response: &UpstreamResponse, upstream: &UpstreamRecord) {
+    /// Records the limit that a response states, or the end of the limit if it states none.
+    ///
+    /// A limit is kept whoever stated it; only a response that is certainly the upstream's ends one.
+    fn record_limit(
+        &self,
+        response: &UpstreamResponse,
+        upstream: &UpstreamRecord,
+        sent_at: Moment,
+    ) {
+        if response.inner.status() == hyper::StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
         let Some(limit) = response.inner.headers().get(headers::LIMIT) else {
+            let identified = [headers::SIGNATURE, headers::NOT_RUN]
+                .iter()
+                .any(|name| response.header(name).is_some());
+            if identified && !self.answers_another_request(response) {
+                let ended = self.context.record_limit(upstream, sent_at, None);
+                let detail = || "the upstream stated no limit any more".to_owned();
+                self.log_limit_change(ended, upstream, None, detail);
+            }
             return;
         };
-        let value = String::from_utf8_lossy(limit.as_bytes());
-        let per_s = headers::parse_limit(&value);
         self.context.metrics.mesh.limit_responses.inc();
-        self.context
-            .cluster_view
-            .events
-            .emit(&Event::UpstreamLimit {
-                id: self.request.id.clone(),
-                upstream: upstream.id.clone(),
-                per_s: per_s.ok(),
-                detail: match per_s {
-                    Ok(_) => format!("the upstream stated a limit of {value} requests per second"),
-                    Err(e) => format!("Server-Limit cannot be read: {e}"),
-                },
-            });
+        let value = String::from_utf8_lossy(limit.as_bytes());
+        let stated = headers::parse_limit(&value);
+        let per_s = stated.unwrap_or(UNREADABLE_LIMIT_PER_S);
+        let changed = self.context.record_limit(upstream, sent_at, Some(per_s));
+        self.log_limit_change(changed, upstream, Some(per_s), || match stated {
+            Ok(_) => format!("the upstream stated a limit of {value} requests per second"),
+            Err(e) => format!("Server-Limit cannot be read: {e}"),
+        });
+    }
+
+    fn log_limit_change(
+        &self,
+        changed: bool,
+        upstream: &UpstreamRecord,
+        per_s: Option<f64>,
+        detail: impl FnOnce() -> String,
+    ) {
+        if changed {
+            self.context
+                .cluster_view
+                .events
+                .emit(&Event::UpstreamLimit {
+                    id: Some(self.request.id.clone()),
+                    upstream: upstream.id.clone(),
+                    per_s,
+                    detail: detail(),
+                });
+        }
     }
 
     /// Counts a response on an overdue version: its request should have been cancelled before it started.
@@ -570,5 +624,6 @@
         status: StatusCode::SERVICE_UNAVAILABLE,
         reason,
         retry_after: Some(retry_after),
+        limited: None,
     }
 }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use balsamjunction_directory::UpstreamRecord;
 use balsamjunction_policy::{
     dispatch::{
         AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, RequestRequirements,
@@ -231,6 +232,36 @@
         withdrawn
     }
 
+    /// Records the limit that a response of an upstream states, or that it states none, for a request sent
+    /// at `sent_at`; returns whether the limit changed.
+    pub fn record_limit(
+        &self,
+        upstream: &UpstreamRecord,
+        sent_at: Moment,
+        per_s: Option<f64>,
+    ) -> bool {
+        let upstream = (upstream.id.clone(), upstream.started_at_ms);
+        let changed = self.cluster_view.record_limit(sent_at, &upstream, per_s);
+        if changed {
+            // Requests that are assigned before the change is delivered must keep the limit, too.
+            self.apply_limits();
+        }
+        changed
+    }
+
+    /// Applies the limits that upstreams state to the dispatcher.
+    fn apply_limits(&self) {
+        self.cluster_view.with_limits(|limits, now| {
+            lock(&self.dispatch).dispatcher.set_limits(now, limits);
+        });
+    }
+
+    /// Returns the id of an upstream, unless the dispatcher has removed it.
+    pub fn upstream_id(&self, key: UpstreamKey) -> Option<SmolStr> {
+        let view = lock(&self.dispatch).dispatcher.view(key)?;
+        Some(view.record.id)
+    }
+
     fn configure(&self) {
         let directory = self.cluster_view.directory();
         let engines = self.cluster_view.engine_statuses();
@@ -243,6 +274,8 @@
         if deadlines_changed {
             self.start_deadlines_changed.send_modify(|n| *n += 1);
         }
+        // Upstreams may be new, and the number of entries that share a limit may have changed.
+        self.apply_limits();
         self.deliver_decisions();
     }
 }
@@ -283,6 +316,15 @@
     }
 }
 
+/// Applies the limits that upstreams state whenever one changes.
+pub async fn follow_limits(context: Arc<GatewayContext>) {
+    let mut changes = context.cluster_view.subscribe_to_limits();
+    while changes.changed().await.is_ok() {
+        context.apply_limits();
+        context.deliver_decisions();
+    }
+}
+
 /// Polls the dispatcher for as long as requests wait.
 pub async fn poll_waiting_loop(context: Arc<GatewayContext>) {
     loop {
@@ -307,6 +349,7 @@
         let no_upstream = DispatchRefusal {
             reason: balsamjunction_policy::dispatch::RefusalReason::NoUpstream,
             retry_after: Duration::from_secs(1),
+            limited: None,
         };
         let selected = decision.unwrap_or(Err(no_upstream))?;
         Ok(InFlightRequest::new(
@@ -341,18 +384,18 @@
     context: Arc<GatewayContext>,
     selected: SelectedUpstream,
     unprocessed_prompt_tokens: f64,
-    assigned_at: Moment,
     outcome: AttemptOutcome,
 }
 
 impl InFlightRequest {
     fn new(context: Arc<GatewayContext>, selected: SelectedUpstream, prompt_tokens: f64) -> Self {
-        let assigned_at = context.now();
+        if selected.instead_of.is_some() {
+            context.metrics.mesh.limit_detours.inc();
+        }
         Self {
             context,
             selected,
             unprocessed_prompt_tokens: prompt_tokens,
-            assigned_at,
             outcome: AttemptOutcome::Cancelled,
         }
     }
@@ -368,19 +411,24 @@
     }
 
     /// Returns the upstream's registration, unless the dispatcher has removed it.
-    pub fn upstream_record(&self) -> Option<balsamjunction_directory::UpstreamRecord> {
+    pub fn upstream_record(&self) -> Option<UpstreamRecord> {
         let dispatch = lock(&self.context.dispatch);
         let view = dispatch.dispatcher.view(self.selected.upstream)?;
         Some(view.record)
     }
 
-    /// Whether the request may still be sent to the upstream.
+    /// Returns the id of the upstream that would have been selected if its limit allowed another request.
+    pub fn instead_of(&self) -> Option<SmolStr> {
+        self.context.upstream_id(self.selected.instead_of?)
+    }
+
+    /// Whether the request may still be sent to the upstream, now that its connection is established.
     pub fn may_be_sent(&self, requirements: &RequestRequirements) -> bool {
         let now = self.context.now();
-        let dispatch = lock(&self.context.dispatch);
-        dispatch
-            .dispatcher
-            .may_serve(now, self.selected.upstream, requirements)
+        let mut dispatch = lock(&self.context.dispatch);
+        let dispatcher = &mut dispatch.dispatcher;
+        dispatcher.may_serve(now, self.selected.upstream, requirements)
+            && dispatcher.confirm_send(now, &self.selected)
     }
 
     /// Returns the version of a model that the upstream serves, if it is known.
@@ -453,7 +501,7 @@
 
     /// Records that the first event has arrived, in the dispatcher and in the metrics.
     pub fn record_first_event(&mut self) {
-        let elapsed = self.context.now().saturating_sub(self.assigned_at);
+        let elapsed = self.context.now().saturating_sub(self.selected.assigned_at);
         let unprocessed_prompt_tokens = std::mem::take(&mut self.unprocessed_prompt_tokens);
         let now = self.context.now();
         let metrics = &self.context.metrics;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -97,6 +97,7 @@
         cluster_view.clone(),
         client.clone(),
     ));
+    actix_rt::spawn(mesh::push_limits_loop(cluster_view.clone(), client.clone()));
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
     actix_rt::spawn(reload_loop(
@@ -108,6 +109,7 @@
     ));
     actix_rt::spawn(mesh::exchange_loop(cluster_view.clone(), client, seeds));
     actix_rt::spawn(context::follow_cluster_view(context.clone()));
+    actix_rt::spawn(context::follow_limits(context.clone()));
     actix_rt::spawn(context::poll_waiting_loop(context.clone()));
 
     let gauges: Arc<dyn RefreshGauges> = context.clone();
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -54,6 +54,8 @@
     /// Every upstream has asked for a backoff (Retry-After).
     #[strum(serialize = "upstreams-rest")]
     UpstreamsBackingOff,
+    /// Every upstream that may serve it states a limit (Server-Limit) that is used up.
+    UpstreamsLimited,
     /// Every upstream that was tried rejected the request or could not be reached, or no retry was left
     /// for another one.
     TurnedAway,
@@ -85,6 +87,8 @@
     pub arrived_at: Moment,
     /// The version of the weights that an upstream reported at the start of its response.
     pub version: Option<u64>,
+    /// Id of the upstream whose limit allows a request first, if limits are the reason.
+    pub limited: Option<&'a SmolStr>,
     /// Whether the request must not run more than once.
     pub at_most_once: bool,
 }
@@ -109,6 +113,7 @@
         view_age_ms: age.as_millis() as u64,
         configuration: context.cluster_view.configuration_version(),
         version: response.version,
+        limited: response.limited.cloned(),
         once: response.at_most_once,
     });
 }
@@ -363,6 +368,7 @@
             retry_after: None,
             arrived_at: relay.attempts.request.arrived_at,
             version: relay.response.version(),
+            limited: None,
             at_most_once: relay.attempts.request.runs_at_most_once(),
         },
     );
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -8,9 +8,14 @@
 use balsamjunction_directory::{
     ApplySummary, Change, Directory, Replica, ReplicaUpdate, Verification, VerificationAge,
 };
-use balsamjunction_policy::{crash::CrashList, membership::Membership, Moment};
+use balsamjunction_policy::{
+    crash::CrashList,
+    membership::Membership,
+    stated_limits::{StatedLimits, UpstreamId},
+    Moment,
+};
 use balsamjunction_protocol::{
-    mesh::{EngineStatus, MemberRecord, ProcessRole, WeightsUpdate},
+    mesh::{EngineStatus, LimitReport, MemberRecord, ProcessRole, WeightsUpdate},
     Crash,
 };
 use strum::IntoEnumIterator;
@@ -36,6 +41,9 @@
     directory: Mutex<Arc<Directory>>,
     members: Mutex<Membership>,
     crashes: Mutex<CrashList>,
+    limits: Mutex<StatedLimits>,
+    limit_changes: watch::Sender<u64>,
+    limit_push_needed: Notify,
     changes: watch::Sender<u64>,
     pull_needed: Notify,
 }
@@ -50,6 +58,9 @@
             directory: Mutex::default(),
             members: Mutex::new(Membership::new(own)),
             crashes: Mutex::default(),
+            limits: Mutex::default(),
+            limit_changes: watch::channel(0).0,
+            limit_push_needed: Notify::new(),
             changes: watch::channel(0).0,
             pull_needed: Notify::new(),
         }
@@ -270,6 +281,59 @@
         lock(&self.crashes).reaches_limit(fingerprint, CRASH_LIMIT)
     }
 
+    /// Records the limit that a response states, or that it states none, for a request sent at `sent_at`;
+    /// returns whether the limit changed.
+    pub fn record_limit(&self, sent_at: Moment, upstream: &UpstreamId, per_s: Option<f64>) -> bool {
+        let now = self.clock.now();
+        let changed = lock(&self.limits).record_response(now, sent_at, upstream, per_s);
+        if changed {
+            self.limit_changes.send_modify(|n| *n += 1);
+            self.limit_push_needed.notify_one();
+        }
+        changed
+    }
+
+    /// Merges limits that another entry observed.
+    pub fn merge_limits(&self, reports: &[LimitReport]) {
+        let now = self.clock.now();
+        let changed = lock(&self.limits).merge(now, reports);
+        if changed.is_empty() {
+            return;
+        }
+        self.limit_changes.send_modify(|n| *n += 1);
+        for ((upstream, _), per_s) in changed {
+            self.events.emit(&Event::UpstreamLimit {
+                id: None,
+                upstream,
+                per_s,
+                detail: "another gateway reported it".to_owned(),
+            });
+        }
+    }
+
+    /// Returns the recent limits, in the form that is sent to other entries.
+    pub fn limit_reports(&self) -> Vec<LimitReport> {
+        let now = self.clock.now();
+        let mut limits = lock(&self.limits);
+        limits.expire(now);
+        limits.reports(now)
+    }
+
+    /// Calls `f` with the limits that upstreams state, and the current time.
+    pub fn with_limits<T>(&self, f: impl FnOnce(&StatedLimits, Moment) -> T) -> T {
+        f(&lock(&self.limits), self.clock.now())
+    }
+
+    /// Returns a receiver that is notified when a limit changes.
+    pub fn subscribe_to_limits(&self) -> watch::Receiver<u64> {
+        self.limit_changes.subscribe()
+    }
+
+    /// Waits until a limit that this process observed itself should be pushed to the other entries.
+    pub async fn wait_until_limit_push_needed(&self) {
+        self.limit_push_needed.notified().await;
+    }
+
     /// Sets the gauges for facts, members and weights.
     fn refresh_gauges(&self, metrics: &MeshMetrics) {
         if let Some(age) = self.facts_age() {
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -9,7 +9,7 @@
 };
 use balsamjunction_protocol::{
     header,
-    mesh::{ChangeNotification, CrashNotification, SyncRequest, SyncResponse},
+    mesh::{ChangeNotification, CrashNotification, LimitNotification, SyncRequest, SyncResponse},
     paths,
 };
 
@@ -27,6 +27,7 @@
         .route(paths::SYNC, web::post().to(handle_sync))
         .route(paths::CHANGES, web::post().to(handle_changes))
         .route(paths::MESH_CRASHES, web::post().to(handle_crashes))
+        .route(paths::MESH_LIMITS, web::post().to(handle_limits))
         .route(paths::METRICS, web::get().to(serve_current_metrics))
         .route(paths::LIVE, web::get().to(HttpResponse::Ok));
 }
@@ -57,6 +58,10 @@
     let request: SyncRequest = header::from_bytes(&body)?;
     check_protocol_version(request.v)?;
     cluster_view.merge_members(request.members);
+    let limits = request.limits.map(|limits| {
+        cluster_view.merge_limits(&limits);
+        cluster_view.limit_reports()
+    });
     let peer_heartbeats = request.live_members.as_deref();
     let (records, heartbeats, unknown_keys, same_members) =
         cluster_view.with_members(|members, now| {
@@ -81,6 +86,7 @@
         unknown_keys,
         same_members,
         verification: cluster_view.verification_age(),
+        limits: limits.unwrap_or_default(),
         update: pull.and_then(|pull| cluster_view.update_for(pull)),
         weights: request
             .include_weights
@@ -109,6 +115,16 @@
     message_response(&EmptyResponse {})
 }
 
+async fn handle_limits(
+    cluster_view: Data<ClusterView>,
+    body: Bytes,
+) -> Result<HttpResponse, InnerError> {
+    let notification: LimitNotification = header::from_bytes(&body)?;
+    check_protocol_version(notification.v)?;
+    cluster_view.merge_limits(&notification.limits);
+    message_response(&EmptyResponse {})
+}
+
 async fn serve_current_metrics(
     metrics: Data<Arc<Metrics>>,
     gauges: Data<dyn RefreshGauges>,
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -16,8 +16,8 @@
 pub use self::{
     cluster_view::ClusterView,
     peers::{
-        exchange_loop, exchange_once, notify_crashes, push_target_versions, refresh_facts_loop,
-        ExchangePurpose,
+        exchange_loop, exchange_once, notify_crashes, push_limits_loop, push_target_versions,
+        refresh_facts_loop, ExchangePurpose,
     },
     reader::read_store_loop,
 };
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -5,7 +5,10 @@
 use awc::Client;
 use balsamjunction_directory::ReplicaPull;
 use balsamjunction_protocol::{
-    mesh::{ChangeNotification, CrashNotification, ProcessRole, SyncRequest, SyncResponse},
+    mesh::{
+        ChangeNotification, CrashNotification, LimitNotification, ProcessRole, SyncRequest,
+        SyncResponse,
+    },
     paths, Crash, PROTOCOL_VERSION,
 };
 use log::debug;
@@ -25,6 +28,8 @@
 const FACTS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Facts older than this are pulled from an entry that reads the store.
 const PULL_FACTS_AFTER: Duration = Duration::from_millis(400);
+/// Shortest interval between pushes of limits, which bounds their number while limits change often.
+const LIMIT_PUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a call to a peer; one that does not respond in this time is skipped.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -143,6 +148,7 @@
             ExchangePurpose::Facts(pull) => Some(pull),
             ExchangePurpose::Weights | ExchangePurpose::Members => None,
         },
+        limits: matches!(purpose, ExchangePurpose::Views(_)).then(|| cluster_view.limit_reports()),
         include_weights,
     });
     let queried_at = cluster_view.clock.now();
@@ -157,6 +163,7 @@
             members.refresh_live(now);
         }
     });
+    cluster_view.merge_limits(&response.limits);
     if matches!(purpose, ExchangePurpose::Views(_)) && !response.unknown_keys.is_empty() {
         send_members(cluster_view, client, address, &response.unknown_keys).await?;
     }
@@ -180,6 +187,7 @@
         member_digest: members.digest(now),
         live_members: None,
         pull: None,
+        limits: None,
         include_weights: false,
     });
     let _: SyncResponse =
@@ -238,6 +246,22 @@
     send_to_entries(cluster_view, client, paths::MESH_CRASHES, &message).await;
 }
 
+/// Pushes limits that this process observes to all other entries, so that they keep a limit before they have
+/// sent anything to the upstream, and learn that it has ended although they have no share of it.
+///
+/// Entries that miss a push learn the limit by an exchange.
+pub async fn push_limits_loop(cluster_view: Arc<ClusterView>, client: Client) {
+    loop {
+        cluster_view.wait_until_limit_push_needed().await;
+        let message = LimitNotification {
+            v: PROTOCOL_VERSION,
+            limits: cluster_view.limit_reports(),
+        };
+        send_to_entries(&cluster_view, &client, paths::MESH_LIMITS, &message).await;
+        actix_rt::time::sleep(LIMIT_PUSH_INTERVAL).await;
+    }
+}
+
 /// Notifies the sidecars of the own data centre whenever the target versions change.
 pub async fn push_target_versions(cluster_view: Arc<ClusterView>, client: Client) {
     let mut changes = cluster_view.subscribe();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -77,6 +77,8 @@
     pub backoff_responses: Counter,
     /// Responses that stated a limit of their sender (`Server-Limit`).
     pub limit_responses: Counter,
+    /// Requests that were sent to another upstream because the limit of the best one was used up.
+    pub limit_detours: Counter,
 }
 
 impl MeshMetrics {
@@ -99,6 +101,7 @@
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
             limit_responses: Counter::default(),
+            limit_detours: Counter::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -130,6 +133,8 @@
         r.register("rests", rests, m.backoff_responses.clone());
         let limits = "Responses that stated a limit of their upstream";
         r.register("limit_responses", limits, m.limit_responses.clone());
+        let detours = "Requests sent elsewhere because of a limit";
+        r.register("limit_detours", detours, m.limit_detours.clone());
         metrics
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 
 mod availability;
 mod pool;
+mod rate_limit;
 mod shares;
 mod upstream;
 mod versions;
@@ -22,7 +23,10 @@
 
 pub use self::shares::Entries;
 use self::{pool::Pool, upstream::Upstream, versions::PublishedVersions};
-use crate::Moment;
+use crate::{
+    stated_limits::{StatedLimits, UpstreamId},
+    Moment,
+};
 
 new_key_type! {
     /// Identifies an upstream in a [`Dispatcher`].
@@ -79,6 +83,10 @@
     pub expected_ms: f64,
     /// The same at the declared speed of the upstream, in milliseconds.
     pub nominal_ms: f64,
+    /// When it was selected.
+    pub assigned_at: Moment,
+    /// The upstream that would have been selected if its limit allowed another request.
+    pub instead_of: Option<UpstreamKey>,
 }
 
 /// Why a request is refused, and when the caller should retry.
@@ -88,6 +96,8 @@
     pub reason: RefusalReason,
     /// Estimated time until there is capacity.
     pub retry_after: Moment,
+    /// The upstream whose limit allows a request first, if limits are the reason.
+    pub limited: Option<UpstreamKey>,
 }
 
 /// Why a request is refused.
@@ -101,6 +111,8 @@
     /// Every upstream that may serve it asked for a backoff (Retry-After).
     #[strum(serialize = "resting")]
     BackingOff,
+    /// Every upstream that may serve it states a limit (Server-Limit) that is used up, or asked for a backoff.
+    Limited,
 }
 
 /// The outcome of one attempt to serve a request at an upstream.
@@ -152,6 +164,8 @@
     /// It asked for a backoff (Retry-After).
     #[strum(serialize = "resting")]
     BackingOff,
+    /// It states a limit on the requests from all entries together (Server-Limit).
+    Limited,
     /// It is switching to other weights.
     #[strum(serialize = "turning")]
     Switching,
@@ -200,9 +214,6 @@
     entries_generation: u64,
 }
 
-/// An upstream's id, and its start in milliseconds since the Unix epoch.
-type UpstreamId = (SmolStr, u64);
-
 #[derive(Debug)]
 struct WaitingRequest {
     request: RequestRequirements,
@@ -219,6 +230,9 @@
 const MAX_BACKOFF: Moment = Moment::from_secs(24 * 3_600);
 /// Backoff of an upstream whose Retry-After cannot be parsed: the shortest whole number of seconds.
 const DEFAULT_BACKOFF: Moment = Moment::from_secs(1);
+/// Limit that is assumed if an upstream states one that cannot be read, in requests per second. An upstream
+/// that states a limit needs relief, and others can serve the requests.
+pub const UNREADABLE_LIMIT_PER_S: f64 = 1.0;
 /// Upstreams missing from the registry that are remembered, so that one that reappears keeps its state: it
 /// is still leaving, backing off or cold. The largest fleet replaces fewer in an hour.
 const MAX_MISSING: usize = 1_024;
@@ -327,6 +341,22 @@
         self.entries.subset(with_ids.collect())
     }
 
+    /// Applies the limits that upstreams state on the requests from all entries together.
+    pub fn set_limits(&mut self, now: Moment, limits: &StatedLimits) {
+        for upstream in self.upstreams.values_mut() {
+            let id = (upstream.record.id.clone(), upstream.record.started_at_ms);
+            upstream.set_limit(now, limits.get(&id), &self.entries);
+        }
+    }
+
+    /// Whether the upstream's limit lets a request be sent, now that its connection is established.
+    ///
+    /// The request took its place when it was assigned, unless the limit was learned or lowered since.
+    pub fn confirm_send(&mut self, now: Moment, selected: &SelectedUpstream) -> bool {
+        let upstream = self.upstreams.get_mut(selected.upstream);
+        upstream.is_some_and(|upstream| upstream.confirm_send(now, selected.assigned_at))
+    }
+
     /// Removes an upstream from the missing ones, since the registry lists it again.
     fn take_missing(&mut self, id: &UpstreamId) -> Option<UpstreamKey> {
         let index = self.missing.iter().position(|(missing, _)| missing == id)?;
@@ -479,6 +509,7 @@
         let no_upstream = DispatchRefusal {
             reason: RefusalReason::NoUpstream,
             retry_after: NO_UPSTREAM_RETRY_AFTER,
+            limited: None,
         };
         let Some(pool) = self.pools.get(&request.service) else {
             return Evaluation::Refuse(no_upstream);
@@ -490,10 +521,14 @@
             entry_count: self.entries.count(),
         };
         let Some(best) = pool.select(&cx, &mut self.upstreams, request) else {
-            let backoff_end = pool.earliest_backoff_end(&cx, &self.upstreams, request);
-            return Evaluation::Refuse(backoff_end.map_or(no_upstream, |end| DispatchRefusal {
-                reason: RefusalReason::BackingOff,
-                retry_after: end.saturating_sub(now),
+            let first = pool.earliest_return(&cx, &self.upstreams, request);
+            return Evaluation::Refuse(first.map_or(no_upstream, |first| DispatchRefusal {
+                reason: match first.limited {
+                    Some(_) => RefusalReason::Limited,
+                    None => RefusalReason::BackingOff,
+                },
+                retry_after: first.at.saturating_sub(now),
+                limited: first.limited,
             }));
         };
         if best.fits {
@@ -501,6 +536,8 @@
                 upstream: best.upstream,
                 expected_ms: best.expected_ms,
                 nominal_ms: best.nominal_ms,
+                assigned_at: now,
+                instead_of: best.instead_of,
             });
         }
         let waited = now.saturating_sub(since);
@@ -508,11 +545,12 @@
             return Evaluation::Wait;
         }
         let excess = Moment::from_secs_f64(best.excess_ms.max(0.0) / 1e3);
-        let backoff_end = pool.earliest_backoff_end(&cx, &self.upstreams, request);
-        let until_capacity = backoff_end.map_or(excess, |end| excess.min(end.saturating_sub(now)));
+        let first = pool.earliest_return(&cx, &self.upstreams, request);
+        let until_capacity = first.map_or(excess, |first| excess.min(first.at.saturating_sub(now)));
         Evaluation::Refuse(DispatchRefusal {
             reason: RefusalReason::Overload,
             retry_after: until_capacity.max(MIN_RETRY_AFTER),
+            limited: None,
         })
     }
 
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -64,6 +64,17 @@
     pub fits: bool,
     /// Expected time of the first event after its deadline, in milliseconds; negative if before it.
     pub excess_ms: f64,
+    /// The upstream that would have been selected if its limit allowed another request.
+    pub instead_of: Option<UpstreamKey>,
+}
+
+/// When a member that may not be used now can be used again.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    /// The time.
+    pub at: Moment,
+    /// The member, if its limit is the reason; otherwise it backs off.
+    pub limited: Option<UpstreamKey>,
 }
 
 impl Pool {
@@ -82,7 +93,7 @@
         &self.members
     }
 
-    /// Selects the member with the lowest cost, or `None` if no member may serve the request.
+    /// Selects the member with the lowest cost, or `None` if no member may serve the request now.
     pub fn select(
         &self,
         cx: &SelectionContext<'_>,
@@ -90,6 +101,7 @@
         request: &RequestRequirements,
     ) -> Option<Candidate> {
         let mut best: Option<(f64, Candidate)> = None;
+        let mut best_limited: Option<(f64, UpstreamKey)> = None;
         for key in &self.members {
             let Some(upstream) = upstreams.get_mut(*key) else {
                 continue;
@@ -120,11 +132,23 @@
             if !candidate.fits {
                 cost += LAST_RESORT_PENALTY_MS;
             }
+            if upstream
+                .limited_until(cx.now, cx.settings.started)
+                .is_some()
+            {
+                if best_limited.is_none_or(|(min_cost, _)| cost < min_cost) {
+                    best_limited = Some((cost, *key));
+                }
+                continue;
+            }
             if best.as_ref().is_none_or(|(min_cost, _)| cost < *min_cost) {
                 best = Some((cost, candidate));
             }
         }
-        best.map(|(_, candidate)| candidate)
+        let (cost, mut candidate) = best?;
+        let preferred = best_limited.filter(|(limited_cost, _)| *limited_cost < cost);
+        candidate.instead_of = preferred.map(|(_, key)| key);
+        Some(candidate)
     }
 
     /// Assumed load by other entries, not reported yet, at an engine outside the subset of this entry: the
@@ -136,7 +160,7 @@
         })
     }
 
-    /// Whether a member may serve a request, regardless of its load.
+    /// Whether a member may serve a request, regardless of its load and of its limit.
     pub fn may_serve(
         &self,
         cx: &SelectionContext<'_>,
@@ -146,23 +170,29 @@
         upstream.availability.unavailable(cx.now).is_none() && is_eligible(cx, upstream, request)
     }
 
-    /// The earliest end of a backoff among the members that could then serve the request.
-    pub fn earliest_backoff_end(
+    /// The earliest time at which a backoff or a limit lets a member serve the request.
+    pub fn earliest_return(
         &self,
         cx: &SelectionContext<'_>,
         upstreams: &SlotMap<UpstreamKey, Upstream>,
         request: &RequestRequirements,
-    ) -> Option<Moment> {
-        let members = self.members.iter().filter_map(|key| upstreams.get(*key));
-        let eligible = members.filter(|upstream| is_eligible(cx, upstream, request));
-        eligible
-            .filter_map(
-                |upstream| match upstream.availability.unavailable(cx.now)? {
-                    Unavailable::BackingOff(until) => Some(until),
-                    _ => None,
-                },
-            )
-            .min()
+    ) -> Option<Return> {
+        let members = self.members.iter();
+        let members = members.filter_map(|key| Some((*key, upstreams.get(*key)?)));
+        let eligible = members.filter(|(_, upstream)| is_eligible(cx, upstream, request));
+        let returns = eligible.filter_map(|(key, upstream)| {
+            match upstream.availability.unavailable(cx.now) {
+                Some(Unavailable::BackingOff(at)) => Some(Return { at, limited: None }),
+                Some(_) => None,
+                None if request.tried.contains(&key) => None,
+                None => {
+                    let at = upstream.limited_until(cx.now, cx.settings.started)?;
+                    let limited = Some(key);
+                    Some(Return { at, limited })
+                }
+            }
+        });
+        returns.min_by_key(|first| first.at)
     }
 
     fn evaluate(
@@ -201,6 +231,7 @@
             nominal_ms: expected_ms / occupancy.slowdown.max(0.1),
             fits: has_capacity && allowed,
             excess_ms: expected_ms + CALLER_ROUND_TRIP_MS - remaining_ms,
+            instead_of: None,
         }
     }
 }
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -12,6 +12,10 @@
 /// Largest tie-break offset, in milliseconds. Without it, entries with equally little information would
 /// all select the same upstream.
 const MAX_TIE_BREAK_MS: f64 = 5.0;
+/// Entries that may hold a share of a limit beyond one for each request per second. Each holder can send one
+/// request more than its share in any window, so their number is bounded; with more than one holder, an
+/// upstream is still used while one of them has no callers or has stopped.
+const EXTRA_LIMIT_HOLDERS: f64 = 2.5;
 
 /// The entries known to this entry, itself included.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -20,6 +24,9 @@
     pub own: SmolStr,
     /// The names of all entries that may be running, sorted.
     pub all: Vec<SmolStr>,
+    /// The names of all entries that may hold a share of a stated limit, sorted; those that have been silent
+    /// for long included, since they may run in another partition.
+    pub limit_holders: Vec<SmolStr>,
     /// The names of the live entries in its data centre, sorted.
     pub local: Vec<SmolStr>,
 }
@@ -51,6 +58,29 @@
         MAX_TIE_BREAK_MS * weight as f64 / u64::MAX as f64
     }
 
+    /// Whether at most `holders` of `entries`, in order of their rank for an upstream, include this entry.
+    fn ranks_within(&self, entries: &[SmolStr], upstream: &str, holders: f64) -> bool {
+        let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
+        let own = rank(self.own.as_str());
+        let names = entries.iter().map(SmolStr::as_str);
+        let higher_ranked = names.filter(|entry| rank(entry) > own).count();
+        (higher_ranked as f64) + 1.0 <= holders
+    }
+
+    /// Requests per second that this entry may send to an upstream whose stated limit for all entries
+    /// together is `per_s`.
+    ///
+    /// An even part of a low limit would be less than one request in a window, and all entries could send
+    /// theirs in the same one. Hence only the entries that rank first for the upstream hold a share.
+    pub fn limit_share(&self, upstream: &str, per_s: f64) -> f64 {
+        let entries = self.limit_holders.len().max(1) as f64;
+        let holders = (per_s + EXTRA_LIMIT_HOLDERS).floor().min(entries);
+        match self.ranks_within(&self.limit_holders, upstream, holders) {
+            true => per_s / holders,
+            false => 0.0,
+        }
+    }
+
     /// Requests per second that this entry may send to an upstream which can handle `per_s` from all
     /// entries together.
     ///
@@ -61,11 +91,7 @@
         if even >= 1.0 {
             return even;
         }
-        let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
-        let own = rank(self.own.as_str());
-        let all = self.all.iter().map(SmolStr::as_str);
-        let higher_ranked = all.filter(|entry| rank(entry) > own).count();
-        match (higher_ranked as f64) + 1.0 <= per_s.max(1.0) {
+        match self.ranks_within(&self.all, upstream, per_s.max(1.0)) {
             true => 1.0,
             false => 0.0,
         }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,6 +6,7 @@
 
 use super::{
     availability::{Availability, Unavailable},
+    rate_limit::RateLimit,
     AttemptOutcome, Entries, UpstreamCondition,
 };
 use crate::{estimate::Occupancy, sliding_window::SlidingWindowCounter, Moment};
@@ -47,6 +48,8 @@
     pub record: UpstreamRecord,
     /// Whether it accepts new work.
     pub availability: Availability,
+    /// The limit that it states on the requests from all entries together.
+    limit: Option<RateLimit>,
     /// Whether its engine is switching to other weights.
     pub switching: bool,
     /// Requests of this entry that run or wait there.
@@ -82,6 +85,7 @@
         Self {
             record,
             availability: Availability::default(),
+            limit: None,
             switching: false,
             own_requests: 0,
             own_pending_prompt_tokens: 0.0,
@@ -156,6 +160,9 @@
             Some(Unavailable::BackingOff(_)) => return UpstreamCondition::BackingOff,
             None => {}
         }
+        if self.limit.is_some() {
+            return UpstreamCondition::Limited;
+        }
         if self.switching {
             return UpstreamCondition::Switching;
         }
@@ -184,6 +191,39 @@
         (self.sends.count(now) as f64) + 1.0 <= limit
     }
 
+    /// When its limit lets this entry send the next request; `None` if it may send one at `now`.
+    ///
+    /// An entry that started recently, at `started`, does not know yet with how many others it shares the
+    /// limit, so it sends nothing.
+    pub fn limited_until(&self, now: Moment, started: Moment) -> Option<Moment> {
+        let limit = self.limit.as_ref()?;
+        let known_from = started + ENTRY_DISCOVERY_TIME;
+        let exhausted_until = limit.exhausted_until(now);
+        match now < known_from {
+            true => Some(exhausted_until.map_or(known_from, |until| until.max(known_from))),
+            false => exhausted_until,
+        }
+    }
+
+    /// Sets the limit that it states on the requests from all entries together, `None` for none.
+    pub fn set_limit(&mut self, now: Moment, per_s: Option<f64>, entries: &Entries) {
+        let Some(per_s) = per_s else {
+            self.limit = None;
+            return;
+        };
+        let limit = self.limit.get_or_insert_with(|| RateLimit::new(now, per_s));
+        limit.set_limit(now, per_s);
+        let share = entries.limit_share(&self.record.id, limit.limit_per_s());
+        limit.set_share(now, share);
+    }
+
+    /// Whether its limit lets a request be sent that was assigned at `assigned_at`, before its connection was
+    /// established.
+    pub fn confirm_send(&mut self, now: Moment, assigned_at: Moment) -> bool {
+        let limit = self.limit.as_mut();
+        limit.is_none_or(|limit| limit.confirm(now, assigned_at))
+    }
+
     /// Recomputes the share of this entry if the entries or the cold rate changed; `generation` increases
     /// whenever the entries change.
     pub fn update_share(&mut self, entries: &Entries, generation: u64) {
@@ -222,6 +262,9 @@
         self.own_requests += 1;
         self.own_pending_prompt_tokens += prompt_tokens;
         self.sends.add(now);
+        if let Some(limit) = &mut self.limit {
+            limit.try_take(now);
+        }
     }
 
     /// Records the number of requests of all entries that run and wait there.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod retry_window;
 pub mod router;
 pub mod sliding_window;
+pub mod stated_limits;
 pub mod upgrade;
 pub mod version_queue;
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -26,6 +26,10 @@
 /// Time without a heartbeat for which a process still counts when a common limit is divided, since a
 /// suspected process may still be running.
 const SHARE_RETENTION: Moment = Moment::from_secs(6);
+/// Time without a heartbeat for which an entry counts when a stated limit is divided. It may run in another
+/// partition, and regions lose each other for an hour at times; a share that nobody uses for so long costs
+/// little, since a limited upstream serves little.
+const LIMIT_SHARE_RETENTION: Moment = Moment::from_secs(2 * 3_600);
 /// Hash key that ranks the entries for reading the store.
 const READER_KEY: &[u8] = b"store-reader";
 /// Time without a heartbeat after which a process is removed.
@@ -154,8 +158,13 @@
 
     /// Removes processes without a heartbeat for a long time.
     pub fn expire(&mut self, now: Moment) {
-        self.others
-            .retain(|_, member| now.saturating_sub(member.updated_at) < REMOVE_AFTER);
+        self.others.retain(|_, member| {
+            let retention = match holds_limit_share(&member.record) {
+                true => LIMIT_SHARE_RETENTION,
+                false => REMOVE_AFTER,
+            };
+            now.saturating_sub(member.updated_at) < retention
+        });
     }
 
     /// Returns the records of this process and of all that are not suspected, leaving ones included.
@@ -246,12 +255,30 @@
         let local = self.live(now, role);
         let local = local.filter(|record| record.data_centre == self.own.data_centre);
         let mut local: Vec<SmolStr> = local.map(|record| record.host.clone()).collect();
-        for names in [&mut all, &mut local] {
+        let mut limit_holders = self.limit_holders(now);
+        for names in [&mut all, &mut local, &mut limit_holders] {
             names.push(own.clone());
             names.sort();
             names.dedup();
         }
-        Entries { own, all, local }
+        Entries {
+            own,
+            all,
+            local,
+            limit_holders,
+        }
+    }
+
+    /// Returns the other entries that may hold a share of a stated limit: those that stopped as planned count
+    /// for as long as they may still be running, those that fell silent for [`LIMIT_SHARE_RETENTION`].
+    fn limit_holders(&self, now: Moment) -> Vec<SmolStr> {
+        let others = self.others.values().filter(|member| {
+            let silence = now.saturating_sub(member.updated_at);
+            silence < SHARE_RETENTION
+                || (holds_limit_share(&member.record) && silence < LIMIT_SHARE_RETENTION)
+        });
+        let entries = others.filter(|member| member.record.role == ProcessRole::Entry);
+        entries.map(|member| member.record.host.clone()).collect()
     }
 
     fn possibly_running(
@@ -312,6 +339,11 @@
     }
 }
 
+/// Returns whether a process is an entry that has not reported that it stops.
+fn holds_limit_share(record: &MemberRecord) -> bool {
+    record.role == ProcessRole::Entry && !record.leaving
+}
+
 /// Returns the heartbeat of a record; its key is a hash of all fields except the heartbeat itself.
 fn compute_heartbeat(record: &MemberRecord) -> MemberHeartbeat {
     let MemberRecord {
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod cold_upstreams;
 mod failing_upstreams;
 mod leaving_and_backoff;
+mod limited_fleet;
+mod limits;
 mod overload;
 mod steady_load;
 mod subsets;
@@ -20,7 +22,7 @@
 use balsamjunction_policy::{
     dispatch::{
         AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, RefusalReason,
-        RequestRequirements, SelectedUpstream, UpstreamKey,
+        RequestRequirements, SelectedUpstream, UpstreamCondition, UpstreamKey,
     },
     Moment,
 };
@@ -193,6 +195,7 @@
     Entries {
         own: name(own),
         local: all.clone(),
+        limit_holders: all.clone(),
         all,
     }
 }
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -97,6 +97,9 @@
     /// Asks for newer facts. Present if the sender's own are not fresh.
     #[serde(default)]
     pub pull: Option<ReplicaPull>,
+    /// Limits of upstreams that the sender knows. Present if the sender wants those of the peer in return.
+    #[serde(default)]
+    pub limits: Option<Vec<LimitReport>>,
     /// Whether the response is to contain a [`WeightsUpdate`].
     #[serde(rename = "weights", default)]
     pub include_weights: bool,
@@ -122,6 +125,9 @@
     /// Newer facts, if they were requested and the peer has any.
     #[serde(default)]
     pub update: Option<ReplicaUpdate>,
+    /// Limits of upstreams that the peer knows, if the request has `limits`.
+    #[serde(default)]
+    pub limits: Vec<LimitReport>,
     /// Facts for sidecars, if they were requested and the peer has them.
     #[serde(default)]
     pub weights: Option<WeightsUpdate>,
@@ -174,6 +180,28 @@
     pub update: ReplicaUpdate,
 }
 
+/// A limit on the requests to an upstream from all entries together, as an entry observed it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Id of the upstream.
+    pub upstream: SmolStr,
+    /// Start time of the upstream, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    /// The limit in requests per second; absent if it has ended.
+    pub per_s: Option<f64>,
+    /// Time since the upstream stated this, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Pushes limits of upstreams to a peer without waiting for the next exchange.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotification {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// The limits.
+    pub limits: Vec<LimitReport>,
+}
+
 /// Pushes crashes of upstreams and the requests that caused them to a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashNotification {
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -16,6 +16,8 @@
 pub const WEIGHTS_UPDATE: &str = "/mesh/news";
 /// Reports requests that crashed upstreams to entries that were discovered through seeds.
 pub const MESH_CRASHES: &str = "/mesh/broken";
+/// Reports limits that upstreams stated to entries that were discovered through seeds.
+pub const MESH_LIMITS: &str = "/mesh/limits";
 /// Prefix of one chunk of a model: `/mesh/chunk/{model}/{version}/{chunk}`.
 pub const MODEL_CHUNK: &str = "/mesh/chunk";
 /// Prefix of the map of chunks that a sidecar stores: `/mesh/have/{model}/{version}`.
