Limits: nearby gateways hold shares first, explained, in the right order

A limit that ends within a second of its statement stayed in force at the other gateways, since of two observations less than a second apart the lower limit held; nothing later showed them its end.

Change: an observation carries a revision, the number of changes seen one after the other, which decides within that second. Gateways in the upstream's data centre rank first for its shares. explain-request names the upstream and its limit for a refusal (upstreams-limited) and for a detour (instead_of).

Tests: real gateways: refusal at once with the time of the next place, end of a limit, exchange between gateways, unreadable values, resumed streams, explanations. Decisions: retries, cold and leaving upstreams, what waits, views, memberships.

--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -19,17 +19,24 @@
 
 /// Writes the events of a request in order of time, and a sentence that explains its outcome.
 pub fn run(id: &str, files: &[PathBuf], json: bool, out: &mut dyn Write) -> Result<(), CliError> {
-    let mut steps = Vec::new();
+    let (mut steps, mut limits) = (Vec::new(), Vec::new());
     for file in files {
         let buf = read_file(file)?;
         let text = String::from_utf8_lossy(&buf);
-        steps.extend(text.lines().filter_map(|line| parse_step(line, id)));
+        for step in text.lines().filter_map(parse_step) {
+            if step.fields.get("id").and_then(Value::as_str) == Some(id) {
+                steps.push(step);
+            } else if step.event == "upstream-limit" {
+                limits.push(step);
+            }
+        }
     }
     if steps.is_empty() {
         return Err(CliError::RequestNotFound { id: id.into() });
     }
     steps.sort_by_key(|step| step.at_ms);
-    let cause = explain_outcome(&steps);
+    limits.sort_by_key(|step| step.at_ms);
+    let cause = explain_outcome(&steps, &limits);
     if json {
         let steps: Vec<Value> = steps.into_iter().map(|s| Value::Object(s.fields)).collect();
         writeln!(out, "{}", json!({"id": id, "steps": steps, "cause": cause}))?;
@@ -54,15 +61,12 @@
     Ok(())
 }
 
-/// Parses a log line of the request; skips other lines, also those that are not in the structured format.
-fn parse_step(line: &str, id: &str) -> Option<Step> {
+/// Parses a log line; skips those that are not in the structured format.
+fn parse_step(line: &str) -> Option<Step> {
     let start = line.find('{')?;
     let Ok(Value::Object(fields)) = serde_json::from_str(&line[start..]) else {
         return None;
     };
-    if fields.get("id")?.as_str()? != id {
-        return None;
-    }
     Some(Step {
         at_ms: fields.get("at_ms")?.as_u64()?,
         event: fields.get("event")?.as_str()?.to_owned(),
@@ -75,8 +79,35 @@
     step.fields.get(name).and_then(Value::as_str).unwrap_or("")
 }
 
-/// Explains the outcome of a request in one sentence, from its last events.
-fn explain_outcome(steps: &[Step]) -> String {
+/// The latest limit of an upstream that the logs show before a step; `limits` are ordered by time.
+fn describe_limit(limits: &[Step], upstream: &str, step: &Step) -> String {
+    let before = limits
+        .iter()
+        .rev()
+        .find(|limit| limit.at_ms <= step.at_ms && text_field(limit, "upstream") == upstream);
+    let per_s = before.and_then(|limit| limit.fields.get("per_s")?.as_f64());
+    per_s.map_or_else(String::new, |per_s| {
+        format!(" of {per_s} requests per second")
+    })
+}
+
+/// Explains the outcome of a request in one sentence, or two if a limit sent it elsewhere.
+fn explain_outcome(steps: &[Step], limits: &[Step]) -> String {
+    let outcome = explain_response(steps, limits);
+    let sent = steps.iter().rev().find(|step| step.event == "sent");
+    let detour = sent.map(|step| (step, text_field(step, "instead_of")));
+    match detour.filter(|(_, limited)| !limited.is_empty()) {
+        Some((step, limited)) => format!(
+            "{outcome} It was sent to {} instead of {limited}, whose limit{} (Server-Limit) was used up.",
+            text_field(step, "upstream"),
+            describe_limit(limits, limited, step),
+        ),
+        None => outcome,
+    }
+}
+
+/// Explains the response to a request in one sentence, from its last events.
+fn explain_response(steps: &[Step], limits: &[Step]) -> String {
     let last = |event: &str| steps.iter().rev().find(|step| step.event == event);
     let sends = steps.iter().filter(|step| step.event == "sent").count();
     let upstream = last("sent").map_or("", |step| text_field(step, "upstream"));
@@ -115,6 +146,13 @@
                 "Every upstream that may serve it has asked for a backoff{backoff}; it has not run."
             )
         }
+        "upstreams-limited" => {
+            let limited = text_field(answered, "limited");
+            format!(
+                "Every upstream that may serve it states a limit (Server-Limit) that is used up or asked for a backoff; {limited} with a limit{} accepts a request first; it has not run.",
+                describe_limit(limits, limited, answered),
+            )
+        }
         "turned-away" | "no-upstream" if sends > 0 => {
             let failed = last("attempt-failed").map_or("", |step| text_field(step, "detail"));
             format!(
--- a/crates/lab/tests/gateway/explained.rs
+++ b/crates/lab/tests/gateway/explained.rs
@@ -112,6 +112,44 @@
     );
 }
 
+// Guards against a refusal or a detour for a limit that neither the log nor a metric names.
+#[actix_rt::test]
+async fn a_detour_and_a_refusal_for_a_limit_are_traced_to_the_limited_upstream() {
+    let mut site = TestSite::start().await;
+    let limited = site.start_engine(plain_engine_options("d1")).await;
+    limited.set_limit(Some("0.2"));
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    gateway.call("GET", "/stock/1", "first").await;
+    let refused = gateway.call("GET", "/stock/1", "refused").await;
+    // In another data centre, so that the limited upstream is preferred.
+    let mut other = plain_engine_options("d2");
+    other.data_centre = "mekelle-a".into();
+    site.start_engine(other).await;
+    wait_until("the gateway to route to it", async || {
+        gateway.call("GET", "/stock/1", "detour").await.status == 200
+    })
+    .await;
+
+    let refusal = explained_cause(&site, "refused").await;
+    let detour = explained_cause(&site, "detour").await;
+    let metric = async |name: &str| gateway.metric(&format!("balsamjunction_{name}")).await;
+
+    assert_eq!(refused.status, 503);
+    let stated = "d1 with a limit of 0.2 requests per second";
+    assert!(
+        refusal.contains(stated) && refusal.contains("has not run"),
+        "{refusal}"
+    );
+    let stated = "instead of d1, whose limit of 0.2 requests per second";
+    assert!(detour.contains(stated), "{detour}");
+    assert!(metric("limit_detours_total").await >= Some(1.0));
+    assert_eq!(metric("limit_responses_total").await, Some(1.0));
+    assert_eq!(metric("upstreams{state=\"limited\"}").await, Some(1.0));
+    let labels = "{pool=\"stock\",outcome=\"503\",refusal=\"upstreams-limited\"}";
+    assert!(metric(&format!("requests_total{labels}")).await >= Some(1.0));
+}
+
 #[actix_rt::test]
 async fn metrics_report_facts_members_upstreams_and_the_error_of_estimates() {
     let mut site = TestSite::start().await;
--- a/crates/lab/tests/gateway/limits.rs
+++ b/crates/lab/tests/gateway/limits.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use balsamjunction_lab::standin::platform::Engine;
+use balsamjunction_lab::standin::platform::{Engine, EngineFault};
 use futures_util::future::join_all;
 
-use crate::common::{plain_engine_options, Gateway, TestSite};
+use crate::common::{model_engine_options, plain_engine_options, wait_until, Gateway, TestSite};
 
 /// The limit that engines state, in requests per second.
 const LIMIT_PER_S: f64 = 1.0;
@@ -98,3 +98,147 @@
     assert!(statuses.iter().all(|status| *status == 200));
     assert!(free.arrival_count() > statuses.len() / 2);
 }
+
+/// Starts one gateway and one engine with a limit, and waits until the gateway may use shares of limits.
+async fn start_with_only_engine(limit: &str) -> (TestSite, Gateway, Engine) {
+    let mut site = TestSite::start().await;
+    let engine = site.start_engine(plain_engine_options("d1")).await;
+    engine.set_limit(Some(limit));
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    // Until then a gateway that has just started does not know with how many it shares a limit.
+    actix_rt::time::sleep(Duration::from_millis(2_100)).await;
+    (site, gateway, engine)
+}
+
+// Guards against requests that wait, or callers that return too early, while no engine accepts any.
+#[actix_rt::test]
+async fn with_every_limit_used_up_a_request_is_refused_at_once_with_the_time_of_the_next_place() {
+    let (_site, gateway, only) = start_with_only_engine("0.25").await;
+    gateway.call("POST", "/order/new", "first").await;
+
+    let sent_at = Instant::now();
+    let got = gateway.call("POST", "/order/new", "second").await;
+    let elapsed = sent_at.elapsed();
+
+    assert_eq!(got.status, 503);
+    assert!(
+        elapsed < Duration::from_millis(200),
+        "refused after {elapsed:?}"
+    );
+    let retry_after = got.retry_after.expect("the refusal has a Retry-After");
+    // The gateway adds up to half as jitter, so that callers do not retry together.
+    assert!((3.0..=6.1).contains(&retry_after), "{retry_after}");
+    assert_eq!(only.arrival_count(), 1);
+}
+
+// Guards against a limit that a gateway keeps after the engine has stopped stating it.
+#[actix_rt::test]
+async fn a_limit_ends_with_the_first_response_that_states_none() {
+    let (_site, gateway, engine) = start_with_only_engine("2").await;
+    gateway.call("GET", "/stock/1", "first").await;
+    let limited = gateway.call("GET", "/stock/1", "limited").await;
+    engine.set_limit(None);
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    let last = gateway.call("GET", "/stock/1", "last").await;
+
+    let mut statuses = Vec::new();
+    for n in 0..10 {
+        let id = format!("after{n}");
+        statuses.push(gateway.call("GET", "/stock/1", &id).await.status);
+    }
+
+    assert_eq!((limited.status, last.status), (503, 200));
+    assert_eq!(statuses, [200; 10]);
+}
+
+// Guards against a limit that only the gateway learns whose request the engine answered, and against one that the
+// others never learn to have ended.
+#[actix_rt::test]
+async fn gateways_tell_each_other_of_a_limit_and_of_its_end() {
+    let (mut site, first, engine) = start_with_only_engine("1000").await;
+    let second = site.start_gateway("g2", &[first]);
+    second.wait_until_ready().await;
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    let limited = async |gateway: &Gateway| {
+        let series = "balsamjunction_upstreams{state=\"limited\"}";
+        gateway.metric(series).await == Some(1.0)
+    };
+    let before = limited(&second).await;
+
+    first.call("GET", "/stock/1", "told").await;
+    wait_until("the other gateway to learn the limit", async || {
+        limited(&second).await
+    })
+    .await;
+    let arrivals = engine.arrival_count();
+    engine.set_limit(None);
+    // The first place in a limit is free a moment after it was learned.
+    wait_until("a response without the limit", async || {
+        first.call("GET", "/stock/1", "ended").await.status == 200
+    })
+    .await;
+
+    wait_until("the other gateway to learn of its end", async || {
+        !limited(&second).await
+    })
+    .await;
+    assert!(!before);
+    assert_eq!(arrivals, 1);
+    assert_eq!(engine.arrival_count(), 2);
+}
+
+// Guards against an unreadable limit that is taken for none, and against one that ends a process.
+#[actix_rt::test]
+async fn an_unreadable_limit_is_logged_and_counts_as_a_low_one() {
+    for value in ["soon", "-3", "NaN", "inf"] {
+        let (site, gateway, engine) = start_with_only_engine(value).await;
+
+        gateway.call("GET", "/stock/1", "first").await;
+        let at_once = gateway.call("GET", "/stock/1", "second").await;
+        let logged = || site.log_lines("g1", "upstream-limit");
+        wait_until("a log line about the value", async || !logged().is_empty()).await;
+
+        assert_eq!(at_once.status, 503, "with Server-Limit {value}");
+        assert_eq!(engine.arrival_count(), 1);
+        let detail = logged()[0]["detail"].to_string();
+        assert!(detail.contains("cannot be read"), "{detail}");
+    }
+}
+
+// Guards against streams that are resumed at an engine beyond its limit.
+#[actix_rt::test]
+async fn broken_streams_are_resumed_elsewhere_than_at_a_limited_engine() {
+    let mut site = TestSite::start().await;
+    site.retry_slack = 200.0;
+    let limited = site.start_engine(model_engine_options("e1", 4, 5)).await;
+    limited.set_limit(Some("1"));
+    let broken = site.start_engine(model_engine_options("e2", 4, 5)).await;
+    broken.set_fault(EngineFault::TruncateAfter(2));
+    let sound = site.start_engine(model_engine_options("e3", 4, 5)).await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let started = Instant::now();
+
+    let mut broken_off = 0;
+    let mut n = 0;
+    while started.elapsed() < LOAD_TIME {
+        let calls = (0..4).map(|m| {
+            let id = format!("s{n}-{m}");
+            async move { gateway.generate(&id).await.body.is_none() }
+        });
+        let calls = join_all(calls).await;
+        broken_off += calls.into_iter().filter(|broken| *broken).count();
+        n += 1;
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    let most = most_arrivals_in_a_window(&limited, started + SETTLING_TIME);
+    assert!(most <= max_arrivals(), "{most} requests in {WINDOW:?}");
+    let resumed = sound.runs();
+    let resumed = resumed
+        .iter()
+        .filter(|run| run.headers.contains_key("last-event-id"));
+    assert!(resumed.count() > 0);
+    assert!(broken_off < 4 * n / 4, "{broken_off} streams of {}", 4 * n);
+}
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -24,13 +24,22 @@
     pub own: SmolStr,
     /// The names of all entries that may be running, sorted.
     pub all: Vec<SmolStr>,
-    /// The names of all entries that may hold a share of a stated limit, sorted; those that have been silent
-    /// for long included, since they may run in another partition.
-    pub limit_holders: Vec<SmolStr>,
+    /// All entries that may hold a share of a stated limit; those that have been silent for long included,
+    /// since they may run in another partition.
+    pub limit_holders: Vec<LimitHolder>,
     /// The names of the live entries in its data centre, sorted.
     pub local: Vec<SmolStr>,
 }
 
+/// An entry that may hold a share of the limit that an upstream states.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LimitHolder {
+    /// Its name.
+    pub host: SmolStr,
+    /// The data centre that it is in.
+    pub data_centre: SmolStr,
+}
+
 impl Entries {
     /// Number of entries that share the limits of each upstream, at least one.
     pub fn count(&self) -> usize {
@@ -58,24 +67,25 @@
         MAX_TIE_BREAK_MS * weight as f64 / u64::MAX as f64
     }
 
-    /// Whether at most `holders` of `entries`, in order of their rank for an upstream, include this entry.
-    fn ranks_within(&self, entries: &[SmolStr], upstream: &str, holders: f64) -> bool {
-        let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
-        let own = rank(self.own.as_str());
-        let names = entries.iter().map(SmolStr::as_str);
-        let higher_ranked = names.filter(|entry| rank(entry) > own).count();
-        (higher_ranked as f64) + 1.0 <= holders
-    }
-
-    /// Requests per second that this entry may send to an upstream whose stated limit for all entries
-    /// together is `per_s`.
+    /// Requests per second that this entry may send to an upstream in `data_centre` whose stated limit for all
+    /// entries together is `per_s`.
     ///
     /// An even part of a low limit would be less than one request in a window, and all entries could send
-    /// theirs in the same one. Hence only the entries that rank first for the upstream hold a share.
-    pub fn limit_share(&self, upstream: &str, per_s: f64) -> f64 {
-        let entries = self.limit_holders.len().max(1) as f64;
-        let holders = (per_s + EXTRA_LIMIT_HOLDERS).floor().min(entries);
-        match self.ranks_within(&self.limit_holders, upstream, holders) {
+    /// theirs in the same one. Hence only the entries that rank first for the upstream hold a share; those in
+    /// its data centre rank before all others, since they prefer it and may send it all their requests.
+    pub fn limit_share(&self, upstream: &str, data_centre: &str, per_s: f64) -> f64 {
+        let rank = |holder: &LimitHolder| {
+            let weight = rendezvous::weight(upstream.as_bytes(), &holder.host);
+            (holder.data_centre == data_centre, weight)
+        };
+        let own = self.limit_holders.iter().find(|h| h.host == self.own);
+        let Some(own) = own.map(rank) else {
+            return 0.0;
+        };
+        let higher_ranked = self.limit_holders.iter().filter(|h| rank(h) > own).count();
+        let holders = (per_s + EXTRA_LIMIT_HOLDERS).floor();
+        let holders = holders.min(self.limit_holders.len() as f64);
+        match (higher_ranked as f64) < holders {
             true => per_s / holders,
             false => 0.0,
         }
@@ -91,7 +101,11 @@
         if even >= 1.0 {
             return even;
         }
-        match self.ranks_within(&self.all, upstream, per_s.max(1.0)) {
+        let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
+        let own = rank(self.own.as_str());
+        let all = self.all.iter().map(SmolStr::as_str);
+        let higher_ranked = all.filter(|entry| rank(entry) > own).count();
+        match (higher_ranked as f64) + 1.0 <= per_s.max(1.0) {
             true => 1.0,
             false => 0.0,
         }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -213,7 +213,8 @@
         };
         let limit = self.limit.get_or_insert_with(|| RateLimit::new(now, per_s));
         limit.set_limit(now, per_s);
-        let share = entries.limit_share(&self.record.id, limit.limit_per_s());
+        let record = &self.record;
+        let share = entries.limit_share(&record.id, &record.data_centre, limit.limit_per_s());
         limit.set_share(now, share);
     }
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    dispatch::Entries,
+    dispatch::{Entries, LimitHolder},
     rendezvous::{rank, weight},
     Moment,
 };
@@ -255,8 +255,7 @@
         let local = self.live(now, role);
         let local = local.filter(|record| record.data_centre == self.own.data_centre);
         let mut local: Vec<SmolStr> = local.map(|record| record.host.clone()).collect();
-        let mut limit_holders = self.limit_holders(now);
-        for names in [&mut all, &mut local, &mut limit_holders] {
+        for names in [&mut all, &mut local] {
             names.push(own.clone());
             names.sort();
             names.dedup();
@@ -265,20 +264,30 @@
             own,
             all,
             local,
-            limit_holders,
+            limit_holders: self.limit_holders(now),
         }
     }
 
-    /// Returns the other entries that may hold a share of a stated limit: those that stopped as planned count
-    /// for as long as they may still be running, those that fell silent for [`LIMIT_SHARE_RETENTION`].
-    fn limit_holders(&self, now: Moment) -> Vec<SmolStr> {
+    /// Returns the entries that may hold a share of a stated limit, this one included, sorted.
+    ///
+    /// Others that report that they stop count for as long as they may still be running, those that fell
+    /// silent for [`LIMIT_SHARE_RETENTION`].
+    fn limit_holders(&self, now: Moment) -> Vec<LimitHolder> {
         let others = self.others.values().filter(|member| {
             let silence = now.saturating_sub(member.updated_at);
             silence < SHARE_RETENTION
                 || (holds_limit_share(&member.record) && silence < LIMIT_SHARE_RETENTION)
         });
-        let entries = others.filter(|member| member.record.role == ProcessRole::Entry);
-        entries.map(|member| member.record.host.clone()).collect()
+        let records = others.map(|member| &member.record);
+        let records = records.chain(std::iter::once(&self.own));
+        let entries = records.filter(|record| record.role == ProcessRole::Entry);
+        let holders = entries.map(|record| LimitHolder {
+            host: record.host.clone(),
+            data_centre: record.data_centre.clone(),
+        });
+        let mut holders: Vec<LimitHolder> = holders.collect();
+        holders.sort();
+        holders
     }
 
     fn possibly_running(
--- a/crates/policy/src/stated_limits.rs
+++ b/crates/policy/src/stated_limits.rs
@@ -3,7 +3,7 @@
 //! An entry learns a limit from a response of the upstream or from another entry. Entries have no common
 //! clock, so observations travel with their age. See docs/ROUTING.md, "Limits".
 
-use std::collections::HashMap;
+use std::{cmp::Ordering, collections::HashMap};
 
 use balsamjunction_protocol::mesh::LimitReport;
 use smol_str::SmolStr;
@@ -11,7 +11,8 @@
 use crate::Moment;
 
 /// Time by which the order of observations of two entries is uncertain: an age does not include the transit
-/// of its message. Of two limits that close to each other, the lower one holds.
+/// of its message. Of two limits that close to each other, the one with the higher revision holds, or the lower
+/// limit.
 const ORDER_UNCERTAINTY: Moment = Moment::from_secs(1);
 /// Observations older than this are neither sent to other entries nor accepted from them.
 const MAX_REPORT_AGE: Moment = Moment::from_secs(30);
@@ -31,6 +32,8 @@
     /// Requests per second; absent if the limit has ended.
     per_s: Option<f64>,
     observed_at: Moment,
+    /// Increases with each change that was observed after the known limit.
+    revision: u64,
 }
 
 /// The limits by upstream.
@@ -51,9 +54,10 @@
         upstream: &UpstreamId,
         per_s: Option<f64>,
     ) -> bool {
-        let observation = Observation {
+        let mut observation = Observation {
             per_s,
             observed_at: now,
+            revision: 1,
         };
         let Some(known) = self.observations.get_mut(upstream) else {
             if per_s.is_some() {
@@ -61,10 +65,12 @@
             }
             return per_s.is_some();
         };
-        if sent_at < known.observed_at && !is_lower_or_equal(per_s, known.per_s) {
+        let later = sent_at >= known.observed_at;
+        if !later && !is_lower_or_equal(per_s, known.per_s) {
             return false;
         }
         let changed = known.per_s != per_s;
+        observation.revision = known.revision + u64::from(changed && later);
         *known = observation;
         changed
     }
@@ -85,6 +91,7 @@
             let observation = Observation {
                 per_s: report.per_s,
                 observed_at: now.saturating_sub(age),
+                revision: report.revision,
             };
             let upstream = (report.upstream.clone(), report.started_at_ms);
             if self.merge_one(&upstream, observation) {
@@ -102,16 +109,24 @@
             }
             return limited;
         };
-        let certainly_newer = reported.observed_at > known.observed_at + ORDER_UNCERTAINTY;
-        let perhaps_newer = reported.observed_at + ORDER_UNCERTAINTY >= known.observed_at;
-        let accepted =
-            certainly_newer || (perhaps_newer && is_lower_or_equal(reported.per_s, known.per_s));
+        let accepted = if reported.observed_at > known.observed_at + ORDER_UNCERTAINTY {
+            true
+        } else if reported.observed_at + ORDER_UNCERTAINTY < known.observed_at {
+            false
+        } else {
+            match reported.revision.cmp(&known.revision) {
+                Ordering::Less => false,
+                Ordering::Equal => is_lower_or_equal(reported.per_s, known.per_s),
+                Ordering::Greater => true,
+            }
+        };
         if !accepted {
             return false;
         }
         let changed = known.per_s != reported.per_s;
         known.per_s = reported.per_s;
         known.observed_at = known.observed_at.max(reported.observed_at);
+        known.revision = known.revision.max(reported.revision);
         changed
     }
 
@@ -151,6 +166,7 @@
                 started_at_ms: *started_at_ms,
                 per_s: observation.per_s,
                 age_ms: age(observation).as_millis() as u64,
+                revision: observation.revision,
             })
             .collect()
     }
--- a/crates/policy/tests/dispatch/limits.rs
+++ b/crates/policy/tests/dispatch/limits.rs
@@ -186,6 +186,98 @@
     assert_eq!(not_sent, 0);
 }
 
+// Guards against limits that are kept for first sends only: retries and resumed streams are submitted again.
+#[test]
+fn retries_take_places_in_the_limit_like_first_sends() {
+    let mut cluster = cluster_with_limit(&["free-1", "free-2"], 1.0, 1);
+    let mut sent = 0;
+
+    for n in 0..400 {
+        let now = SETTLED + millis(10 * n);
+        let mut request = plain_request(now);
+        // The first attempt was at another upstream, which failed.
+        let failed = cluster.dispatcher.submit(now, request.clone());
+        if let DispatchDecision::Send(selected) = failed {
+            let outcome = AttemptOutcome::Failed;
+            let key = selected.upstream;
+            cluster.dispatcher.record_outcome(now, key, 0.0, outcome);
+            sent += usize::from(cluster.upstream_id(key) == "limited");
+            request.tried.push(key);
+        }
+        if let Some(selected) = cluster.try_send(now, request) {
+            let key = selected.upstream;
+            let outcome = AttemptOutcome::Served;
+            cluster.dispatcher.record_outcome(now, key, 0.0, outcome);
+            sent += usize::from(cluster.upstream_id(key) == "limited");
+        }
+    }
+
+    assert!((1..=5).contains(&sent), "{sent} in 4 s");
+}
+
+// Guards against a limit that lifts the bound on requests to a cold upstream, or the other way round.
+#[test]
+fn a_cold_upstream_with_a_limit_keeps_the_lower_of_the_two_bounds() {
+    for (per_s, most) in [(2.0, 3), (100.0, 28)] {
+        let mut cluster = TestCluster::new();
+        let mut cold = engine_record("limited", "addis-a");
+        cold.cold_remaining_ms = 3_000;
+        cluster.register(SETTLED, cold);
+        state_limit(&mut cluster, SETTLED, "limited", Some(per_s));
+
+        let mut sent = 0;
+        for n in 0..200 {
+            let now = SETTLED + millis(5 * n);
+            if let Some(selected) = cluster.try_send(now, engine_request(now)) {
+                let key = selected.upstream;
+                let outcome = AttemptOutcome::Served;
+                cluster.dispatcher.record_outcome(now, key, 900.0, outcome);
+                sent += 1;
+            }
+        }
+
+        assert!(sent >= 1 && sent <= most, "{sent} at a limit of {per_s}");
+    }
+}
+
+// Guards against a refusal that promises a place at an upstream that is leaving.
+#[test]
+fn a_limited_upstream_that_leaves_gets_nothing_and_is_not_waited_for() {
+    let mut cluster = cluster_with_limit(&[], 1.0, 1);
+    let now = SETTLED + millis(1_100);
+    let selected = cluster
+        .try_send(now, plain_request(now))
+        .expect("there is a place");
+    cluster.dispatcher.mark_leaving(selected.upstream, false);
+
+    let later = now + Moment::from_secs(4);
+    let decision = cluster.submit(later, plain_request(later));
+
+    assert!(
+        matches!(&decision, DispatchDecision::Refuse(r) if r.reason == RefusalReason::NoUpstream),
+        "{decision:?}"
+    );
+}
+
+// Guards against a wait for capacity that ignores a limit learned meanwhile.
+#[test]
+fn a_waiting_request_is_refused_when_the_last_upstream_states_a_limit() {
+    let mut cluster = TestCluster::new();
+    cluster.register(millis(0), plain_record("limited"));
+    while cluster.try_send(SETTLED, plain_request(SETTLED)).is_some() {}
+    let DispatchDecision::Wait(wait_key) = cluster.submit(SETTLED, plain_request(SETTLED)) else {
+        panic!("the request does not wait");
+    };
+
+    state_limit(&mut cluster, SETTLED + millis(5), "limited", Some(1.0));
+    let decisions = cluster.dispatcher.poll(SETTLED + millis(5));
+
+    assert_eq!(decisions.len(), 1);
+    let (key, decision) = &decisions[0];
+    assert_eq!(*key, wait_key);
+    assert!(matches!(decision, DispatchDecision::Refuse(r) if r.reason == RefusalReason::Limited));
+}
+
 // Guards against status pages that show a limited upstream as one in full use.
 #[test]
 fn a_limited_upstream_is_counted_as_limited() {
@@ -206,7 +298,9 @@
 
 /// The most requests that all entries can send in 4 s: their shares, and one request of each that holds one.
 fn most_sent(entries: &[Entries], per_s: f64) -> f64 {
-    let shares = entries.iter().map(|own| own.limit_share("limited", per_s));
+    let shares = entries
+        .iter()
+        .map(|own| own.limit_share("limited", "addis-a", per_s));
     let sent = shares.filter(|share| *share > 0.0);
     sent.map(|share| 4.0 * share + (0.25 * share).max(1.0))
         .sum()
@@ -221,7 +315,9 @@
         for per_s in [0.1, 0.5, 1.0, 1.3, 3.7, 20.0, 400.0] {
             let entries: Vec<_> = (0..count).map(|own| test_entries(own, count)).collect();
 
-            let shares = entries.iter().map(|own| own.limit_share("limited", per_s));
+            let shares = entries
+                .iter()
+                .map(|own| own.limit_share("limited", "addis-a", per_s));
             let total: f64 = shares.sum();
 
             assert!(
@@ -234,6 +330,30 @@
     }
 }
 
+// Guards against shares that are held by entries which never send to the upstream: those far from it, or whose
+// callers' requests may not leave their region.
+#[test]
+fn entries_in_the_data_centre_of_a_limited_upstream_hold_its_shares_first() {
+    let mut entries: Vec<_> = (0..30).map(|own| test_entries(own, 30)).collect();
+    for own in &mut entries {
+        for (n, holder) in own.limit_holders.iter_mut().enumerate() {
+            holder.data_centre = format!("dc{}", n % 6).into();
+        }
+    }
+
+    let holders = |per_s: f64| -> Vec<usize> {
+        let share = |n: &usize| entries[*n].limit_share("limited", "dc2", per_s);
+        (0..entries.len()).filter(|n| share(n) > 0.0).collect()
+    };
+    let low = holders(1.0);
+    let high = holders(10.0);
+
+    assert_eq!(low.len(), 3);
+    assert!(low.iter().all(|n| n % 6 == 2), "{low:?}");
+    assert_eq!(high.len(), 12);
+    assert_eq!(high.iter().filter(|n| *n % 6 == 2).count(), 5, "{high:?}");
+}
+
 // Guards against views that differ by a few entries, after which too many entries take themselves for holders.
 #[test]
 fn entries_whose_views_lack_some_others_stay_within_the_allowance() {
@@ -246,7 +366,7 @@
                 let mut index = 0;
                 own.limit_holders.retain(|holder| {
                     index += 1;
-                    *holder == name || (index + n) % 10 != 0
+                    holder.host == name || (index + n) % 10 != 0
                 });
             }
 
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -21,8 +21,8 @@
 };
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, RefusalReason,
-        RequestRequirements, SelectedUpstream, UpstreamCondition, UpstreamKey,
+        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, LimitHolder,
+        RefusalReason, RequestRequirements, SelectedUpstream, UpstreamCondition, UpstreamKey,
     },
     Moment,
 };
@@ -195,11 +195,18 @@
     Entries {
         own: name(own),
         local: all.clone(),
-        limit_holders: all.clone(),
+        limit_holders: all.iter().map(local_holder).collect(),
         all,
     }
 }
 
+fn local_holder(host: &SmolStr) -> LimitHolder {
+    LimitHolder {
+        host: host.clone(),
+        data_centre: "addis-a".into(),
+    }
+}
+
 fn engine_record(id: &str, data_centre: &str) -> UpstreamRecord {
     UpstreamRecord {
         id: id.into(),
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -162,6 +162,30 @@
     assert_eq!(view.share_count(ms(6_500), ProcessRole::Entry), 1);
 }
 
+// Guards against parts of a partitioned fleet that divide a stated limit among themselves only, and against
+// shares of entries that have stopped as planned.
+#[test]
+fn a_silent_entry_holds_its_share_of_limits_for_two_hours_and_a_stopped_one_does_not() {
+    let mut view = Membership::new(entry(0));
+    let mut leaving = entry(2);
+    leaving.leaving = true;
+    view.merge_records(ms(0), vec![entry(1), leaving]);
+    let holders_at = |view: &mut Membership, now: Moment| {
+        view.expire(now);
+        let entries = view.entries(now);
+        let hosts = entries.limit_holders.into_iter().map(|holder| holder.host);
+        hosts.map(|host| host.to_string()).collect::<Vec<_>>()
+    };
+
+    let at_first = holders_at(&mut view, ms(1_000));
+    let after_a_minute = holders_at(&mut view, ms(60_000));
+    let after_two_hours = holders_at(&mut view, ms(2 * 3_600_000));
+
+    assert_eq!(at_first, ["edge-0", "edge-1", "edge-2"]);
+    assert_eq!(after_a_minute, ["edge-0", "edge-1"]);
+    assert_eq!(after_two_hours, ["edge-0"]);
+}
+
 #[test]
 fn stale_records_that_still_circulate_do_not_keep_a_member_live() {
     let mut view = Membership::new(entry(0));
--- a/crates/policy/tests/stated_limits.rs
+++ b/crates/policy/tests/stated_limits.rs
@@ -20,6 +20,15 @@
         started_at_ms: 7,
         per_s,
         age_ms,
+        revision: 1,
+    }
+}
+
+/// A report of a change that was observed after `revision - 1` others.
+fn revised_report(per_s: Option<f64>, age_ms: u64, revision: u64) -> LimitReport {
+    LimitReport {
+        revision,
+        ..report(per_s, age_ms)
     }
 }
 
@@ -90,6 +99,24 @@
     assert_eq!(limits.get(&upstream()), Some(1.0));
 }
 
+// Guards against a limit that ends soon after it was stated and that others keep for ever, since no further
+// response of the upstream shows them that it has ended.
+#[test]
+fn the_end_of_a_limit_that_was_just_stated_reaches_the_others() {
+    let mut observer = observed(ms(10_000), 2.0);
+    let mut other = StatedLimits::default();
+    other.merge(ms(10_020), &observer.reports(ms(10_010)));
+    let before = other.get(&upstream());
+
+    observer.record_response(ms(10_100), ms(10_050), &upstream(), None);
+    other.merge(ms(10_120), &observer.reports(ms(10_110)));
+    // A report from before the end that is delivered late.
+    other.merge(ms(10_200), &[report(Some(2.0), 50)]);
+
+    assert_eq!(before, Some(2.0));
+    assert_eq!(other.get(&upstream()), None);
+}
+
 #[test]
 fn a_report_of_a_later_observation_raises_or_ends_a_limit() {
     let mut limits = observed(ms(10_000), 2.0);
@@ -125,7 +152,7 @@
     let restored = limits.merge(ms(49_000), &[report(Some(2.0), 29_500)]);
     limits.expire(ms(82_001));
 
-    assert_eq!(reports, [report(None, 27_000)]);
+    assert_eq!(reports, [revised_report(None, 27_000, 2)]);
     assert!(restored.is_empty());
     assert!(limits.reports(ms(82_001)).is_empty());
 }
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -191,6 +191,9 @@
     pub per_s: Option<f64>,
     /// Time since the upstream stated this, in milliseconds.
     pub age_ms: u64,
+    /// Increases with each change of the limit that an entry observed after one it knew.
+    #[serde(default)]
+    pub revision: u64,
 }
 
 /// Pushes limits of upstreams to a peer without waiting for the next exchange.
