Common bounds: entries that fall silent keep their share for two hours

After six seconds without heartbeats the parts of a partitioned fleet divide each bound among themselves only. In the new test a cold upstream that bears 28 requests a second gets 56 from two parts of 4 entries, 47 allowed; the retries of a service double likewise. An entry that wakes from a freeze takes all others for stopped and does the same for a moment.

Cause: a silent process was taken for a stopped one, after less time than partitions and freezes last.

Change: one rule for all common bounds (limits, cold upstreams, retries, connections): an entry that has not reported that it stops counts for two hours after its last heartbeat. It costs the share of an entry that crashed until its host starts again. Entries.all now has the data centres, and replaces the list made for limits.

Tests: parts_of_a_partitioned_fleet_do_not_use_a_common_bound_twice failed before (56 a second, 4 entries) and passes. a_suspected_process_gets_no_calls_but_still_counts_ in_shares held that a silent entry counts for under 6.5 s; that bound was the fault, and it now holds that one counts up to two hours and not beyond.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
-pub use self::shares::{Entries, LimitHolder};
+pub use self::shares::{Entries, SharingEntry};
 use self::{pool::Pool, upstream::Upstream, versions::PublishedVersions};
 use crate::{
     stated_limits::{StatedLimits, UpstreamId},
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -22,18 +22,16 @@
 pub struct Entries {
     /// The name of this entry.
     pub own: SmolStr,
-    /// The names of all entries that may be running, sorted.
-    pub all: Vec<SmolStr>,
-    /// All entries that may hold a share of a stated limit; those that have been silent for long included,
-    /// since they may run in another partition.
-    pub limit_holders: Vec<LimitHolder>,
+    /// All entries that may be running, sorted; those that have been silent for long included, since they may
+    /// run in another partition.
+    pub all: Vec<SharingEntry>,
     /// The names of the live entries in its data centre, sorted.
     pub local: Vec<SmolStr>,
 }
 
-/// An entry that may hold a share of the limit that an upstream states.
+/// An entry that may send to the same upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LimitHolder {
+pub struct SharingEntry {
     /// Its name.
     pub host: SmolStr,
     /// The data centre that it is in.
@@ -74,17 +72,17 @@
     /// theirs in the same one. Hence only the entries that rank first for the upstream hold a share; those in
     /// its data centre rank before all others, since they prefer it and may send it all their requests.
     pub fn limit_share(&self, upstream: &str, data_centre: &str, per_s: f64) -> f64 {
-        let rank = |holder: &LimitHolder| {
-            let weight = rendezvous::weight(upstream.as_bytes(), &holder.host);
-            (holder.data_centre == data_centre, weight)
+        let rank = |entry: &SharingEntry| {
+            let weight = rendezvous::weight(upstream.as_bytes(), &entry.host);
+            (entry.data_centre == data_centre, weight)
         };
-        let own = self.limit_holders.iter().find(|h| h.host == self.own);
+        let own = self.all.iter().find(|entry| entry.host == self.own);
         let Some(own) = own.map(rank) else {
             return 0.0;
         };
-        let higher_ranked = self.limit_holders.iter().filter(|h| rank(h) > own).count();
+        let higher_ranked = self.all.iter().filter(|entry| rank(entry) > own).count();
         let holders = (per_s + EXTRA_LIMIT_HOLDERS).floor();
-        let holders = holders.min(self.limit_holders.len() as f64);
+        let holders = holders.min(self.all.len() as f64);
         match (higher_ranked as f64) < holders {
             true => per_s / holders,
             false => 0.0,
@@ -103,7 +101,7 @@
         }
         let rank = |entry| (rendezvous::weight(upstream.as_bytes(), entry), entry);
         let own = rank(self.own.as_str());
-        let all = self.all.iter().map(SmolStr::as_str);
+        let all = self.all.iter().map(|entry| entry.host.as_str());
         let higher_ranked = all.filter(|entry| rank(entry) > own).count();
         match (higher_ranked as f64) + 1.0 <= per_s.max(1.0) {
             true => 1.0,
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -16,20 +16,20 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    dispatch::{Entries, LimitHolder},
+    dispatch::{Entries, SharingEntry},
     rendezvous::{rank, weight},
     Moment,
 };
 
 /// Time without a heartbeat after which a process is suspected and gets no calls.
 const SUSPECT_AFTER: Moment = Moment::from_millis(2_500);
-/// Time without a heartbeat for which a process still counts when a common limit is divided, since a
-/// suspected process may still be running.
-const SHARE_RETENTION: Moment = Moment::from_secs(6);
-/// Time without a heartbeat for which an entry counts when a stated limit is divided. It may run in another
-/// partition, and regions lose each other for an hour at times; a share that nobody uses for so long costs
-/// little, since a limited upstream serves little.
-const LIMIT_SHARE_RETENTION: Moment = Moment::from_secs(2 * 3_600);
+/// Time without a heartbeat for which a process that reported that it stops still counts when a common limit is
+/// divided.
+const STOPPING_SHARE_RETENTION: Moment = Moment::from_secs(6);
+/// Time without a heartbeat for which any other entry still counts when a common limit is divided. It may run in
+/// another partition, and regions lose each other for an hour at times. The unused share of one that has
+/// crashed costs little meanwhile, and it returns with its next start.
+const SHARE_RETENTION: Moment = Moment::from_secs(2 * 3_600);
 /// Hash key that ranks the entries for reading the store.
 const READER_KEY: &[u8] = b"store-reader";
 /// Time without a heartbeat after which a process is removed.
@@ -41,6 +41,16 @@
     updated_at: Moment,
 }
 
+impl RemoteMember {
+    /// Returns whether the process counts when a common limit is divided.
+    fn may_be_running(&self, now: Moment) -> bool {
+        let silence = now.saturating_sub(self.updated_at);
+        let is_entry = self.record.role == ProcessRole::Entry;
+        silence < STOPPING_SHARE_RETENTION
+            || (is_entry && !self.record.leaving && silence < SHARE_RETENTION)
+    }
+}
+
 /// One process's view of the members.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -159,11 +169,8 @@
     /// Removes processes without a heartbeat for a long time.
     pub fn expire(&mut self, now: Moment) {
         self.others.retain(|_, member| {
-            let retention = match holds_limit_share(&member.record) {
-                true => LIMIT_SHARE_RETENTION,
-                false => REMOVE_AFTER,
-            };
-            now.saturating_sub(member.updated_at) < retention
+            let silence = now.saturating_sub(member.updated_at);
+            silence < REMOVE_AFTER || member.may_be_running(now)
         });
     }
 
@@ -250,44 +257,19 @@
     pub fn entries(&self, now: Moment) -> Entries {
         let role = ProcessRole::Entry;
         let own = self.own.host.clone();
-        let running = self.possibly_running(now, role);
-        let mut all: Vec<SmolStr> = running.map(|record| record.host.clone()).collect();
-        let local = self.live(now, role);
-        let local = local.filter(|record| record.data_centre == self.own.data_centre);
-        let mut local: Vec<SmolStr> = local.map(|record| record.host.clone()).collect();
-        for names in [&mut all, &mut local] {
-            names.push(own.clone());
-            names.sort();
-            names.dedup();
-        }
-        Entries {
-            own,
-            all,
-            local,
-            limit_holders: self.limit_holders(now),
-        }
-    }
-
-    /// Returns the entries that may hold a share of a stated limit, this one included, sorted.
-    ///
-    /// Others that report that they stop count for as long as they may still be running, those that fell
-    /// silent for [`LIMIT_SHARE_RETENTION`].
-    fn limit_holders(&self, now: Moment) -> Vec<LimitHolder> {
-        let others = self.others.values().filter(|member| {
-            let silence = now.saturating_sub(member.updated_at);
-            silence < SHARE_RETENTION
-                || (holds_limit_share(&member.record) && silence < LIMIT_SHARE_RETENTION)
-        });
-        let records = others.map(|member| &member.record);
-        let records = records.chain(std::iter::once(&self.own));
-        let entries = records.filter(|record| record.role == ProcessRole::Entry);
-        let holders = entries.map(|record| LimitHolder {
+        let running = self.possibly_running(now, role).chain([&self.own]);
+        let sharing = running.map(|record| SharingEntry {
             host: record.host.clone(),
             data_centre: record.data_centre.clone(),
         });
-        let mut holders: Vec<LimitHolder> = holders.collect();
-        holders.sort();
-        holders
+        let mut all: Vec<SharingEntry> = sharing.collect();
+        all.sort();
+        let local = self.live(now, role);
+        let local = local.filter(|record| record.data_centre == self.own.data_centre);
+        let mut local: Vec<SmolStr> = local.map(|record| record.host.clone()).collect();
+        local.push(own.clone());
+        local.sort();
+        Entries { own, all, local }
     }
 
     fn possibly_running(
@@ -296,9 +278,8 @@
         role: ProcessRole,
     ) -> impl Iterator<Item = &MemberRecord> {
         let others = self.others.values();
-        let running = others.filter(move |member| {
-            member.record.role == role && now.saturating_sub(member.updated_at) < SHARE_RETENTION
-        });
+        let running =
+            others.filter(move |member| member.record.role == role && member.may_be_running(now));
         running.map(|member| &member.record)
     }
 
@@ -348,11 +329,6 @@
     }
 }
 
-/// Returns whether a process is an entry that has not reported that it stops.
-fn holds_limit_share(record: &MemberRecord) -> bool {
-    record.role == ProcessRole::Entry && !record.leaving
-}
-
 /// Returns the heartbeat of a record; its key is a hash of all fields except the heartbeat itself.
 fn compute_heartbeat(record: &MemberRecord) -> MemberHeartbeat {
     let MemberRecord {
--- a/crates/policy/tests/dispatch/cold_upstreams.rs
+++ b/crates/policy/tests/dispatch/cold_upstreams.rs
@@ -40,9 +40,10 @@
             cluster.register(now, cold);
         }
         let mut visible = test_entries(own, entries);
-        for names in [&mut visible.all, &mut visible.local] {
-            names.retain(|name| *name == visible.own || known == entries);
-        }
+        let own = visible.own.clone();
+        let is_known = |name: &SmolStr| *name == own || known == entries;
+        visible.all.retain(|entry| is_known(&entry.host));
+        visible.local.retain(is_known);
         cluster.configure_entries(&[], visible);
         for n in 0..40 {
             let time = now + millis(25 * n);
--- a/crates/policy/tests/dispatch/limits.rs
+++ b/crates/policy/tests/dispatch/limits.rs
@@ -336,8 +336,8 @@
 fn entries_in_the_data_centre_of_a_limited_upstream_hold_its_shares_first() {
     let mut entries: Vec<_> = (0..30).map(|own| test_entries(own, 30)).collect();
     for own in &mut entries {
-        for (n, holder) in own.limit_holders.iter_mut().enumerate() {
-            holder.data_centre = format!("dc{}", n % 6).into();
+        for (n, entry) in own.all.iter_mut().enumerate() {
+            entry.data_centre = format!("dc{}", n % 6).into();
         }
     }
 
@@ -364,9 +364,9 @@
                 let name = own.own.clone();
                 // Each entry lacks another tenth of the others.
                 let mut index = 0;
-                own.limit_holders.retain(|holder| {
+                own.all.retain(|entry| {
                     index += 1;
-                    holder.host == name || (index + n) % 10 != 0
+                    entry.host == name || (index + n) % 10 != 0
                 });
             }
 
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -21,8 +21,8 @@
 };
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, LimitHolder,
-        RefusalReason, RequestRequirements, SelectedUpstream, UpstreamCondition, UpstreamKey,
+        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, RefusalReason,
+        RequestRequirements, SelectedUpstream, SharingEntry, UpstreamCondition, UpstreamKey,
     },
     Moment,
 };
@@ -191,17 +191,16 @@
 /// The entries as seen by the one with number `own` out of `count` in one data centre.
 fn test_entries(own: usize, count: usize) -> Entries {
     let name = |n: usize| SmolStr::new(format!("entry-{n:03}"));
-    let all: Vec<SmolStr> = (0..count).map(name).collect();
+    let local: Vec<SmolStr> = (0..count).map(name).collect();
     Entries {
         own: name(own),
-        local: all.clone(),
-        limit_holders: all.iter().map(local_holder).collect(),
-        all,
+        all: local.iter().map(local_entry).collect(),
+        local,
     }
 }
 
-fn local_holder(host: &SmolStr) -> LimitHolder {
-    LimitHolder {
+fn local_entry(host: &SmolStr) -> SharingEntry {
+    SharingEntry {
         host: host.clone(),
         data_centre: "addis-a".into(),
     }
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -159,33 +159,87 @@
     assert_eq!(view.live(ms(2_000), ProcessRole::Entry).count(), 1);
     assert_eq!(view.live(ms(3_000), ProcessRole::Entry).count(), 0);
     assert_eq!(view.share_count(ms(3_000), ProcessRole::Entry), 2);
-    assert_eq!(view.share_count(ms(6_500), ProcessRole::Entry), 1);
+    assert_eq!(view.share_count(ms(7_199_000), ProcessRole::Entry), 2);
+    assert_eq!(view.share_count(ms(7_200_000), ProcessRole::Entry), 1);
 }
 
-// Guards against parts of a partitioned fleet that divide a stated limit among themselves only, and against
+// Guards against parts of a partitioned fleet that divide a common limit among themselves only, and against
 // shares of entries that have stopped as planned.
 #[test]
-fn a_silent_entry_holds_its_share_of_limits_for_two_hours_and_a_stopped_one_does_not() {
+fn a_silent_entry_counts_in_shares_for_two_hours_and_a_stopped_one_does_not() {
     let mut view = Membership::new(entry(0));
     let mut leaving = entry(2);
     leaving.leaving = true;
     view.merge_records(ms(0), vec![entry(1), leaving]);
-    let holders_at = |view: &mut Membership, now: Moment| {
+    let sharing_at = |view: &mut Membership, now: Moment| {
         view.expire(now);
         let entries = view.entries(now);
-        let hosts = entries.limit_holders.into_iter().map(|holder| holder.host);
+        let hosts = entries.all.into_iter().map(|entry| entry.host);
         hosts.map(|host| host.to_string()).collect::<Vec<_>>()
     };
 
-    let at_first = holders_at(&mut view, ms(1_000));
-    let after_a_minute = holders_at(&mut view, ms(60_000));
-    let after_two_hours = holders_at(&mut view, ms(2 * 3_600_000));
+    let at_first = sharing_at(&mut view, ms(1_000));
+    let after_a_minute = sharing_at(&mut view, ms(60_000));
+    let after_two_hours = sharing_at(&mut view, ms(2 * 3_600_000));
 
     assert_eq!(at_first, ["edge-0", "edge-1", "edge-2"]);
     assert_eq!(after_a_minute, ["edge-0", "edge-1"]);
     assert_eq!(after_two_hours, ["edge-0"]);
 }
 
+/// The views of `count` entries that knew each other, after `silence` in two partitions.
+fn partitioned_views(count: usize, silence: Moment) -> Vec<Membership> {
+    let records: Vec<_> = (0..count).map(entry).collect();
+    let mut views: Vec<_> = records.iter().cloned().map(Membership::new).collect();
+    for (n, view) in views.iter_mut().enumerate() {
+        view.merge_records(ms(0), records.clone());
+        let mut own_part: Vec<_> = records.iter().skip(n % 2).step_by(2).cloned().collect();
+        for record in &mut own_part {
+            record.heartbeat = 9;
+        }
+        view.merge_records(silence, own_part);
+        view.expire(silence);
+    }
+    views
+}
+
+// Guards against bounds that are summed over all entries and that each part of a partitioned fleet uses in full: a
+// cold upstream, or the retries to a service, are reached from both parts.
+#[test]
+fn parts_of_a_partitioned_fleet_do_not_use_a_common_bound_twice() {
+    let cold_per_s = 28.0;
+    let settings = RetryWindowSettings {
+        window: ms(10_000),
+        ratio: 0.0,
+        slack: 132.0,
+    };
+    for (count, silence) in [(4, 7_000), (14, 60_000), (100, 3_600_000)] {
+        let now = ms(silence);
+        let views = partitioned_views(count, now);
+
+        let cold_shares = views.iter().map(|view| {
+            let entries = view.entries(now);
+            entries.rate_share("cold", cold_per_s)
+        });
+        let cold: f64 = cold_shares.sum();
+        let retries = views.iter().map(|view| {
+            let entries = view.share_count(now, ProcessRole::Entry);
+            let mut budget = WindowedRetryBudget::new(settings, ms(0));
+            budget.remaining(now, entries)
+        });
+        let retries: usize = retries.sum();
+
+        assert!(
+            cold <= 1.5 * cold_per_s + 5.0,
+            "{cold} a second, {count} entries"
+        );
+        assert!(
+            retries as f64 <= settings.slack,
+            "{retries} retries, {count} entries"
+        );
+    }
+}
+
 #[test]
 fn stale_records_that_still_circulate_do_not_keep_a_member_live() {
     let mut view = Membership::new(entry(0));
