Limits: entries without a share have a turn while nobody confirms a limit

What was seen, by reading and by the new tests: if the entries that hold the shares of a limit have no requests for the upstream, the others keep the limit for ever, also after it has ended.

Change: after 10 s without a response of the upstream the other entries hold a share in turn, 10 s each; with one more holder the sum stays within the allowance.

Tests: a_limit_ends_for_all_although_its_holders_are_idle (12 entries, 3 idle holders), while_no_response_confirms_a_limit_every_entry_gets_a_turn_within_the_allowance, responses_after_the_end_of_a_limit_do_not_prolong_its_reports.

--- a/crates/policy/src/dispatch/rate_limit.rs
+++ b/crates/policy/src/dispatch/rate_limit.rs
@@ -4,10 +4,6 @@
 
 /// Time for which an unused share accumulates. Short, so that entries that were idle do not add up to a burst.
 const BURST: Moment = Moment::from_millis(250);
-/// Lowest rate at which an upstream is still used, in requests per second. An upstream that receives nothing
-/// could not state that its limit has ended.
-const MIN_LIMIT_PER_S: f64 = 0.1;
-
 /// Tolerance of the comparison of a number of tokens, which is a sum of small fractions.
 const TOKEN_TOLERANCE: f64 = 1e-9;
 
@@ -23,10 +19,10 @@
 }
 
 impl RateLimit {
-    /// Creates an empty bucket for a limit that was learned at `now`; the share is zero until it is set.
+    /// Creates an empty bucket for a limit above zero that was learned at `now`; the share is zero until it is set.
     pub fn new(now: Moment, limit_per_s: f64) -> Self {
         Self {
-            limit_per_s: limit_per_s.max(MIN_LIMIT_PER_S),
+            limit_per_s,
             share_per_s: 0.0,
             tokens: 0.0,
             refilled_at: now,
@@ -34,14 +30,8 @@
         }
     }
 
-    /// The limit for all entries together, in requests per second.
-    pub fn limit_per_s(&self) -> f64 {
-        self.limit_per_s
-    }
-
     /// Changes the limit for all entries together.
     pub fn set_limit(&mut self, now: Moment, limit_per_s: f64) {
-        let limit_per_s = limit_per_s.max(MIN_LIMIT_PER_S);
         if limit_per_s < self.limit_per_s {
             self.tightened_at = now;
         }
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 
 use super::UpstreamKey;
-use crate::rendezvous;
+use crate::{rendezvous, stated_limits::StatedLimit, Moment};
 
 /// Largest tie-break offset, in milliseconds. Without it, entries with equally little information would
 /// all select the same upstream.
@@ -16,6 +16,9 @@
 /// request more than its share in any window, so their number is bounded; with more than one holder, an
 /// upstream is still used while one of them has no callers or has stopped.
 const EXTRA_LIMIT_HOLDERS: f64 = 2.5;
+/// Time without a response of a limited upstream after which another entry may send it requests, and the time
+/// after which the turn passes to the next one.
+const CONFIRMATION_INTERVAL: Moment = Moment::from_secs(10);
 
 /// The entries known to this entry, itself included.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -66,12 +69,21 @@
     }
 
     /// Requests per second that this entry may send to an upstream in `data_centre` whose stated limit for all
-    /// entries together is `per_s`.
+    /// entries together is `limit`.
     ///
     /// An even part of a low limit would be less than one request in a window, and all entries could send
     /// theirs in the same one. Hence only the entries that rank first for the upstream hold a share; those in
     /// its data centre rank before all others, since they prefer it and may send it all their requests.
-    pub fn limit_share(&self, upstream: &str, data_centre: &str, per_s: f64) -> f64 {
+    ///
+    /// If the upstream has not confirmed the limit for a while, the holders have no requests for it, and the
+    /// others would never learn that the limit has ended. Then the others, in turn, hold a share as well.
+    pub fn limit_share(
+        &self,
+        upstream: &str,
+        data_centre: &str,
+        limit: StatedLimit,
+        now: Moment,
+    ) -> f64 {
         let rank = |entry: &SharingEntry| {
             let weight = rendezvous::weight(upstream.as_bytes(), &entry.host);
             (entry.data_centre == data_centre, weight)
@@ -81,10 +93,14 @@
             return 0.0;
         };
         let higher_ranked = self.all.iter().filter(|entry| rank(entry) > own).count();
-        let holders = (per_s + EXTRA_LIMIT_HOLDERS).floor();
-        let holders = holders.min(self.all.len() as f64);
-        match (higher_ranked as f64) < holders {
-            true => per_s / holders,
+        let entries = self.all.len();
+        let holders = ((limit.per_s + EXTRA_LIMIT_HOLDERS) as usize).min(entries);
+        let unconfirmed_for = now.saturating_sub(limit.confirmed_at).as_secs_f64();
+        let turn = (unconfirmed_for / CONFIRMATION_INTERVAL.as_secs_f64()) as usize;
+        let is_its_turn =
+            || turn > 0 && higher_ranked - holders == (turn - 1) % (entries - holders);
+        match higher_ranked < holders || is_its_turn() {
+            true => limit.per_s / holders as f64,
             false => 0.0,
         }
     }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -9,7 +9,9 @@
     rate_limit::RateLimit,
     AttemptOutcome, Entries, UpstreamCondition,
 };
-use crate::{estimate::Occupancy, sliding_window::SlidingWindowCounter, Moment};
+use crate::{
+    estimate::Occupancy, sliding_window::SlidingWindowCounter, stated_limits::StatedLimit, Moment,
+};
 
 /// The load by other entries counts in full for this long after it was reported. If it decayed at once,
 /// the upstream with the oldest report would always seem the least loaded.
@@ -38,6 +40,9 @@
 /// Time after its start by which an entry knows all others. If all start at once, the first exchanges
 /// reach few entries that know any others.
 const ENTRY_DISCOVERY_TIME: Moment = Moment::from_secs(2);
+/// Lowest limit that is applied, in requests per second. An upstream that receives nothing could not state that
+/// its limit has ended.
+const MIN_LIMIT_PER_S: f64 = 0.1;
 /// Window of the rate limit of cold upstreams.
 const COLD_WINDOW: Moment = Moment::from_secs(1);
 
@@ -206,15 +211,17 @@
     }
 
     /// Sets the limit that it states on the requests from all entries together, `None` for none.
-    pub fn set_limit(&mut self, now: Moment, per_s: Option<f64>, entries: &Entries) {
-        let Some(per_s) = per_s else {
+    pub fn set_limit(&mut self, now: Moment, stated: Option<StatedLimit>, entries: &Entries) {
+        let Some(mut stated) = stated else {
             self.limit = None;
             return;
         };
-        let limit = self.limit.get_or_insert_with(|| RateLimit::new(now, per_s));
-        limit.set_limit(now, per_s);
+        stated.per_s = stated.per_s.max(MIN_LIMIT_PER_S);
+        let limit = &mut self.limit;
+        let limit = limit.get_or_insert_with(|| RateLimit::new(now, stated.per_s));
+        limit.set_limit(now, stated.per_s);
         let record = &self.record;
-        let share = entries.limit_share(&record.id, &record.data_centre, limit.limit_per_s());
+        let share = entries.limit_share(&record.id, &record.data_centre, stated, now);
         limit.set_share(now, share);
     }
 
--- a/crates/policy/src/stated_limits.rs
+++ b/crates/policy/src/stated_limits.rs
@@ -32,10 +32,21 @@
     /// Requests per second; absent if the limit has ended.
     per_s: Option<f64>,
     observed_at: Moment,
+    /// When this entry learned `per_s`.
+    changed_at: Moment,
     /// Increases with each change that was observed after the known limit.
     revision: u64,
 }
 
+/// The limit of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedLimit {
+    /// Requests per second, for all entries together.
+    pub per_s: f64,
+    /// When the upstream stated it last, as far as this entry knows.
+    pub confirmed_at: Moment,
+}
+
 /// The limits by upstream.
 #[derive(Debug, Default)]
 pub struct StatedLimits {
@@ -57,6 +68,7 @@
         let mut observation = Observation {
             per_s,
             observed_at: now,
+            changed_at: now,
             revision: 1,
         };
         let Some(known) = self.observations.get_mut(upstream) else {
@@ -71,6 +83,9 @@
         }
         let changed = known.per_s != per_s;
         observation.revision = known.revision + u64::from(changed && later);
+        if !changed {
+            observation.changed_at = known.changed_at;
+        }
         *known = observation;
         changed
     }
@@ -91,6 +106,7 @@
             let observation = Observation {
                 per_s: report.per_s,
                 observed_at: now.saturating_sub(age),
+                changed_at: now,
                 revision: report.revision,
             };
             let upstream = (report.upstream.clone(), report.started_at_ms);
@@ -124,6 +140,9 @@
             return false;
         }
         let changed = known.per_s != reported.per_s;
+        if changed {
+            known.changed_at = reported.changed_at;
+        }
         known.per_s = reported.per_s;
         known.observed_at = known.observed_at.max(reported.observed_at);
         known.revision = known.revision.max(reported.revision);
@@ -143,20 +162,30 @@
     pub fn expire(&mut self, now: Moment) {
         self.observations.retain(|_, observation| {
             observation.per_s.is_some()
-                || now.saturating_sub(observation.observed_at) < END_RETENTION
+                || now.saturating_sub(observation.changed_at) < END_RETENTION
         });
     }
 
-    /// The limit of an upstream in requests per second, or `None` if it has none.
-    pub fn get(&self, upstream: &UpstreamId) -> Option<f64> {
-        self.observations.get(upstream)?.per_s
+    /// The limit of an upstream, or `None` if it has none.
+    pub fn get(&self, upstream: &UpstreamId) -> Option<StatedLimit> {
+        let observation = self.observations.get(upstream)?;
+        Some(StatedLimit {
+            per_s: observation.per_s?,
+            confirmed_at: observation.observed_at,
+        })
     }
 
     /// The recent observations, for other entries; the latest ones if they are too many for a message.
     pub fn reports(&self, now: Moment) -> Vec<LimitReport> {
         let age = |observation: &Observation| now.saturating_sub(observation.observed_at);
-        let recent = self.observations.iter();
-        let recent = recent.filter(|(_, observation)| age(observation) <= MAX_REPORT_AGE);
+        let is_news = |observation: &Observation| {
+            let known_for = now.saturating_sub(observation.changed_at);
+            observation.per_s.is_some() || known_for <= MAX_REPORT_AGE
+        };
+        let recent = self
+            .observations
+            .iter()
+            .filter(|(_, observation)| age(observation) <= MAX_REPORT_AGE && is_news(observation));
         let mut recent: Vec<_> = recent.collect();
         recent.sort_by_key(|(_, observation)| age(observation));
         let reports = recent.into_iter().take(MAX_REPORTS);
--- a/crates/policy/tests/dispatch/limited_fleet.rs
+++ b/crates/policy/tests/dispatch/limited_fleet.rs
@@ -33,6 +33,8 @@
     frozen_until: Moment,
     /// Entries of different partitions exchange nothing.
     partition: usize,
+    /// Whether its callers send nothing.
+    idle: bool,
 }
 
 enum Message {
@@ -101,6 +103,7 @@
         limits: StatedLimits::default(),
         frozen_until: Moment::ZERO,
         partition: 0,
+        idle: false,
     }
 }
 
@@ -279,6 +282,9 @@
     fn send_request(&mut self, n: usize) {
         let now = self.now;
         let entry = &mut self.entries[n];
+        if entry.idle {
+            return;
+        }
         let Some(selected) = entry.cluster.try_send(now, plain_request(now)) else {
             self.refused += 1;
             return;
@@ -473,3 +479,30 @@
         assert_eq!(fleet.refused, 0);
     }
 }
+
+// Guards against a limit that has ended and that entries keep for ever, since those that hold its shares have no
+// callers.
+#[test]
+fn a_limit_ends_for_all_although_its_holders_are_idle() {
+    let mut fleet = limited_fleet(12, 1.0, 8);
+    for entry in &mut fleet.entries {
+        let now = fleet.now;
+        let stated = entry.limits.get(&(LIMITED.into(), 1));
+        let stated = stated.expect("every entry knows the limit");
+        let entries = entry.members.entries(now);
+        entry.idle = entries.limit_share(LIMITED, "addis-a", stated, now) > 0.0;
+    }
+    let idle = fleet.entries.iter().filter(|entry| entry.idle).count();
+
+    fleet.run(Moment::from_secs(30));
+    let used = fleet.arrivals_since(LIMITED_FROM + SETTLING_TIME);
+    assert_limit_kept(&fleet, 1.0);
+    fleet.limit = None;
+    fleet.run(Moment::from_secs(25));
+
+    assert_eq!(idle, 3);
+    assert!(used > 0);
+    let unaware = fleet.entries.iter();
+    let unaware = unaware.filter(|e| e.limits.get(&(LIMITED.into(), 1)).is_some());
+    assert_eq!(unaware.count(), 0);
+}
--- a/crates/policy/tests/dispatch/limits.rs
+++ b/crates/policy/tests/dispatch/limits.rs
@@ -1,6 +1,6 @@
 //! Upstreams that state a limit on the requests from all entries together.
 
-use balsamjunction_policy::stated_limits::StatedLimits;
+use balsamjunction_policy::stated_limits::{StatedLimit, StatedLimits};
 
 use super::*;
 
@@ -291,6 +291,18 @@
     assert_eq!(counts_after.get(&UpstreamCondition::Limited), None);
 }
 
+/// A limit that the upstream has just stated.
+fn confirmed(per_s: f64) -> StatedLimit {
+    StatedLimit {
+        per_s,
+        confirmed_at: SETTLED,
+    }
+}
+
+fn share_of(own: &Entries, per_s: f64) -> f64 {
+    own.limit_share("limited", "addis-a", confirmed(per_s), SETTLED)
+}
+
 /// Requests that the platform allows in 4 s at a limit: one and a half times the limit, and five.
 fn allowed(per_s: f64) -> f64 {
     6.0 * per_s + 5.0
@@ -298,9 +310,7 @@
 
 /// The most requests that all entries can send in 4 s: their shares, and one request of each that holds one.
 fn most_sent(entries: &[Entries], per_s: f64) -> f64 {
-    let shares = entries
-        .iter()
-        .map(|own| own.limit_share("limited", "addis-a", per_s));
+    let shares = entries.iter().map(|own| share_of(own, per_s));
     let sent = shares.filter(|share| *share > 0.0);
     sent.map(|share| 4.0 * share + (0.25 * share).max(1.0))
         .sum()
@@ -315,9 +325,7 @@
         for per_s in [0.1, 0.5, 1.0, 1.3, 3.7, 20.0, 400.0] {
             let entries: Vec<_> = (0..count).map(|own| test_entries(own, count)).collect();
 
-            let shares = entries
-                .iter()
-                .map(|own| own.limit_share("limited", "addis-a", per_s));
+            let shares = entries.iter().map(|own| share_of(own, per_s));
             let total: f64 = shares.sum();
 
             assert!(
@@ -342,7 +350,8 @@
     }
 
     let holders = |per_s: f64| -> Vec<usize> {
-        let share = |n: &usize| entries[*n].limit_share("limited", "dc2", per_s);
+        let share =
+            |n: &usize| entries[*n].limit_share("limited", "dc2", confirmed(per_s), SETTLED);
         (0..entries.len()).filter(|n| share(n) > 0.0).collect()
     };
     let low = holders(1.0);
@@ -354,6 +363,33 @@
     assert_eq!(high.iter().filter(|n| *n % 6 == 2).count(), 5, "{high:?}");
 }
 
+// Guards against a limit that is kept for ever because its holders have no requests for the upstream.
+#[test]
+fn while_no_response_confirms_a_limit_every_entry_gets_a_turn_within_the_allowance() {
+    for (count, per_s) in [(1, 1.0), (4, 1.0), (35, 0.2), (35, 10.0)] {
+        let entries: Vec<_> = (0..count).map(|own| test_entries(own, count)).collect();
+        let mut had_share = vec![false; count];
+
+        for tens in 0..=count as u64 {
+            let now = SETTLED + Moment::from_secs(10 * tens);
+            let shares = entries
+                .iter()
+                .map(|own| own.limit_share("limited", "addis-a", confirmed(per_s), now));
+            let shares: Vec<f64> = shares.collect();
+            let sent = shares.iter().filter(|share| **share > 0.0);
+            let most: f64 = sent
+                .map(|share| 4.0 * share + (0.25 * share).max(1.0))
+                .sum();
+            assert!(most <= allowed(per_s), "{most} of {per_s}, {count} entries");
+            for (had, share) in had_share.iter_mut().zip(&shares) {
+                *had |= *share > 0.0;
+            }
+        }
+
+        assert!(had_share.iter().all(|had| *had), "{count} entries");
+    }
+}
+
 // Guards against views that differ by a few entries, after which too many entries take themselves for holders.
 #[test]
 fn entries_whose_views_lack_some_others_stay_within_the_allowance() {
