Test limits with gateways that restart and freeze; one body for the two load tests

Four real gateways: one is killed and starts again, one is stopped for 3.8 s, while all get requests.

--- a/crates/lab/tests/gateway/limits.rs
+++ b/crates/lab/tests/gateway/limits.rs
@@ -4,8 +4,11 @@
 
 use balsamjunction_lab::standin::platform::{Engine, EngineFault};
 use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 
-use crate::common::{model_engine_options, plain_engine_options, wait_until, Gateway, TestSite};
+use crate::common::{
+    model_engine_options, plain_engine_options, wait_until, Gateway, TestSite, API_KEY,
+};
 
 /// The limit that engines state, in requests per second.
 const LIMIT_PER_S: f64 = 1.0;
@@ -71,10 +74,10 @@
     statuses
 }
 
-// Guards against requests beyond the limit that an engine stated to its only gateway, which ignored it.
-#[actix_rt::test]
-async fn a_limited_engine_gets_no_more_than_its_limit_from_one_gateway() {
-    let (_site, gateways, limited, free) = start_gateways(1).await;
+/// Sends requests through `count` gateways, and asserts that the limited engine receives no more than the platform
+/// allows, that every request is served, and that the engine without a limit serves most.
+async fn assert_gateways_keep_the_limit(count: usize) {
+    let (_site, gateways, limited, free) = start_gateways(count).await;
     let started = Instant::now();
 
     let statuses = send_load(&gateways).await;
@@ -85,13 +88,55 @@
     assert!(free.arrival_count() > statuses.len() / 2);
 }
 
+// Guards against requests beyond the limit that an engine stated to its only gateway, which ignored it.
+#[actix_rt::test]
+async fn a_limited_engine_gets_no_more_than_its_limit_from_one_gateway() {
+    assert_gateways_keep_the_limit(1).await;
+}
+
 // Guards against a limit that each gateway applies by itself: it is for all gateways together.
 #[actix_rt::test]
 async fn a_limited_engine_gets_no_more_than_its_limit_from_several_gateways() {
-    let (_site, gateways, limited, free) = start_gateways(4).await;
+    assert_gateways_keep_the_limit(4).await;
+}
+
+/// Sends requests to a gateway for [`LOAD_TIME`], one at a time, whether it responds or not.
+async fn send_load_to_disturbed(gateway: &Gateway) {
     let started = Instant::now();
+    let mut n = 0;
+    while started.elapsed() < LOAD_TIME {
+        let id = format!("{}-{n}", gateway.callers.ip());
+        let key = format!("Bearer {API_KEY}");
+        let headers = [("authorization", key.as_str())];
+        let call = gateway.try_call_with("GET", "/stock/1", &id, &headers);
+        // A gateway that is down or frozen does not respond.
+        let _ = actix_rt::time::timeout(Duration::from_millis(300), call).await;
+        n += 1;
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
 
-    let statuses = send_load(&gateways).await;
+// Guards against gateways that restart without the limit, wake from a freeze with a stale view, or take over the
+// shares of others meanwhile.
+#[actix_rt::test]
+async fn a_limited_engine_gets_no_more_than_its_limit_while_gateways_restart_and_freeze() {
+    let (mut site, gateways, limited, free) = start_gateways(4).await;
+    let started = Instant::now();
+    let disturb = async {
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        site.processes.kill("g2").expect("the process runs");
+        let frozen = site.processes.signal("g3", Signal::SIGSTOP);
+        frozen.expect("the process runs");
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        site.processes.restart("g2").expect("the process starts");
+        actix_rt::time::sleep(Duration::from_millis(3_500)).await;
+        let woken = site.processes.signal("g3", Signal::SIGCONT);
+        woken.expect("the process runs");
+    };
+
+    let undisturbed = send_load(&gateways[..2]);
+    let disturbed = join_all(gateways[2..].iter().map(send_load_to_disturbed));
+    let (statuses, _, ()) = tokio::join!(undisturbed, disturbed, disturb);
 
     let most = most_arrivals_in_a_window(&limited, started + SETTLING_TIME);
     assert!(most <= max_arrivals(), "{most} requests in {WINDOW:?}");
