An upstream that exits is checked again before it counts as alive

Cause: from the ledgers and audit trails of failed runs, three runs left two records of crashes. The sidecar records a crash only if the engine refuses connections after it broke one, and looks once; a process that exits closes its requests' connections some milliseconds before its listening socket, so the engine seemed alive.

Change: four checks, 25 ms apart; one refusal is enough. The caller of a broken response of an engine that lives waits 75 ms longer for its outcome.

--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -39,6 +39,10 @@
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// An upstream, which is on the same host, is down if it does not accept a connection in this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Checks whether an upstream that broke a connection still accepts others, before it counts as alive.
+const CRASH_CHECKS: u32 = 4;
+/// Interval between these checks.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// A request that admission control has granted.
 pub struct GrantedRequest {
@@ -232,9 +236,9 @@
     }
 }
 
-/// Records and reports a crash caused by a request, unless the upstream still accepts connections.
+/// Records and reports a crash caused by a request, unless the upstream continues to accept connections.
 async fn record_crash_if_down(context: Arc<SidecarContext>, client: Client, fingerprint: u64) {
-    if accepts_connections(context.settings.upstream).await {
+    if continues_to_accept_connections(context.settings.upstream).await {
         return;
     }
     let host = &context.settings.peer.host;
@@ -261,6 +265,18 @@
     report_crash(&client, &addresses, &crash).await;
 }
 
+/// Whether an upstream accepts connections in all of several checks. A process that exits closes the connections
+/// of its requests some milliseconds before it stops to accept new ones.
+async fn continues_to_accept_connections(address: SocketAddr) -> bool {
+    for _ in 1..CRASH_CHECKS {
+        if !accepts_connections(address).await {
+            return false;
+        }
+        actix_rt::time::sleep(CRASH_CHECK_INTERVAL).await;
+    }
+    accepts_connections(address).await
+}
+
 async fn accepts_connections(address: SocketAddr) -> bool {
     let connect = TcpStream::connect(address);
     let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connect).await;
--- a/crates/lab/tests/gateway/departures.rs
+++ b/crates/lab/tests/gateway/departures.rs
@@ -26,8 +26,8 @@
 /// Has the only engine respond to one request, then starts a second engine and waits until the gateway
 /// routes to it.
 async fn call_then_add_engine(site: &TestSite, gateway: Gateway, first: &Engine) -> Engine {
-    gateway.call("GET", "/stock/1", "first").await;
-    assert_eq!(first.arrival_count(), 1);
+    let got = gateway.call("GET", "/stock/1", "first").await;
+    assert_eq!(first.arrival_count(), 1, "the response was {got:?}");
     let other = site.start_engine(plain_engine_options("d2")).await;
     wait_until("the gateway to route to it", async || {
         gateway.call("GET", "/stock/1", "probe").await;
