A gateway is ready once its dispatcher knows the upstreams

Cause: the readiness check looked at the replica of the facts, and a task of its own hands them to the dispatcher. In between a ready gateway refuses every request.

Change: the check looks at whether the dispatcher was configured.

--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        atomic::{AtomicBool, AtomicUsize},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
     },
     time::Duration,
@@ -56,6 +56,8 @@
     pub rejecting_requests: AtomicBool,
     /// Number of requests whose response is not complete.
     pub in_progress: AtomicUsize,
+    /// Whether the dispatcher has received the upstreams of a configuration.
+    upstreams_known: AtomicBool,
     revoke_within: Option<Duration>,
     dispatch: Mutex<Dispatch>,
     retry_budgets: Mutex<HashMap<SmolStr, WindowedRetryBudget>>,
@@ -91,6 +93,7 @@
             lifecycle: Lifecycle::default(),
             rejecting_requests: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
+            upstreams_known: AtomicBool::new(false),
             revoke_within: settings.revoke_within,
             dispatch: Mutex::new(Dispatch {
                 dispatcher,
@@ -126,7 +129,7 @@
     /// Whether the load balancer should send callers to this process.
     pub fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping()
-            && self.cluster_view.directory().route_table.is_some()
+            && self.upstreams_known.load(Ordering::Acquire)
             && self.facts_fresher_than(READY_MAX_AGE_FRACTION)
     }
 
@@ -274,6 +277,9 @@
         if deadlines_changed {
             self.start_deadlines_changed.send_modify(|n| *n += 1);
         }
+        if directory.route_table.is_some() {
+            self.upstreams_known.store(true, Ordering::Release);
+        }
         // Upstreams may be new, and the number of entries that share a limit may have changed.
         self.apply_limits();
         self.deliver_decisions();
