--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -125,6 +125,19 @@
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
     },
+    /// The connection to an upstream broke under a request, as it does if the upstream crashes.
+    UpstreamBroke {
+        /// Id of the request.
+        id: SmolStr,
+        /// Id of the upstream.
+        upstream: SmolStr,
+        /// Whether the head of the response had been received.
+        began: bool,
+        /// Whether the upstream had sent enough of the response to show that the request does not crash it.
+        sound: bool,
+        /// The parts of the request's prompt that other requests may share, as callers state them.
+        parts: Vec<String>,
+    },
     /// A response stated for the first time that its sender is leaving.
     UpstreamLeaves {
         /// Id of the request.
@@ -222,7 +235,7 @@
             Self::Sent { id, once, .. }
             | Self::AttemptFailed { id, once, .. }
             | Self::Answered { id, once, .. } => (!once).then_some(id),
-            Self::UpstreamBackoff { id, .. } => Some(id),
+            Self::UpstreamBackoff { id, .. } | Self::UpstreamBroke { id, .. } => Some(id),
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::UpstreamLeaves { .. }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -165,6 +165,7 @@
         timeout,
         requested_timeout,
         fingerprint,
+        prompt_parts: caller_request::parse_prompt_parts(req),
         path_and_query,
         route,
     })
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -12,7 +12,6 @@
     },
     Moment,
 };
-use balsamjunction_protocol::Crash;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -25,10 +24,11 @@
     admission::InProgress,
     caller_request::CallerRequest,
     context::{GatewayContext, InFlightRequest},
+    crash_evidence::BrokenAttempt,
     response::{self, FinalResponse, ResponseReason, ResponseRelay},
     send::{self, SendError, UpstreamResponse},
 };
-use crate::{events::Event, mesh};
+use crate::events::Event;
 
 /// Upstreams that are tried for one request, including those that never received it.
 const MAX_UPSTREAMS_TRIED: u32 = 5;
@@ -304,6 +304,7 @@
             Ok(Err(e)) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
                     self.report_crash(&upstream);
+                    self.report_break(&upstream, BrokenAttempt::WITHOUT_HEAD);
                 }
                 e.to_string()
             }
@@ -582,23 +583,6 @@
         req
     }
 
-    /// Records a request whose upstream crashed while running it, and notifies the other entries.
-    pub fn report_crash(&self, upstream: &UpstreamRecord) {
-        let crash = Crash {
-            fingerprint: self.request.fingerprint,
-            upstream: upstream.id.clone(),
-        };
-        let new_crashes = self.context.cluster_view.record_crashes(vec![crash]);
-        if new_crashes.is_empty() {
-            return;
-        }
-        let context = self.context.clone();
-        actix_rt::spawn(async move {
-            let client = balsamjunction_client::new_client(None);
-            mesh::notify_crashes(&context.cluster_view, &client, new_crashes).await;
-        });
-    }
-
     /// Logs a failed attempt.
     pub fn log_failed_attempt(
         &self,
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -6,13 +6,14 @@
 use balsamjunction_directory::{ApiKeyOwner, Route};
 use balsamjunction_platform::headers;
 use balsamjunction_policy::{dispatch::RequestRequirements, Moment};
+use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use hyper::{
     header::{HeaderName, HeaderValue},
     HeaderMap, Method,
 };
 use smol_str::SmolStr;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 use crate::http::is_end_to_end;
 
@@ -52,6 +53,8 @@
     pub requested_timeout: Option<Duration>,
     /// A hash of caller, path and body, which identifies identical requests.
     pub fingerprint: u64,
+    /// The parts of its prompt that other requests may share.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 fn header_str<'r>(req: &'r HttpRequest, name: &str) -> Option<&'r str> {
@@ -76,6 +79,17 @@
         .into()
 }
 
+/// Returns the parts of a request's prompt that other requests may share; empty if it states none.
+pub fn parse_prompt_parts(req: &HttpRequest) -> Vec<PromptPart> {
+    let value = header_str(req, headers::PROMPT_PARTS).unwrap_or_default();
+    let ids = headers::parse_shared_prompt_parts(value);
+    ids.map(parse_prompt_part).collect()
+}
+
+fn parse_prompt_part(id: &str) -> PromptPart {
+    PromptPart(u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes())))
+}
+
 /// Copies the headers that are forwarded to the upstream.
 pub fn copy_forwarded_headers(req: &HttpRequest) -> HeaderMap {
     let mut copied = HeaderMap::with_capacity(req.headers().len() + 4);
--- /dev/null
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -0,0 +1,58 @@
+//! Observations that show which requests crash upstreams. See docs/ROUTING.md, "Requests that crash upstreams".
+
+use balsamjunction_directory::UpstreamRecord;
+use balsamjunction_protocol::Crash;
+
+use super::attempts::RequestAttempts;
+use crate::{events::Event, mesh};
+
+/// How far an upstream had come with a request when its connection broke.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenAttempt {
+    /// Whether the head of the response had been received.
+    pub began: bool,
+    /// Whether the upstream had sent enough of the response to show that the request does not crash it.
+    pub sound: bool,
+}
+
+impl BrokenAttempt {
+    /// A connection that broke before the head of the response.
+    pub const WITHOUT_HEAD: Self = Self {
+        began: false,
+        sound: false,
+    };
+}
+
+impl RequestAttempts {
+    /// Records a request whose upstream crashed while running it, and notifies the other entries.
+    pub fn report_crash(&self, upstream: &UpstreamRecord) {
+        let crash = Crash {
+            fingerprint: self.request.fingerprint,
+            upstream: upstream.id.clone(),
+        };
+        let new_crashes = self.context.cluster_view.record_crashes(vec![crash]);
+        if new_crashes.is_empty() {
+            return;
+        }
+        let context = self.context.clone();
+        actix_rt::spawn(async move {
+            let client = balsamjunction_client::new_client(None);
+            mesh::notify_crashes(&context.cluster_view, &client, new_crashes).await;
+        });
+    }
+
+    /// Records that the connection to an upstream broke under this request.
+    pub fn report_break(&self, upstream: &UpstreamRecord, broken: BrokenAttempt) {
+        let parts = self.request.prompt_parts.iter();
+        self.context
+            .cluster_view
+            .events
+            .emit(&Event::UpstreamBroke {
+                id: self.request.id.clone(),
+                upstream: upstream.id.clone(),
+                began: broken.began,
+                sound: broken.sound,
+                parts: parts.map(ToString::to_string).collect(),
+            });
+    }
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod caller_request;
 mod context;
+mod crash_evidence;
 mod event_stream;
 mod lifecycle;
 mod response;
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -17,6 +17,7 @@
     admission::InProgress,
     attempts::RequestAttempts,
     context::{GatewayContext, InFlightRequest},
+    crash_evidence::BrokenAttempt,
     event_stream::EventSplitter,
     send::UpstreamResponse,
 };
@@ -25,6 +26,34 @@
 /// Jitter of the time in `retry-after`, as a fraction of it, so that callers do not retry simultaneously.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// Parts of a response that an upstream must have sent before the request counts as one that does not crash it.
+const SOUND_PROGRESS: u32 = 3;
+/// Time from the head of the response for which the upstream must have sent it besides.
+const SOUND_AFTER: Duration = Duration::from_millis(300);
+
+/// Why the rest of an upstream's response is not received.
+struct Interruption {
+    detail: String,
+    /// Whether the upstream ended the connection, as it does if it crashes.
+    connection_broke: bool,
+}
+
+impl Interruption {
+    fn broken(detail: String) -> Self {
+        Self {
+            detail,
+            connection_broke: true,
+        }
+    }
+
+    fn abandoned(detail: String) -> Self {
+        Self {
+            detail,
+            connection_broke: false,
+        }
+    }
+}
+
 /// The source or cause of a response, for the log, the metrics and the body of a local response.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -149,7 +178,11 @@
     in_flight: InFlightRequest,
     upstream: Option<UpstreamRecord>,
     splitter: Option<EventSplitter>,
-    first_event_seen: bool,
+    head_at: Moment,
+    /// Number of parts of the response, each with at least one event, that the upstream has sent.
+    progress: u32,
+    /// Whether the upstream has sent enough to show that the request does not crash it.
+    sound: bool,
     last_event_at: Moment,
     longest_pause: Duration,
     _in_progress: InProgress,
@@ -173,7 +206,9 @@
             attempts,
             response,
             in_flight,
-            first_event_seen: false,
+            head_at: opened_at,
+            progress: 0,
+            sound: false,
             last_event_at: opened_at,
             longest_pause: Duration::ZERO,
             _in_progress: in_progress,
@@ -199,7 +234,7 @@
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, io::Error> {
         loop {
-            let detail = match self.next_data().await {
+            let interruption = match self.next_data().await {
                 Ok(Some(buf)) => {
                     let Some(splitter) = &mut self.splitter else {
                         self.record_progress();
@@ -213,7 +248,7 @@
                             return Ok(Some(events.buf));
                         }
                         Ok(None) => continue,
-                        Err(e) => e.to_string(),
+                        Err(e) => Interruption::abandoned(e.to_string()),
                     }
                 }
                 Ok(None) => {
@@ -236,11 +271,14 @@
                         }
                         return Ok(None);
                     }
-                    "the stream ended within an event".to_owned()
+                    Interruption::broken("the stream ended within an event".to_owned())
+                }
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                    Interruption::abandoned(e.to_string())
                 }
-                Err(e) => e.to_string(),
+                Err(e) => Interruption::broken(e.to_string()),
             };
-            self.resume(detail).await?;
+            self.resume(interruption).await?;
         }
     }
 
@@ -287,18 +325,38 @@
     /// Records that the upstream has made progress.
     fn record_progress(&mut self) {
         let now = self.attempts.context.now();
-        if !std::mem::replace(&mut self.first_event_seen, true) {
+        self.progress += 1;
+        if self.progress == 1 {
             self.in_flight.record_first_event();
         } else {
             let pause = now.saturating_sub(self.last_event_at);
             self.longest_pause = self.longest_pause.max(pause);
         }
         self.last_event_at = now;
+        let elapsed = now.saturating_sub(self.head_at);
+        self.sound = self.sound || (self.progress >= SOUND_PROGRESS && elapsed >= SOUND_AFTER);
+    }
+
+    /// Records that the upstream ended the connection within its response, unless it aborted the response to
+    /// switch to other weights.
+    fn report_break(&self) {
+        let upstream = self.upstream.as_ref();
+        if let Some(upstream) = upstream.filter(|_| !self.in_flight.is_switching()) {
+            let broken = BrokenAttempt {
+                began: true,
+                sound: self.sound,
+            };
+            self.attempts.report_break(upstream, broken);
+        }
     }
 
     /// Resumes the stream at another upstream after the last complete event, if the request may run again.
-    async fn resume(&mut self, detail: String) -> Result<(), io::Error> {
+    async fn resume(&mut self, interruption: Interruption) -> Result<(), io::Error> {
         self.in_flight.set_outcome(AttemptOutcome::Failed);
+        if interruption.connection_broke {
+            self.report_break();
+        }
+        let detail = interruption.detail;
         let last_id = match &mut self.splitter {
             Some(splitter) => {
                 splitter.discard_incomplete();
@@ -339,8 +397,10 @@
         self.upstream = in_flight.upstream_record();
         self.response = *response;
         self.in_flight = in_flight;
-        self.first_event_seen = false;
-        self.last_event_at = self.attempts.context.now();
+        self.head_at = self.attempts.context.now();
+        self.last_event_at = self.head_at;
+        self.progress = 0;
+        self.sound = false;
         Ok(())
     }
 }
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -3,14 +3,25 @@
 use std::net::SocketAddr;
 
 use balsamjunction_directory::{Declaration, ReplicaPull, ReplicaUpdate, VerificationAge};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use strum::{Display, EnumIter};
+use strum::EnumIter;
 
 use crate::Crash;
 
+/// A part of a prompt, by the hash that callers state for it.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[display("{_0:x}")]
+#[serde(transparent)]
+pub struct PromptPart(pub u64);
+
 /// The role of a process in the cluster.
-#[derive(Clone, Copy, Debug, Display, EnumIter, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, strum::Display, EnumIter, PartialEq, Eq, Hash, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum ProcessRole {
