--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -93,9 +94,18 @@
     leaving: bool,
     retry_after: Option<SmolStr>,
     limit: Option<SmolStr>,
+    deadly_part: Option<SmolStr>,
+    crash_times: Vec<Instant>,
     arrival_times: Vec<Instant>,
 }
 
+impl State {
+    /// The start time that the engine reports, in milliseconds since the Unix epoch. Each crash changes it.
+    fn started_at_ms(&self) -> u64 {
+        FIRST_START_MS + self.crash_times.len() as u64
+    }
+}
+
 /// A running engine; clones share its state.
 #[derive(Clone)]
 pub struct Engine {
@@ -106,8 +116,8 @@
     state: Arc<Mutex<State>>,
 }
 
-/// The start time that every engine reports, in milliseconds since the Unix epoch.
-const START_TIME_MS: u64 = 1_700_000_000_000;
+/// The first start time that every engine reports, in milliseconds since the Unix epoch.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
 /// The name of the model that engines serve.
 const MODEL: &str = "m1";
 
@@ -173,6 +183,22 @@
         self.state().limit = limit.map(SmolStr::new);
     }
 
+    /// Makes the engine crash, which breaks all its streams, when it begins a stream whose prompt contains the part
+    /// `id`, unless that is the last part. It is back at once with a later start time.
+    pub fn set_deadly_part(&self, id: Option<&str>) {
+        self.state().deadly_part = id.map(SmolStr::new);
+    }
+
+    /// Crashes the engine, which breaks all its streams. It is back at once with a later start time.
+    pub fn crash(&self) {
+        self.state().crash_times.push(Instant::now());
+    }
+
+    /// When it crashed.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.state().crash_times.clone()
+    }
+
     /// Requests that were executed, in the order in which execution started.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -200,12 +226,17 @@
 
     /// Its entry in the platform's registry, with the given state.
     pub fn registry_entry(&self, state: &str) -> Value {
-        let version = self.state().version;
+        let (version, started_at_ms) = {
+            let state = self.state();
+            (state.version, state.started_at_ms())
+        };
         let options = EngineOptions {
             version,
             ..self.options.clone()
         };
-        options.registry_entry(self.address, state)
+        let mut entry = options.registry_entry(self.address, state);
+        entry["born"] = json!(started_at_ms);
+        entry
     }
 }
 
@@ -215,7 +246,7 @@
         let mut entry = json!({
             "service": self.service, "address": address.to_string(),
             "zone": self.data_centre, "version": "v1", "slots": 4, "state": state,
-            "coldRemainingMs": 0, "born": START_TIME_MS, "sequence": 1,
+            "coldRemainingMs": 0, "born": FIRST_START_MS, "sequence": 1,
         });
         if let Some(version) = self.version {
             entry["models"] = served_models(version);
@@ -240,11 +271,14 @@
 ) -> ResponseResult {
     let path = req.uri().path().to_owned();
     if path == "/report" {
-        let version = lock(state).version;
+        let (version, started_at_ms) = {
+            let state = lock(state);
+            (state.version, state.started_at_ms())
+        };
         let models = version.map_or(json!([]), served_models);
         let report = json!({
             "phase": "unified", "models": models, "busy": false, "sequence": 1, "queued": 0,
-            "active": 0, "kvUsed": 0, "kvTotal": 1, "sessions": 0, "born": START_TIME_MS, "pace": 1.0,
+            "active": 0, "kvUsed": 0, "kvTotal": 1, "sessions": 0, "born": started_at_ms, "pace": 1.0,
         });
         return Ok(build_response(200, report.to_string()));
     }
@@ -330,6 +364,7 @@
     let after: u32 = header(&req, "last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
+    let deadly = is_deadly(&lock(state), &req);
     let run = Run::read(id.clone(), req).await?;
     if streamed && !queue_wait.is_zero() {
         // When the connection closes, the server drops this future and with it the request.
@@ -343,7 +378,17 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         EngineFault::InternalError => build_response(500, "failed"),
-        _ if streamed => Response::new(event_stream(state.clone(), run, options, after, fault)),
+        _ if streamed => {
+            let stream = EventStream {
+                state: state.clone(),
+                run,
+                events: after + 1..=options.events,
+                pause: options.pause,
+                fault,
+                deadly,
+            };
+            Response::new(stream.into_body())
+        }
         _ => {
             actix_rt::time::sleep(options.pause).await;
             lock(state).runs[run].finished = true;
@@ -410,33 +455,62 @@
     state.runs.len() - 1
 }
 
-/// The events of a stream that follow the event `after`, each after a pause.
-fn event_stream(
+/// Whether a request's prompt contains the deadly part, other than as its last one.
+fn is_deadly(state: &State, req: &Request<Incoming>) -> bool {
+    let parts = header(req, "balsamjunction-prefix-hash").unwrap_or_default();
+    let Some((shared, _)) = parts.rsplit_once(',') else {
+        return false;
+    };
+    let ids = shared.split(',').filter_map(|part| part.split(':').next());
+    state
+        .deadly_part
+        .as_ref()
+        .is_some_and(|deadly| ids.into_iter().any(|id| id == deadly))
+}
+
+/// A stream of events, each sent after a pause.
+struct EventStream {
     state: Arc<Mutex<State>>,
+    /// Index of the run.
     run: usize,
-    options: &EngineOptions,
-    after: u32,
+    /// The numbers of the events.
+    events: RangeInclusive<u32>,
+    pause: Duration,
     fault: EngineFault,
-) -> Body {
-    let pause = options.pause;
-    let last = options.events;
-    let events = stream::iter(after + 1..=last).then(move |n| {
-        let state = state.clone();
-        async move {
-            actix_rt::time::sleep(pause).await;
-            if n == last {
-                lock(&state).runs[run].finished = true;
-            }
-            match fault {
-                EngineFault::TruncateAfter(complete) if n == complete + 1 => {
-                    Ok(Bytes::from(format!("id: {n}")))
+    /// Whether the engine crashes at the first event.
+    deadly: bool,
+}
+
+impl EventStream {
+    fn into_body(self) -> Body {
+        let crashes = lock(&self.state).crash_times.len();
+        let (first, last) = (*self.events.start(), *self.events.end());
+        let events = stream::iter(self.events).then(move |n| {
+            let state = self.state.clone();
+            async move {
+                actix_rt::time::sleep(self.pause).await;
+                let mut state = lock(&state);
+                if state.crash_times.len() != crashes {
+                    return Err(io::Error::from(io::ErrorKind::ConnectionReset));
                 }
-                EngineFault::TruncateAfter(complete) if n > complete => {
-                    Err(io::Error::from(io::ErrorKind::ConnectionReset))
+                if self.deadly && n == first {
+                    state.crash_times.push(Instant::now());
+                    return Err(io::Error::from(io::ErrorKind::ConnectionReset));
+                }
+                if n == last {
+                    state.runs[self.run].finished = true;
+                }
+                match self.fault {
+                    EngineFault::TruncateAfter(complete) if n == complete + 1 => {
+                        Ok(Bytes::from(format!("id: {n}")))
+                    }
+                    EngineFault::TruncateAfter(complete) if n > complete => {
+                        Err(io::Error::from(io::ErrorKind::ConnectionReset))
+                    }
+                    _ => Ok(Bytes::from(format!("id: {n}\ndata: word{n}\n\n"))),
                 }
-                _ => Ok(Bytes::from(format!("id: {n}\ndata: word{n}\n\n"))),
             }
-        }
-    });
-    streamed_body(events.boxed())
+        });
+        streamed_body(events.boxed())
+    }
 }
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -419,6 +419,19 @@
         self.generate_on("/draft/now", id).await
     }
 
+    /// Sends a generation request whose prompt has the given parts. No two requests with different ids are alike.
+    pub async fn generate_from_parts(&self, parts: &str, id: &str) -> Option<CallerResponse> {
+        let key = format!("Bearer {API_KEY}");
+        let headers = [
+            ("authorization", key.as_str()),
+            ("balsamjunction-model", "m1"),
+            ("balsamjunction-token-usage", "100,50"),
+            ("balsamjunction-prefix-hash", parts),
+        ];
+        let path = format!("/draft/{id}");
+        self.try_call_with("POST", &path, id, &headers).await.ok()
+    }
+
     /// Sends a generation request to `path`.
     pub async fn generate_on(&self, path: &str, id: &str) -> CallerResponse {
         let key = format!("Bearer {API_KEY}");
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of gateways and stagers, which run as real processes against stand-ins for the platform.
 
 mod common;
+mod deadly_parts;
 mod departures;
 mod explained;
 mod hostile;
