Refuse requests with a part of a prompt that crashes upstreams

Callers saw engine after engine crash, and sound requests refused for overload: requests with one part in their prompts crashed each engine that began to respond to them. The verdict that existed counts crashes of identical requests; no two of these are alike. Cause: evidence was kept per request, not per part.

Each gateway now records which parts were at an upstream when its connections broke, and to which parts upstreams responded without a crash. Gateways push both to each other and repeat them in exchanges, so each draws the same conclusion: the part that the crashes have in common and that no sound response contains. Crashes close to each other form one episode; a verdict waits until responses to other requests show that the upstreams work. One entry tests each verdict from time to time.

--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -165,6 +165,10 @@
             "The process had not verified its facts for {} ms, so it admitted no API key; it has not run.",
             answered.fields.get("belief_age_ms").and_then(Value::as_u64).unwrap_or_default(),
         ),
+        "prompt-crashes-upstreams" => format!(
+            "Upstreams crashed when they began to respond to requests with part {} of its prompt, so such requests are refused; it has not run.",
+            text_field(answered, "part"),
+        ),
         "crashes-upstreams" => "Upstreams that ran it crashed three times; it is not run again.".to_owned(),
         reason => format!("The process itself responded with status {status} because of {reason}, without forwarding it."),
     }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -138,6 +138,17 @@
         /// The parts of the request's prompt that other requests may share, as callers state them.
         parts: Vec<String>,
     },
+    /// Requests with a part of a prompt are refused from now on, or no longer.
+    PromptPart {
+        /// The part, as callers state it.
+        part: String,
+        /// Whether they are refused.
+        refused: bool,
+        /// Number of crashes that the part is refused for.
+        crashes: usize,
+        /// Free text: the reason.
+        detail: String,
+    },
     /// A response stated for the first time that its sender is leaving.
     UpstreamLeaves {
         /// Id of the request.
@@ -195,6 +206,9 @@
         /// Id of the upstream whose limit allows a request first, if limits are the reason.
         #[serde(skip_serializing_if = "Option::is_none")]
         limited: Option<SmolStr>,
+        /// The part of the prompt for which the request is refused, as callers state it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        part: Option<String>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -238,6 +252,7 @@
             Self::UpstreamBackoff { id, .. } | Self::UpstreamBroke { id, .. } => Some(id),
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
+            | Self::PromptPart { .. }
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
             | Self::VersionPublished { .. }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -100,6 +100,7 @@
                 arrived_at,
                 version: None,
                 limited: None,
+                refused_part: None,
                 at_most_once: rejection.at_most_once,
             };
             return response::build_local_response(&context, &response);
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -6,12 +6,14 @@
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_platform::headers;
 use balsamjunction_policy::{
+    crash_suspects::RefusedPart,
     dispatch::{
         AttemptOutcome, DispatchRefusal, RefusalReason, RequestRequirements, ServedVersion,
         UNREADABLE_LIMIT_PER_S,
     },
     Moment,
 };
+use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -104,6 +106,7 @@
             arrived_at: attempts.request.arrived_at,
             version: None,
             limited: failure.limited.as_ref(),
+            refused_part: failure.refused_part,
             at_most_once: attempts.request.runs_at_most_once(),
         },
     )
@@ -116,6 +119,8 @@
     retry_after: Option<Duration>,
     /// Id of the upstream whose limit allows a request first, if limits are the reason.
     limited: Option<SmolStr>,
+    /// The part of the prompt that crashes upstreams, if that is the reason.
+    refused_part: Option<PromptPart>,
 }
 
 impl RequestAttempts {
@@ -146,6 +151,7 @@
             reason: ResponseReason::TimedOut,
             retry_after: None,
             limited: None,
+            refused_part: None,
         }
     }
 
@@ -164,6 +170,13 @@
             {
                 return Err(self.build_failure(ResponseReason::CrashesUpstreams, RETRY_AFTER));
             }
+            let admitted = self
+                .context
+                .cluster_view
+                .admit_parts(&self.request.prompt_parts);
+            if let Err(refused) = admitted {
+                return Err(self.refused_part_failure(refused));
+            }
             if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
                 return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
             }
@@ -230,6 +243,14 @@
         }
     }
 
+    fn refused_part_failure(&self, refused: RefusedPart) -> Failure {
+        let retry_after = refused.retry_after.max(RETRY_AFTER);
+        Failure {
+            refused_part: Some(refused.part),
+            ..self.build_failure(ResponseReason::PromptCrashesUpstreams, retry_after)
+        }
+    }
+
     fn build_failure(&self, reason: ResponseReason, retry_after: Duration) -> Failure {
         if self.run_count == 0 {
             return not_run_failure(reason, retry_after);
@@ -239,6 +260,7 @@
             reason,
             retry_after: None,
             limited: None,
+            refused_part: None,
         }
     }
 
@@ -273,6 +295,12 @@
                 return AttemptResult::NotRun;
             }
         };
+        let parts = &self.request.prompt_parts;
+        if let Some(part) = self.context.cluster_view.refused_part(parts) {
+            let detail = format!("part {part} of the prompt turned out to crash upstreams");
+            self.log_failed_attempt(&upstream, "not-sent", detail);
+            return AttemptResult::NotRun;
+        }
         if !in_flight.may_be_sent(&self.requirements) {
             let detail =
                 "the upstream became unavailable or limited while the connection was opened"
@@ -609,5 +637,6 @@
         reason,
         retry_after: Some(retry_after),
         limited: None,
+        refused_part: None,
     }
 }
--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -43,6 +43,7 @@
 
     /// Records that the connection to an upstream broke under this request.
     pub fn report_break(&self, upstream: &UpstreamRecord, broken: BrokenAttempt) {
+        self.context.metrics.mesh.broken_connections.inc();
         let parts = self.request.prompt_parts.iter();
         self.context
             .cluster_view
@@ -54,5 +55,11 @@
                 sound: broken.sound,
                 parts: parts.map(ToString::to_string).collect(),
             });
+        if !broken.sound && !self.request.prompt_parts.is_empty() {
+            let upstream = (upstream.id.clone(), upstream.started_at_ms);
+            let parts = &self.request.prompt_parts;
+            let cluster_view = &self.context.cluster_view;
+            cluster_view.record_break(&upstream, parts, broken.began);
+        }
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -65,6 +65,7 @@
         clock,
         events.clone(),
         own_member_record(&settings, clock),
+        settings.contact_after,
     ));
     let client = balsamjunction_client::new_client(None);
     let context = Arc::new(GatewayContext::new(
@@ -99,6 +100,10 @@
         client.clone(),
     ));
     actix_rt::spawn(mesh::push_limits_loop(cluster_view.clone(), client.clone()));
+    actix_rt::spawn(mesh::push_crash_evidence_loop(
+        cluster_view.clone(),
+        client.clone(),
+    ));
     let seeds = Seeds::new(settings.mesh.seeds.clone());
     let host = settings.mesh.host.clone();
     actix_rt::spawn(reload_loop(
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -5,6 +5,7 @@
 use actix_web::{body::SizedStream, http::StatusCode, HttpResponse, HttpResponseBuilder};
 use balsamjunction_directory::{RouteKind, UpstreamRecord};
 use balsamjunction_policy::{dispatch::AttemptOutcome, Moment};
+use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use futures_util::{stream, Stream};
 use http_body_util::BodyExt;
@@ -96,6 +97,8 @@
     TimedOut,
     /// The request has crashed too many upstreams to run again.
     CrashesUpstreams,
+    /// A part of the request's prompt crashes upstreams.
+    PromptCrashesUpstreams,
     /// The response is an upstream's.
     Upstream,
 }
@@ -118,6 +121,8 @@
     pub version: Option<u64>,
     /// Id of the upstream whose limit allows a request first, if limits are the reason.
     pub limited: Option<&'a SmolStr>,
+    /// The part of the prompt for which the request is refused, if that is the reason.
+    pub refused_part: Option<PromptPart>,
     /// Whether the request must not run more than once.
     pub at_most_once: bool,
 }
@@ -143,6 +148,7 @@
         configuration: context.cluster_view.configuration_version(),
         version: response.version,
         limited: response.limited.cloned(),
+        part: response.refused_part.map(|part| part.to_string()),
         once: response.at_most_once,
     });
 }
@@ -265,6 +271,7 @@
                             .context
                             .cluster_view
                             .record_success(self.attempts.request.fingerprint);
+                        self.record_sound();
                         if self.splitter.is_some() {
                             let mesh = &self.attempts.context.metrics.mesh;
                             mesh.longest_pause.observe(self.longest_pause.as_secs_f64());
@@ -334,7 +341,21 @@
         }
         self.last_event_at = now;
         let elapsed = now.saturating_sub(self.head_at);
-        self.sound = self.sound || (self.progress >= SOUND_PROGRESS && elapsed >= SOUND_AFTER);
+        if self.progress >= SOUND_PROGRESS && elapsed >= SOUND_AFTER {
+            self.record_sound();
+        }
+    }
+
+    /// Records once that the request does not crash its upstream, if it is known by a successful response.
+    fn record_sound(&mut self) {
+        if self.sound || !self.response.inner.status().is_success() {
+            return;
+        }
+        self.sound = true;
+        let parts = &self.attempts.request.prompt_parts;
+        if !parts.is_empty() {
+            self.attempts.context.cluster_view.record_sound(parts);
+        }
     }
 
     /// Records that the upstream ended the connection within its response, unless it aborted the response to
@@ -429,6 +450,7 @@
             arrived_at: relay.attempts.request.arrived_at,
             version: relay.response.version(),
             limited: None,
+            refused_part: None,
             at_most_once: relay.attempts.request.runs_at_most_once(),
         },
     );
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -10,6 +10,7 @@
 };
 use balsamjunction_policy::{
     crash::CrashList,
+    crash_suspects::CrashSuspects,
     membership::Membership,
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
@@ -41,6 +42,8 @@
     directory: Mutex<Arc<Directory>>,
     members: Mutex<Membership>,
     crashes: Mutex<CrashList>,
+    pub(super) suspects: Mutex<CrashSuspects>,
+    pub(super) crash_push_needed: Notify,
     limits: Mutex<StatedLimits>,
     limit_changes: watch::Sender<u64>,
     limit_push_needed: Notify,
@@ -50,8 +53,17 @@
 
 impl ClusterView {
     /// Creates a view without facts, whose only member is this process.
-    pub fn new(clock: Clock, events: Arc<EventLog>, own: MemberRecord) -> Self {
+    ///
+    /// `contact_after` is the time after which a process must act on what the others know.
+    pub fn new(
+        clock: Clock,
+        events: Arc<EventLog>,
+        own: MemberRecord,
+        contact_after: Duration,
+    ) -> Self {
         Self {
+            suspects: Mutex::new(CrashSuspects::new(contact_after / 2)),
+            crash_push_needed: Notify::new(),
             clock,
             events,
             replica: Mutex::default(),
@@ -350,6 +362,7 @@
             let gauge = metrics.weights.get_or_create(&StateLabels { state });
             gauge.set(target.version as i64);
         }
+        metrics.refused_parts.set(self.refused_part_count() as i64);
         let own = self.with_members(|members, _| members.own().engine.clone());
         if let Some((model, version)) = own.and_then(|engine| engine.serving) {
             let state = format!("serving-{model}");
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -9,7 +9,10 @@
 };
 use balsamjunction_protocol::{
     header,
-    mesh::{ChangeNotification, CrashNotification, LimitNotification, SyncRequest, SyncResponse},
+    mesh::{
+        ChangeNotification, CrashEvidenceNotification, CrashNotification, LimitNotification,
+        SyncRequest, SyncResponse,
+    },
     paths,
 };
 
@@ -27,6 +30,10 @@
         .route(paths::SYNC, web::post().to(handle_sync))
         .route(paths::CHANGES, web::post().to(handle_changes))
         .route(paths::MESH_CRASHES, web::post().to(handle_crashes))
+        .route(
+            paths::MESH_CRASH_EVIDENCE,
+            web::post().to(handle_crash_evidence),
+        )
         .route(paths::MESH_LIMITS, web::post().to(handle_limits))
         .route(paths::METRICS, web::get().to(serve_current_metrics))
         .route(paths::LIVE, web::get().to(HttpResponse::Ok));
@@ -87,6 +94,9 @@
         same_members,
         verification: cluster_view.verification_age(),
         limits: limits.unwrap_or_default(),
+        crash_evidence: request
+            .crash_digest
+            .and_then(|digest| cluster_view.crash_evidence_unless(digest)),
         update: pull.and_then(|pull| cluster_view.update_for(pull)),
         weights: request
             .include_weights
@@ -115,6 +125,16 @@
     message_response(&EmptyResponse {})
 }
 
+async fn handle_crash_evidence(
+    cluster_view: Data<ClusterView>,
+    body: Bytes,
+) -> Result<HttpResponse, InnerError> {
+    let notification: CrashEvidenceNotification = header::from_bytes(&body)?;
+    check_protocol_version(notification.v)?;
+    cluster_view.merge_crash_evidence(cluster_view.clock.now(), &notification.evidence);
+    message_response(&EmptyResponse {})
+}
+
 async fn handle_limits(
     cluster_view: Data<ClusterView>,
     body: Bytes,
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 //! Processes discover each other through seeds. See docs/DESIGN.md, "Cluster view".
 
 mod cluster_view;
+mod crash_evidence;
 pub mod http;
 mod peers;
 mod reader;
@@ -16,8 +17,8 @@
 pub use self::{
     cluster_view::ClusterView,
     peers::{
-        exchange_loop, exchange_once, notify_crashes, push_limits_loop, push_target_versions,
-        refresh_facts_loop, ExchangePurpose,
+        exchange_loop, exchange_once, notify_crashes, push_crash_evidence_loop, push_limits_loop,
+        push_target_versions, refresh_facts_loop, ExchangePurpose,
     },
     reader::read_store_loop,
 };
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -6,8 +6,8 @@
 use balsamjunction_directory::ReplicaPull;
 use balsamjunction_protocol::{
     mesh::{
-        ChangeNotification, CrashNotification, LimitNotification, ProcessRole, SyncRequest,
-        SyncResponse,
+        ChangeNotification, CrashEvidenceNotification, CrashNotification, LimitNotification,
+        ProcessRole, SyncRequest, SyncResponse,
     },
     paths, Crash, PROTOCOL_VERSION,
 };
@@ -30,6 +30,10 @@
 const PULL_FACTS_AFTER: Duration = Duration::from_millis(400);
 /// Shortest interval between pushes of limits, which bounds their number while limits change often.
 const LIMIT_PUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval between pushes of crashes in a fleet of up to [`CRASH_PUSH_FLEET`] entries.
+const CRASH_PUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of entries above which crashes are pushed less often.
+const CRASH_PUSH_FLEET: f64 = 64.0;
 /// Time limit of a call to a peer; one that does not respond in this time is skipped.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -135,6 +139,8 @@
     purpose: ExchangePurpose,
 ) -> Result<SyncResponse, PeerError> {
     let include_weights = matches!(purpose, ExchangePurpose::Weights);
+    let crash_digest =
+        matches!(purpose, ExchangePurpose::Views(_)).then(|| cluster_view.crash_digest());
     let request = cluster_view.with_members(|members, now| SyncRequest {
         v: PROTOCOL_VERSION,
         members: vec![members.own().clone()],
@@ -149,6 +155,7 @@
             ExchangePurpose::Weights | ExchangePurpose::Members => None,
         },
         limits: matches!(purpose, ExchangePurpose::Views(_)).then(|| cluster_view.limit_reports()),
+        crash_digest,
         include_weights,
     });
     let queried_at = cluster_view.clock.now();
@@ -164,6 +171,9 @@
         }
     });
     cluster_view.merge_limits(&response.limits);
+    if let Some(evidence) = response.crash_evidence.take() {
+        cluster_view.merge_crash_evidence(queried_at, &evidence);
+    }
     if matches!(purpose, ExchangePurpose::Views(_)) && !response.unknown_keys.is_empty() {
         send_members(cluster_view, client, address, &response.unknown_keys).await?;
     }
@@ -188,6 +198,7 @@
         live_members: None,
         pull: None,
         limits: None,
+        crash_digest: None,
         include_weights: false,
     });
     let _: SyncResponse =
@@ -262,6 +273,28 @@
     }
 }
 
+/// Pushes what this process observes of crashes to all other entries, since they must refuse what crashes upstreams
+/// before they have seen it themselves.
+///
+/// Entries that miss a push learn of it by an exchange.
+pub async fn push_crash_evidence_loop(cluster_view: Arc<ClusterView>, client: Client) {
+    loop {
+        let message = CrashEvidenceNotification {
+            v: PROTOCOL_VERSION,
+            evidence: cluster_view.next_crash_news().await,
+        };
+        send_to_entries(&cluster_view, &client, paths::MESH_CRASH_EVIDENCE, &message).await;
+        let entries = cluster_view.with_members(|m, now| m.share_count(now, ProcessRole::Entry));
+        actix_rt::time::sleep(crash_push_interval(entries)).await;
+    }
+}
+
+/// Shortest interval between pushes of crashes of one entry, so that the messages that an entry receives have a bound
+/// whatever the number of entries.
+fn crash_push_interval(entries: usize) -> Duration {
+    CRASH_PUSH_INTERVAL.mul_f64((entries as f64 / CRASH_PUSH_FLEET).max(1.0))
+}
+
 /// Notifies the sidecars of the own data centre whenever the target versions change.
 pub async fn push_target_versions(cluster_view: Arc<ClusterView>, client: Client) {
     let mut changes = cluster_view.subscribe();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -77,6 +77,10 @@
     pub backoff_responses: Counter,
     /// Responses that stated a limit of their sender (`Server-Limit`).
     pub limit_responses: Counter,
+    /// Parts of prompts for which requests are refused, since they crash upstreams.
+    pub refused_parts: Gauge,
+    /// Connections of upstreams that broke under a request.
+    pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
     pub limit_detours: Counter,
 }
@@ -101,6 +105,8 @@
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
             limit_responses: Counter::default(),
+            refused_parts: Gauge::default(),
+            broken_connections: Counter::default(),
             limit_detours: Counter::default(),
         };
         let m = &metrics;
@@ -133,6 +139,10 @@
         r.register("rests", rests, m.backoff_responses.clone());
         let limits = "Responses that stated a limit of their upstream";
         r.register("limit_responses", limits, m.limit_responses.clone());
+        let refused = "Parts of prompts that are refused, since they crash upstreams";
+        r.register("refused_prompt_parts", refused, m.refused_parts.clone());
+        let broken = "Connections of upstreams that broke under a request";
+        r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
         r.register("limit_detours", detours, m.limit_detours.clone());
         metrics
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -47,7 +47,7 @@
     let events = Arc::new(EventLog::start(clock));
     let metrics = Arc::new(Metrics::for_mesh());
     let own = build_member_record(&settings, clock);
-    let cluster_view = Arc::new(ClusterView::new(clock, events.clone(), own));
+    let cluster_view = Arc::new(ClusterView::new(clock, events.clone(), own, Duration::ZERO));
     let chunk_cache = Arc::new(ChunkCache::default());
     let client = balsamjunction_client::new_client(None);
     events.emit(&Event::Process {
--- /dev/null
+++ b/crates/policy/src/crash_suspects/mod.rs
@@ -0,0 +1,295 @@
+//! Detection of parts of prompts that crash every upstream which begins to respond to them.
+//!
+//! Each entry observes which parts were at an upstream when its connections broke, and which parts an upstream
+//! responded to without a crash. Entries exchange these observations, and each draws the same conclusions from
+//! them: the part that most of the crashes have in common, and that no sound response contains, is refused. See
+//! docs/ROUTING.md, "Requests that crash upstreams".
+
+mod evidence;
+mod verdict;
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use balsamjunction_protocol::mesh::PromptPart;
+
+pub use self::verdict::{Confidence, VerdictChange};
+use self::verdict::{Retest, Verdict};
+use crate::{stated_limits::UpstreamId, Moment};
+
+/// Most crashes that are remembered. Those that support no verdict are dropped first, the oldest first.
+const MAX_CRASHES: usize = 256;
+/// Most parts that are remembered of one crash.
+const MAX_SIGHTINGS: usize = 64;
+/// Most parts that are remembered of one request.
+const MAX_PARTS: usize = 32;
+/// Most parts that are known to be sound; the half that was observed longest ago is dropped when there are more.
+const MAX_SOUND: usize = 4_096;
+/// Time for which crashes and sound parts are remembered. Crashes of a refused part are remembered for as long
+/// as requests with it keep coming.
+const RETENTION: Moment = Moment::from_secs(600);
+/// Number of the latest sound responses whose time is remembered.
+const RECENT_SOUND_RESPONSES: usize = 10;
+
+/// When a part was at an upstream whose connections broke.
+#[derive(Clone, Copy, Debug)]
+struct Sighting {
+    position: u16,
+    began: bool,
+    at: Moment,
+}
+
+/// The parts that were at one incarnation of an upstream.
+#[derive(Debug, Default)]
+struct Crash {
+    sightings: HashMap<PromptPart, Sighting>,
+}
+
+impl Crash {
+    fn latest(&self) -> Moment {
+        let times = self.sightings.values().map(|sighting| sighting.at);
+        times.max().unwrap_or_default()
+    }
+}
+
+/// A part to which an upstream responded without a crash.
+#[derive(Clone, Copy, Debug)]
+struct Sound {
+    /// When the latest such response was known to be sound.
+    at: Moment,
+    /// The latest such time that was sent to the other entries or received from one.
+    shared_at: Option<Moment>,
+}
+
+/// Observations that the other entries have not been told yet.
+#[derive(Debug, Default)]
+struct Outbox {
+    sightings: HashSet<(UpstreamId, PromptPart)>,
+    sound: HashSet<PromptPart>,
+}
+
+/// The parts of prompts that are suspected of crashing upstreams.
+#[derive(Debug)]
+pub struct CrashSuspects {
+    /// Time after the last necessary crash within which a part must be refused even if no response shows that
+    /// the upstreams work otherwise.
+    decide_within: Moment,
+    crashes: HashMap<UpstreamId, Crash>,
+    sound: HashMap<PromptPart, Sound>,
+    sound_responses: VecDeque<Moment>,
+    verdicts: HashMap<PromptPart, Verdict>,
+    retests: HashMap<PromptPart, Retest>,
+    changes: Vec<VerdictChange>,
+    outbox: Outbox,
+    /// When the verdicts must be drawn again; absent if only a new observation can change them.
+    evaluate_at: Option<Moment>,
+}
+
+/// A refusal of a request because of a part of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Time after which the verdict may have changed.
+    pub retry_after: Moment,
+}
+
+impl CrashSuspects {
+    /// Creates a list without observations.
+    ///
+    /// `decide_within` is the time within which a part must be refused after the last necessary crash.
+    pub fn new(decide_within: Moment) -> Self {
+        Self {
+            decide_within,
+            crashes: HashMap::new(),
+            sound: HashMap::new(),
+            sound_responses: VecDeque::new(),
+            verdicts: HashMap::new(),
+            retests: HashMap::new(),
+            changes: Vec::new(),
+            outbox: Outbox::default(),
+            evaluate_at: None,
+        }
+    }
+
+    /// Records that the connection to an upstream broke under a request before the response showed the request
+    /// to be sound.
+    ///
+    /// `parts` are the shared parts of the request's prompt in order, and `began` tells whether the head of the
+    /// response had been received.
+    pub fn record_break(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        parts: &[PromptPart],
+        began: bool,
+    ) {
+        let positions = (0..=u16::MAX).zip(parts);
+        let (known, unknown): (Vec<_>, Vec<_>) =
+            positions.partition(|(_, part)| self.sound.contains_key(part));
+        // A part that is known to be sound is the least likely cause.
+        for (position, part) in unknown.into_iter().chain(known).take(MAX_PARTS) {
+            let sighting = Sighting {
+                position,
+                began,
+                at: now,
+            };
+            if self.add_sighting(upstream, *part, sighting) {
+                self.outbox.sightings.insert((upstream.clone(), *part));
+            }
+        }
+        self.trim_crashes(now);
+        self.evaluate(now);
+    }
+
+    /// Adds a sighting; returns whether it adds anything to what is known.
+    fn add_sighting(
+        &mut self,
+        upstream: &UpstreamId,
+        part: PromptPart,
+        sighting: Sighting,
+    ) -> bool {
+        let crash = self.crashes.entry(upstream.clone()).or_default();
+        let full = crash.sightings.len() >= MAX_SIGHTINGS;
+        let added = match crash.sightings.get_mut(&part) {
+            Some(known) => {
+                let stronger = sighting.began && !known.began;
+                known.began |= sighting.began;
+                stronger
+            }
+            None if full => false,
+            None => {
+                crash.sightings.insert(part, sighting);
+                true
+            }
+        };
+        if let Some(retest) = self.retests.get_mut(&part).filter(|_| added) {
+            retest.postpone(sighting.at);
+        }
+        let unshared = |sound: &Sound| sound.shared_at.is_none();
+        if added && self.sound.get(&part).is_some_and(unshared) {
+            self.outbox.sound.insert(part);
+        }
+        added
+    }
+
+    /// Records that an upstream responded to a request without a crash.
+    pub fn record_sound(&mut self, now: Moment, parts: &[PromptPart]) {
+        self.note_sound_response(now);
+        for part in parts.iter().take(MAX_PARTS) {
+            let shared_at = self.sound.get(part).and_then(|sound| sound.shared_at);
+            self.sound.insert(*part, Sound { at: now, shared_at });
+            let mut sightings = self.crashes.values().filter_map(|c| c.sightings.get(part));
+            if sightings.any(|sighting| shared_at.is_none_or(|shared| sighting.at >= shared)) {
+                self.outbox.sound.insert(*part);
+                self.evaluate_at = Some(now);
+            }
+        }
+        self.trim_sound(now);
+        self.evaluate_if_due(now);
+    }
+
+    fn note_sound_response(&mut self, at: Moment) {
+        self.sound_responses.push_back(at);
+        if self.sound_responses.len() > RECENT_SOUND_RESPONSES {
+            self.sound_responses.pop_front();
+        }
+    }
+
+    fn trim_sound(&mut self, now: Moment) {
+        if self.sound.len() <= MAX_SOUND {
+            return;
+        }
+        let mut times: Vec<Moment> = self.sound.values().map(|sound| sound.at).collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_SOUND / 2);
+        let oldest = (*median).max(now.saturating_sub(RETENTION));
+        self.sound.retain(|_, sound| sound.at > oldest);
+    }
+
+    /// Drops crashes that are too old or too many.
+    fn trim_crashes(&mut self, now: Moment) {
+        let oldest = now.saturating_sub(RETENTION);
+        let verdicts = &self.verdicts;
+        let supports = |crash: &Crash| {
+            let mut parts = crash.sightings.keys();
+            parts.any(|part| verdicts.get(part).is_some_and(|v| v.refused_at >= oldest))
+        };
+        self.crashes
+            .retain(|_, crash| crash.latest() >= oldest || supports(crash));
+        while self.crashes.len() > MAX_CRASHES {
+            let by_use = |(_, crash): &(&UpstreamId, &Crash)| (supports(crash), crash.latest());
+            let least = self.crashes.iter().min_by_key(by_use);
+            let Some(least) = least.map(|(upstream, _)| upstream.clone()) else {
+                return;
+            };
+            self.crashes.remove(&least);
+        }
+    }
+
+    /// Whether a request may be sent to an upstream, given the shared parts of its prompt.
+    ///
+    /// Every refused part is tried again from time to time, by one request of one entry, so that a wrong verdict
+    /// ends: `is_tester` tells whether this entry is the one for a part.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refused part if there is one.
+    pub fn admit(
+        &mut self,
+        now: Moment,
+        parts: &[PromptPart],
+        is_tester: impl Fn(PromptPart) -> bool,
+    ) -> Result<(), RefusedPart> {
+        if self.crashes.is_empty() {
+            return Ok(());
+        }
+        self.evaluate_if_due(now);
+        let refused: Vec<PromptPart> = parts
+            .iter()
+            .copied()
+            .filter(|part| self.verdicts.contains_key(part))
+            .collect();
+        for part in &refused {
+            if let Some(verdict) = self.verdicts.get_mut(part) {
+                verdict.refused_at = now;
+            }
+        }
+        let Some(part) = refused.first().copied() else {
+            return Ok(());
+        };
+        let due = |part: &PromptPart| self.retests.get(part).is_some_and(|r| r.due_at <= now);
+        // A request with two refused parts tells nothing about either of them.
+        if refused.len() == 1 && due(&part) && is_tester(part) {
+            if let Some(retest) = self.retests.get_mut(&part) {
+                retest.start(now);
+            }
+            return Ok(());
+        }
+        let due_at = self.retests.get(&part).map_or(now, |retest| retest.due_at);
+        Err(RefusedPart {
+            part,
+            retry_after: due_at.saturating_sub(now),
+        })
+    }
+
+    /// Whether a request that [`Self::admit`] admitted may still be sent: none of its parts is refused, or it is
+    /// the one that tests the verdict.
+    pub fn is_refused(&mut self, now: Moment, parts: &[PromptPart]) -> Option<PromptPart> {
+        self.evaluate_if_due(now);
+        let mut refused = parts.iter().copied();
+        refused.find(|part| {
+            let under_test = |retest: &Retest| retest.is_running(now);
+            self.verdicts.contains_key(part) && !self.retests.get(part).is_some_and(under_test)
+        })
+    }
+
+    /// Number of refused parts.
+    pub fn refused_count(&mut self, now: Moment) -> usize {
+        self.evaluate_if_due(now);
+        self.verdicts.len()
+    }
+
+    /// Returns the verdicts that were reached or withdrawn since the last call.
+    pub fn take_changes(&mut self) -> Vec<VerdictChange> {
+        std::mem::take(&mut self.changes)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/crash_suspects/verdict.rs
@@ -0,0 +1,321 @@
+//! Draws the conclusion which parts of prompts crash upstreams from the observations.
+
+use std::collections::{HashMap, HashSet};
+
+use balsamjunction_protocol::mesh::PromptPart;
+
+use super::{CrashSuspects, RETENTION};
+use crate::{stated_limits::UpstreamId, Moment};
+
+/// Weight of a crash while the upstream had begun to respond to a request with the part.
+const BEGAN_WEIGHT: u32 = 5;
+/// Weight of a crash while a request with the part was at the upstream without a response. It may have waited
+/// there, but an upstream that crashes may also lose the beginning of its response.
+const WAITING_WEIGHT: u32 = 3;
+/// Crashes that are closer to each other than this may have one common cause, such as the loss of a data centre, and
+/// form one episode.
+const EPISODE: Moment = Moment::from_millis(150);
+/// Weight of separate episodes that suffices for a verdict: three, or five if no response began.
+const ENOUGH_EPISODES: u32 = 3 * BEGAN_WEIGHT;
+/// Weight of all crashes that suffices for a verdict, however close to each other.
+const ENOUGH_CRASHES: u32 = 5 * BEGAN_WEIGHT;
+/// Time from enough episodes to the verdict, in which other entries may report that the part is sound.
+const EPISODES_GRACE: Moment = Moment::from_millis(300);
+/// The same if only the number of crashes is enough, or if the part was sound before.
+const CRASHES_GRACE: Moment = Moment::from_millis(1_000);
+/// Sound responses to other requests that show that the upstreams work, so that the absence of one with the
+/// part is significant.
+const SOUND_OTHERS: usize = 3;
+/// The same for a part that was sound before.
+const SOUND_OTHERS_OF_KNOWN: usize = 10;
+/// Interval at which the verdict on a part is drawn again while sound responses are missing.
+const RECHECK_INTERVAL: Moment = Moment::from_millis(50);
+/// Time until the first test of a verdict that responses to other requests support. It grows with each test.
+const FIRM_RETEST_AFTER: Moment = Moment::from_secs(60);
+/// The same for a verdict that no response to another request supports.
+const TENTATIVE_RETEST_AFTER: Moment = Moment::from_secs(3);
+/// Factor by which the time until the next test grows.
+const RETEST_GROWTH: u32 = 4;
+/// Time that a test takes at most.
+const RETEST_DURATION: Moment = Moment::from_secs(5);
+
+/// How well a verdict is supported.
+#[derive(Clone, Copy, Debug, strum::Display, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Confidence {
+    /// Upstreams responded to other requests meanwhile.
+    Firm,
+    /// No response of any upstream shows that other requests do not crash it, too.
+    Tentative,
+}
+
+/// The verdict that a part crashes upstreams.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Verdict {
+    pub confidence: Confidence,
+    /// When a request was last refused because of it.
+    pub refused_at: Moment,
+}
+
+/// A verdict that was reached, or withdrawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VerdictChange {
+    /// The part.
+    pub part: PromptPart,
+    /// How well the verdict is supported; absent if it was withdrawn.
+    pub confidence: Option<Confidence>,
+    /// Number of crashes of different upstreams that support it.
+    pub crashes: usize,
+}
+
+/// The schedule of the tests of a verdict.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Retest {
+    pub due_at: Moment,
+    interval: Moment,
+    started_at: Option<Moment>,
+}
+
+impl Retest {
+    fn new(now: Moment, confidence: Confidence) -> Self {
+        let interval = match confidence {
+            Confidence::Firm => FIRM_RETEST_AFTER,
+            Confidence::Tentative => TENTATIVE_RETEST_AFTER,
+        };
+        Self {
+            due_at: now + interval,
+            interval,
+            started_at: None,
+        }
+    }
+
+    /// Starts a test. It is repeated soon unless the part crashes an upstream or turns out to be sound.
+    pub fn start(&mut self, now: Moment) {
+        self.started_at = Some(now);
+        self.due_at = now + RETEST_DURATION;
+    }
+
+    /// Postpones the next test after a further crash, and makes tests rarer if that was a test's.
+    pub fn postpone(&mut self, now: Moment) {
+        if self.started_at.take().is_some() {
+            self.interval = self.interval.saturating_mul(RETEST_GROWTH).min(RETENTION);
+        }
+        self.due_at = self.due_at.max(now + self.interval);
+    }
+
+    pub fn is_running(&self, now: Moment) -> bool {
+        let running = |started: Moment| now.saturating_sub(started) < RETEST_DURATION;
+        self.started_at.is_some_and(running)
+    }
+}
+
+/// The crashes that a part may have caused.
+#[derive(Debug, Default)]
+struct Score {
+    /// The crashes by time, with their weights.
+    crashes: Vec<(Moment, u32)>,
+    position: u16,
+}
+
+impl Score {
+    fn weight(&self) -> u32 {
+        self.crashes.iter().map(|(_, weight)| weight).sum()
+    }
+
+    /// When the crashes sufficed for a verdict, and the time that must pass from then on.
+    fn reached_at(&mut self, was_sound: bool) -> Option<(Moment, Moment)> {
+        self.crashes.sort();
+        let (mut all, mut episodes) = (0, 0);
+        let mut episode: Option<(Moment, u32)> = None;
+        for (at, weight) in &self.crashes {
+            all += weight;
+            match &mut episode {
+                Some((start, counted)) if *at < *start + EPISODE => {
+                    episodes += weight.saturating_sub(*counted);
+                    *counted = (*counted).max(*weight);
+                }
+                _ => {
+                    episodes += weight;
+                    episode = Some((*at, *weight));
+                }
+            }
+            if !was_sound && episodes >= ENOUGH_EPISODES {
+                return Some((*at, EPISODES_GRACE));
+            }
+            if all >= ENOUGH_CRASHES {
+                return Some((*at, CRASHES_GRACE));
+            }
+        }
+        None
+    }
+}
+
+/// A part whose crashes suffice for a verdict, unless responses contradict it.
+struct Candidate {
+    part: PromptPart,
+    was_sound: bool,
+    weight: u32,
+    position: u16,
+    crashes: usize,
+    reached_at: Moment,
+    grace: Moment,
+}
+
+/// The conclusion on a candidate.
+enum Conclusion {
+    Refuse(Confidence),
+    /// It may be drawn at this time.
+    Wait(Moment),
+}
+
+impl CrashSuspects {
+    pub(super) fn evaluate_if_due(&mut self, now: Moment) {
+        if self.evaluate_at.is_some_and(|at| at <= now) {
+            self.evaluate(now);
+        }
+    }
+
+    /// Draws all verdicts again.
+    ///
+    /// Each crash has one cause, so the crashes of a part that is refused, or is about to be, count for no
+    /// other part. Parts that are refused already come first: later crashes of other causes must not acquit them.
+    pub(super) fn evaluate(&mut self, now: Moment) {
+        self.evaluate_at = None;
+        let mut explained: HashSet<UpstreamId> = HashSet::new();
+        let mut next = HashMap::new();
+        loop {
+            let mut candidates = self.candidates(&explained);
+            candidates.retain(|candidate| !next.contains_key(&candidate.part));
+            let Some(candidate) = self.likeliest(&candidates) else {
+                break;
+            };
+            let conclusion = match self.verdicts.get(&candidate.part) {
+                // While requests with the part are refused, the absence of responses to them proves nothing.
+                Some(verdict) => Conclusion::Refuse(verdict.confidence),
+                None => self.conclude(now, candidate),
+            };
+            match conclusion {
+                Conclusion::Refuse(confidence) => {
+                    next.insert(candidate.part, (confidence, candidate.crashes));
+                }
+                Conclusion::Wait(at) => {
+                    let at = self.evaluate_at.map_or(at, |other| other.min(at));
+                    self.evaluate_at = Some(at);
+                }
+            }
+            let part = candidate.part;
+            let crashes = self.crashes.iter().filter(|(_, crash)| {
+                let sighting = crash.sightings.get(&part);
+                sighting.is_some_and(|s| self.is_unrefuted(part, s.at))
+            });
+            explained.extend(crashes.map(|(upstream, _)| upstream.clone()));
+        }
+        self.set_verdicts(now, &next);
+    }
+
+    /// Whether no sound response with the part is known from after a crash.
+    pub(super) fn is_unrefuted(&self, part: PromptPart, crashed_at: Moment) -> bool {
+        self.sound
+            .get(&part)
+            .is_none_or(|sound| sound.at < crashed_at)
+    }
+
+    fn candidates(&self, explained: &HashSet<UpstreamId>) -> Vec<Candidate> {
+        let mut scores: HashMap<PromptPart, Score> = HashMap::new();
+        for (upstream, crash) in &self.crashes {
+            if explained.contains(upstream) {
+                continue;
+            }
+            for (part, sighting) in &crash.sightings {
+                if !self.is_unrefuted(*part, sighting.at) {
+                    continue;
+                }
+                let weight = match sighting.began {
+                    true => BEGAN_WEIGHT,
+                    false => WAITING_WEIGHT,
+                };
+                let score = scores.entry(*part).or_default();
+                score.crashes.push((sighting.at, weight));
+                score.position = score.position.max(sighting.position);
+            }
+        }
+        let candidates = scores.into_iter().filter_map(|(part, mut score)| {
+            let was_sound = self.sound.contains_key(&part);
+            let (reached_at, grace) = score.reached_at(was_sound)?;
+            Some(Candidate {
+                part,
+                was_sound,
+                weight: score.weight(),
+                position: score.position,
+                crashes: score.crashes.len(),
+                reached_at,
+                grace,
+            })
+        });
+        candidates.collect()
+    }
+
+    /// Selects the part that explains the crashes best.
+    ///
+    /// A part that was never sound goes before others. Among parts that explain nearly as many crashes, the one
+    /// furthest back in the prompt goes first, since the fewest requests share it: if it is not the cause, a further
+    /// crash without it shows that.
+    fn likeliest<'c>(&self, candidates: &'c [Candidate]) -> Option<&'c Candidate> {
+        let rank = |c: &Candidate| (self.verdicts.contains_key(&c.part), !c.was_sound);
+        let best = candidates.iter().max_by_key(|c| (rank(c), c.weight))?;
+        let nearly = candidates
+            .iter()
+            .filter(|c| rank(c) == rank(best) && 3 * c.weight >= 2 * best.weight);
+        nearly.max_by_key(|c| (c.position, c.weight, c.part))
+    }
+
+    fn conclude(&self, now: Moment, candidate: &Candidate) -> Conclusion {
+        let earliest = candidate.reached_at + candidate.grace;
+        if now < earliest {
+            return Conclusion::Wait(earliest);
+        }
+        let since = self.sound_responses.iter();
+        let others = since.filter(|at| **at > candidate.reached_at).count();
+        let needed = match candidate.was_sound {
+            true => SOUND_OTHERS_OF_KNOWN,
+            false => SOUND_OTHERS,
+        };
+        if others >= needed {
+            return Conclusion::Refuse(Confidence::Firm);
+        }
+        let latest = candidate.reached_at + self.decide_within;
+        let numerous = candidate.weight >= ENOUGH_CRASHES;
+        if numerous && !candidate.was_sound && now >= latest {
+            return Conclusion::Refuse(Confidence::Tentative);
+        }
+        Conclusion::Wait(now + RECHECK_INTERVAL)
+    }
+
+    fn set_verdicts(&mut self, now: Moment, next: &HashMap<PromptPart, (Confidence, usize)>) {
+        let withdrawn = self.verdicts.extract_if(|part, _| !next.contains_key(part));
+        let withdrawn = withdrawn.map(|(part, _)| VerdictChange {
+            part,
+            confidence: None,
+            crashes: 0,
+        });
+        self.changes.extend(withdrawn);
+        for (part, (confidence, crashes)) in next {
+            if self.verdicts.contains_key(part) {
+                continue;
+            }
+            let verdict = Verdict {
+                confidence: *confidence,
+                refused_at: now,
+            };
+            self.verdicts.insert(*part, verdict);
+            self.retests.insert(*part, Retest::new(now, *confidence));
+            self.changes.push(VerdictChange {
+                part: *part,
+                confidence: Some(*confidence),
+                crashes: *crashes,
+            });
+        }
+        let verdicts = &self.verdicts;
+        self.retests.retain(|part, _| verdicts.contains_key(part));
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! exercise the same code that the daemon runs. See docs/DESIGN.md, "Decisions".
 
 pub mod crash;
+pub mod crash_suspects;
 pub mod declaration;
 pub mod dispatch;
 pub mod dissemination;
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -111,6 +111,9 @@
     /// Limits of upstreams that the sender knows. Present if the sender wants those of the peer in return.
     #[serde(default)]
     pub limits: Option<Vec<LimitReport>>,
+    /// Digest of the sender's observations of crashes. Present if the sender wants those of the peer.
+    #[serde(default)]
+    pub crash_digest: Option<u64>,
     /// Whether the response is to contain a [`WeightsUpdate`].
     #[serde(rename = "weights", default)]
     pub include_weights: bool,
@@ -139,6 +142,9 @@
     /// Limits of upstreams that the peer knows, if the request has `limits`.
     #[serde(default)]
     pub limits: Vec<LimitReport>,
+    /// Observations of crashes, if the request has a digest that differs from the peer's.
+    #[serde(default)]
+    pub crash_evidence: Option<CrashEvidence>,
     /// Facts for sidecars, if they were requested and the peer has them.
     #[serde(default)]
     pub weights: Option<WeightsUpdate>,
@@ -216,6 +222,57 @@
     pub limits: Vec<LimitReport>,
 }
 
+/// A part of a prompt that was at an upstream when the upstream's connections broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The part.
+    pub part: PromptPart,
+    /// Number of parts before it in the prompt.
+    pub position: u16,
+    /// Whether the upstream had begun to respond.
+    pub began: bool,
+    /// Time since the connection broke, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The parts of prompts that were at one incarnation of an upstream when its connections broke.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Id of the upstream.
+    pub upstream: SmolStr,
+    /// Start time of the upstream, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    /// The parts.
+    pub sightings: Vec<Sighting>,
+}
+
+/// A part of a prompt to which an upstream responded without a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoundPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Time since the latest such response, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Observations from which each entry concludes which parts of prompts crash upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvidence {
+    /// What was at upstreams when their connections broke.
+    pub crashes: Vec<CrashReport>,
+    /// Parts among these that are known to be sound.
+    pub sound: Vec<SoundPart>,
+}
+
+/// Pushes observations of crashes to a peer without waiting for the next exchange.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashEvidenceNotification {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// Observations of the sender itself.
+    pub evidence: CrashEvidence,
+}
+
 /// Pushes crashes of upstreams and the requests that caused them to a peer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CrashNotification {
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -16,6 +16,8 @@
 pub const WEIGHTS_UPDATE: &str = "/mesh/news";
 /// Reports requests that crashed upstreams to entries that were discovered through seeds.
 pub const MESH_CRASHES: &str = "/mesh/broken";
+/// Reports which parts of prompts were at upstreams that crashed, to entries that were discovered through seeds.
+pub const MESH_CRASH_EVIDENCE: &str = "/mesh/crash-evidence";
 /// Reports limits that upstreams stated to entries that were discovered through seeds.
 pub const MESH_LIMITS: &str = "/mesh/limits";
 /// Prefix of one chunk of a model: `/mesh/chunk/{model}/{version}/{chunk}`.
