--- a/crates/daemon/src/mesh/crash_evidence.rs
+++ b/crates/daemon/src/mesh/crash_evidence.rs
@@ -32,7 +32,7 @@
             return Ok(());
         }
         self.update_suspects(|suspects, now| {
-            suspects.admit(now, parts, |part| self.tests_verdict_on(part))
+            suspects.admit(now, parts, |part, count| self.is_tester(part, count))
         })
     }
 
@@ -70,13 +70,14 @@
         }
     }
 
-    /// Whether this entry is the one that tests the verdict on a part.
-    fn tests_verdict_on(&self, part: PromptPart) -> bool {
+    /// Whether this entry is among the `count` entries that may test the verdict on a part.
+    fn is_tester(&self, part: PromptPart, count: usize) -> bool {
         self.with_members(|members, now| {
             let own = members.own().host.as_str();
             let others = members.live(now, ProcessRole::Entry);
             let hosts = others.map(|record| record.host.as_str()).chain([own]);
-            rendezvous::owner(&part.0.to_le_bytes(), hosts) == Some(own)
+            let ranked = rendezvous::rank(&part.0.to_le_bytes(), hosts);
+            ranked.iter().take(count).any(|host| *host == own)
         })
     }
 
--- a/crates/policy/src/crash_suspects/evidence.rs
+++ b/crates/policy/src/crash_suspects/evidence.rs
@@ -5,7 +5,7 @@
 
 use balsamjunction_protocol::mesh::{CrashEvidence, CrashReport, PromptPart, Sighting, SoundPart};
 
-use super::{CrashSuspects, Sound, RETENTION};
+use super::{Confidence, CrashSuspects, Outbox, Sound, BEFORE_START, RETENTION};
 use crate::{rendezvous::weight, stated_limits::UpstreamId, Moment};
 
 /// Most sightings in one message, and most sound parts; about 6 KB together.
@@ -25,6 +25,7 @@
     /// Ages count back from `as_of`: the time at which they were requested, or their arrival if the sender made
     /// them itself and pushed them. Neither lets a time that passes through many entries drift forward.
     pub fn merge(&mut self, now: Moment, as_of: Moment, evidence: &CrashEvidence) {
+        let (now, as_of) = (now + BEFORE_START, as_of + BEFORE_START);
         let at = |age_ms: u64| as_of.saturating_sub(Moment::from_millis(age_ms));
         let recent = |age_ms: u64| Moment::from_millis(age_ms) <= RETENTION;
         let mut changed = false;
@@ -46,6 +47,9 @@
                 changed |= self.add_sighting(&upstream, reported.part, sighting);
             }
         }
+        for part in evidence.refused.iter().take(MAX_ACCEPTED) {
+            changed |= self.refused_elsewhere.insert(*part);
+        }
         if changed {
             self.trim_sound(now);
             self.trim_crashes(now);
@@ -70,6 +74,7 @@
 
     /// Returns the observations of this entry that the others have not been told yet, if there are any.
     pub fn take_news(&mut self, now: Moment) -> Option<CrashEvidence> {
+        let now = now + BEFORE_START;
         let outbox = std::mem::take(&mut self.outbox);
         let sightings = outbox.sightings.into_iter().take(MAX_REPORTED);
         let crashes = self.reports(now, sightings);
@@ -81,13 +86,23 @@
                 sound.push(SoundPart { part, age_ms });
             }
         }
-        let news = CrashEvidence { crashes, sound };
+        let refused = outbox.refused.into_iter().take(MAX_REPORTED).collect();
+        let news = CrashEvidence {
+            crashes,
+            sound,
+            refused,
+        };
         (news != CrashEvidence::default()).then_some(news)
     }
 
     /// Whether [`Self::take_news`] would return anything.
     pub fn has_news(&self) -> bool {
-        !self.outbox.sightings.is_empty() || !self.outbox.sound.is_empty()
+        let Outbox {
+            sightings,
+            sound,
+            refused,
+        } = &self.outbox;
+        !(sightings.is_empty() && sound.is_empty() && refused.is_empty())
     }
 
     fn reports(
@@ -143,6 +158,7 @@
 
     /// Returns the observations that another entry needs to draw the same conclusions.
     pub fn evidence(&self, now: Moment) -> CrashEvidence {
+        let now = now + BEFORE_START;
         let crashes = self.reports(now, self.open_sightings().into_iter());
         let seen = self.crashes.values().flat_map(|c| c.sightings.keys());
         let mut sound: Vec<(Moment, PromptPart)> = seen
@@ -155,9 +171,12 @@
             part,
             age_ms: age_ms(now, at),
         });
+        let verdicts = self.verdicts.iter();
+        let firm = verdicts.filter(|(_, verdict)| verdict.confidence == Confidence::Firm);
         CrashEvidence {
             crashes,
             sound: sound.collect(),
+            refused: firm.map(|(part, _)| *part).take(MAX_REPORTED).collect(),
         }
     }
 
--- a/crates/policy/src/crash_suspects/mod.rs
+++ b/crates/policy/src/crash_suspects/mod.rs
@@ -30,6 +30,10 @@
 /// Number of the latest sound responses whose time is remembered.
 const RECENT_SOUND_RESPONSES: usize = 10;
 
+/// Offset of the times that are kept from the clock of the process, so that observations of other entries from before
+/// its start keep their order.
+const BEFORE_START: Moment = Moment::from_secs(24 * 3_600);
+
 /// When a part was at an upstream whose connections broke.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
@@ -65,6 +69,7 @@
 struct Outbox {
     sightings: HashSet<(UpstreamId, PromptPart)>,
     sound: HashSet<PromptPart>,
+    refused: HashSet<PromptPart>,
 }
 
 /// The parts of prompts that are suspected of crashing upstreams.
@@ -77,6 +82,10 @@
     sound: HashMap<PromptPart, Sound>,
     sound_responses: VecDeque<Moment>,
     verdicts: HashMap<PromptPart, Verdict>,
+    /// Since when parts have been likely causes, as long as no verdict on them is drawn.
+    likely_since: HashMap<PromptPart, Moment>,
+    /// Parts that another entry refuses.
+    refused_elsewhere: HashSet<PromptPart>,
     retests: HashMap<PromptPart, Retest>,
     changes: Vec<VerdictChange>,
     outbox: Outbox,
@@ -104,6 +113,8 @@
             sound: HashMap::new(),
             sound_responses: VecDeque::new(),
             verdicts: HashMap::new(),
+            likely_since: HashMap::new(),
+            refused_elsewhere: HashSet::new(),
             retests: HashMap::new(),
             changes: Vec::new(),
             outbox: Outbox::default(),
@@ -123,6 +134,7 @@
         parts: &[PromptPart],
         began: bool,
     ) {
+        let now = now + BEFORE_START;
         let positions = (0..=u16::MAX).zip(parts);
         let (known, unknown): (Vec<_>, Vec<_>) =
             positions.partition(|(_, part)| self.sound.contains_key(part));
@@ -162,8 +174,8 @@
                 true
             }
         };
-        if let Some(retest) = self.retests.get_mut(&part).filter(|_| added) {
-            retest.postpone(sighting.at);
+        if added {
+            self.confirm_verdict(part, sighting.at);
         }
         let unshared = |sound: &Sound| sound.shared_at.is_none();
         if added && self.sound.get(&part).is_some_and(unshared) {
@@ -174,6 +186,7 @@
 
     /// Records that an upstream responded to a request without a crash.
     pub fn record_sound(&mut self, now: Moment, parts: &[PromptPart]) {
+        let now = now + BEFORE_START;
         self.note_sound_response(now);
         for part in parts.iter().take(MAX_PARTS) {
             let shared_at = self.sound.get(part).and_then(|sound| sound.shared_at);
@@ -223,12 +236,16 @@
             };
             self.crashes.remove(&least);
         }
+        let crashes = &self.crashes;
+        let seen = |part: &PromptPart| crashes.values().any(|c| c.sightings.contains_key(part));
+        self.refused_elsewhere.retain(seen);
     }
 
     /// Whether a request may be sent to an upstream, given the shared parts of its prompt.
     ///
     /// Every refused part is tried again from time to time, by one request of one entry, so that a wrong verdict
-    /// ends: `is_tester` tells whether this entry is the one for a part.
+    /// ends. More and more entries may do so while none has a request with the part: `is_tester` tells whether this
+    /// entry is among a number of entries that are selected for the part.
     ///
     /// # Errors
     ///
@@ -237,11 +254,12 @@
         &mut self,
         now: Moment,
         parts: &[PromptPart],
-        is_tester: impl Fn(PromptPart) -> bool,
+        is_tester: impl Fn(PromptPart, usize) -> bool,
     ) -> Result<(), RefusedPart> {
         if self.crashes.is_empty() {
             return Ok(());
         }
+        let now = now + BEFORE_START;
         self.evaluate_if_due(now);
         let refused: Vec<PromptPart> = parts
             .iter()
@@ -256,12 +274,18 @@
         let Some(part) = refused.first().copied() else {
             return Ok(());
         };
-        let due = |part: &PromptPart| self.retests.get(part).is_some_and(|r| r.due_at <= now);
-        // A request with two refused parts tells nothing about either of them.
-        if refused.len() == 1 && due(&part) && is_tester(part) {
-            if let Some(retest) = self.retests.get_mut(&part) {
-                retest.start(now);
-            }
+        let testers: Option<Vec<usize>> = refused
+            .iter()
+            .map(|part| self.count_testers(now, *part))
+            .collect();
+        let tested = testers.is_some_and(|testers| {
+            let mut counts = refused.iter().zip(testers);
+            counts.any(|(part, count)| is_tester(*part, count))
+        });
+        if tested {
+            let tested = self.retests.iter_mut();
+            let tested = tested.filter(|(part, _)| refused.contains(part));
+            tested.for_each(|(_, retest)| retest.start(now));
             return Ok(());
         }
         let due_at = self.retests.get(&part).map_or(now, |retest| retest.due_at);
@@ -274,6 +298,7 @@
     /// Whether a request that [`Self::admit`] admitted may still be sent: none of its parts is refused, or it is
     /// the one that tests the verdict.
     pub fn is_refused(&mut self, now: Moment, parts: &[PromptPart]) -> Option<PromptPart> {
+        let now = now + BEFORE_START;
         self.evaluate_if_due(now);
         let mut refused = parts.iter().copied();
         refused.find(|part| {
@@ -284,6 +309,7 @@
 
     /// Number of refused parts.
     pub fn refused_count(&mut self, now: Moment) -> usize {
+        let now = now + BEFORE_START;
         self.evaluate_if_due(now);
         self.verdicts.len()
     }
--- a/crates/policy/src/crash_suspects/verdict.rs
+++ b/crates/policy/src/crash_suspects/verdict.rs
@@ -28,6 +28,9 @@
 const SOUND_OTHERS: usize = 3;
 /// The same for a part that was sound before.
 const SOUND_OTHERS_OF_KNOWN: usize = 10;
+/// Age of the latest crash of a part up to which it is refused when it becomes the likely cause. It covers the time
+/// in which the observations of other entries arrive.
+const FRESH_CRASH: Moment = Moment::from_secs(2);
 /// Interval at which the verdict on a part is drawn again while sound responses are missing.
 const RECHECK_INTERVAL: Moment = Moment::from_millis(50);
 /// Time until the first test of a verdict that responses to other requests support. It grows with each test.
@@ -36,8 +39,10 @@
 const TENTATIVE_RETEST_AFTER: Moment = Moment::from_secs(3);
 /// Factor by which the time until the next test grows.
 const RETEST_GROWTH: u32 = 4;
+/// Time after which one entry more may make a test that is due.
+const FURTHER_TESTER_AFTER: Moment = Moment::from_secs(4);
 /// Time that a test takes at most.
-const RETEST_DURATION: Moment = Moment::from_secs(5);
+const RETEST_DURATION: Moment = Moment::from_secs(2);
 
 /// How well a verdict is supported.
 #[derive(Clone, Copy, Debug, strum::Display, PartialEq, Eq)]
@@ -53,6 +58,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Verdict {
     pub confidence: Confidence,
+    pub drawn_at: Moment,
     /// When a request was last refused because of it.
     pub refused_at: Moment,
 }
@@ -95,9 +101,9 @@
         self.due_at = now + RETEST_DURATION;
     }
 
-    /// Postpones the next test after a further crash, and makes tests rarer if that was a test's.
+    /// Postpones the next test after a further crash, and makes tests rarer if that was a test's, here or elsewhere.
     pub fn postpone(&mut self, now: Moment) {
-        if self.started_at.take().is_some() {
+        if self.started_at.take().is_some() || now >= self.due_at {
             self.interval = self.interval.saturating_mul(RETEST_GROWTH).min(RETENTION);
         }
         self.due_at = self.due_at.max(now + self.interval);
@@ -159,6 +165,7 @@
     crashes: usize,
     reached_at: Moment,
     grace: Moment,
+    latest: Moment,
 }
 
 /// The conclusion on a candidate.
@@ -183,6 +190,7 @@
         self.evaluate_at = None;
         let mut explained: HashSet<UpstreamId> = HashSet::new();
         let mut next = HashMap::new();
+        let mut likely_since = HashMap::new();
         loop {
             let mut candidates = self.candidates(&explained);
             candidates.retain(|candidate| !next.contains_key(&candidate.part));
@@ -192,7 +200,13 @@
             let conclusion = match self.verdicts.get(&candidate.part) {
                 // While requests with the part are refused, the absence of responses to them proves nothing.
                 Some(verdict) => Conclusion::Refuse(verdict.confidence),
-                None => self.conclude(now, candidate),
+                None => {
+                    // Until now, another part may have explained its crashes.
+                    let since = self.likely_since.get(&candidate.part).copied();
+                    let since = since.unwrap_or(now).max(candidate.reached_at);
+                    likely_since.insert(candidate.part, since);
+                    self.conclude(now, since, candidate)
+                }
             };
             match conclusion {
                 Conclusion::Refuse(confidence) => {
@@ -210,6 +224,7 @@
             });
             explained.extend(crashes.map(|(upstream, _)| upstream.clone()));
         }
+        self.likely_since = likely_since;
         self.set_verdicts(now, &next);
     }
 
@@ -248,6 +263,7 @@
                 weight: score.weight(),
                 position: score.position,
                 crashes: score.crashes.len(),
+                latest: score.crashes.last().map_or(reached_at, |(at, _)| *at),
                 reached_at,
                 grace,
             })
@@ -269,13 +285,19 @@
         nearly.max_by_key(|c| (c.position, c.weight, c.part))
     }
 
-    fn conclude(&self, now: Moment, candidate: &Candidate) -> Conclusion {
-        let earliest = candidate.reached_at + candidate.grace;
+    fn conclude(&self, now: Moment, since: Moment, candidate: &Candidate) -> Conclusion {
+        if self.refused_elsewhere.contains(&candidate.part) {
+            return Conclusion::Refuse(Confidence::Firm);
+        }
+        // Another part explained its crashes and was cleared of them, so they may have a cause of their own.
+        if candidate.latest + FRESH_CRASH < since {
+            return Conclusion::Wait(Moment::MAX);
+        }
+        let earliest = since + candidate.grace;
         if now < earliest {
             return Conclusion::Wait(earliest);
         }
-        let since = self.sound_responses.iter();
-        let others = since.filter(|at| **at > candidate.reached_at).count();
+        let others = self.sound_responses_since(since);
         let needed = match candidate.was_sound {
             true => SOUND_OTHERS_OF_KNOWN,
             false => SOUND_OTHERS,
@@ -283,7 +305,7 @@
         if others >= needed {
             return Conclusion::Refuse(Confidence::Firm);
         }
-        let latest = candidate.reached_at + self.decide_within;
+        let latest = since + self.decide_within;
         let numerous = candidate.weight >= ENOUGH_CRASHES;
         if numerous && !candidate.was_sound && now >= latest {
             return Conclusion::Refuse(Confidence::Tentative);
@@ -291,7 +313,58 @@
         Conclusion::Wait(now + RECHECK_INTERVAL)
     }
 
+    fn sound_responses_since(&self, since: Moment) -> usize {
+        let responses = self.sound_responses.iter();
+        responses.filter(|at| **at > since).count()
+    }
+
+    /// Number of entries that may test the verdict on a part now; absent if no test is due.
+    ///
+    /// A test is due at its time, or as soon as upstreams respond to other requests if they did not when the verdict
+    /// was drawn. One entry more may make it after each [`FURTHER_TESTER_AFTER`], since few requests with the part may come to an entry.
+    pub(super) fn count_testers(&self, now: Moment, part: PromptPart) -> Option<usize> {
+        let verdict = self.verdicts.get(&part)?;
+        let retest = self.retests.get(&part)?;
+        let tentative = verdict.confidence == Confidence::Tentative;
+        let since = match retest.due_at <= now {
+            true => retest.due_at,
+            false if retest.is_running(now) => return None,
+            false if tentative && self.upstreams_work_since(verdict.drawn_at) => verdict.drawn_at,
+            false => return None,
+        };
+        let waited = now.saturating_sub(since).as_millis() / FURTHER_TESTER_AFTER.as_millis();
+        Some(1 + waited as usize)
+    }
+
+    fn upstreams_work_since(&self, since: Moment) -> bool {
+        self.sound_responses_since(since) >= SOUND_OTHERS
+    }
+
+    /// Takes note of a further crash with a part that may be refused.
+    pub(super) fn confirm_verdict(&mut self, part: PromptPart, crashed_at: Moment) {
+        let Some(verdict) = self.verdicts.get(&part).copied() else {
+            return;
+        };
+        let tentative = verdict.confidence == Confidence::Tentative;
+        if tentative && self.upstreams_work_since(verdict.drawn_at) {
+            let confidence = Confidence::Firm;
+            let firm = Verdict {
+                confidence,
+                ..verdict
+            };
+            self.verdicts.insert(part, firm);
+            self.retests
+                .insert(part, Retest::new(crashed_at, confidence));
+        } else if let Some(retest) = self.retests.get_mut(&part) {
+            retest.postpone(crashed_at);
+        }
+    }
+
     fn set_verdicts(&mut self, now: Moment, next: &HashMap<PromptPart, (Confidence, usize)>) {
+        // An entry that withdrew a verdict draws it again only from what it knows itself.
+        let verdicts = &self.verdicts;
+        self.refused_elsewhere
+            .retain(|part| next.contains_key(part) || !verdicts.contains_key(part));
         let withdrawn = self.verdicts.extract_if(|part, _| !next.contains_key(part));
         let withdrawn = withdrawn.map(|(part, _)| VerdictChange {
             part,
@@ -305,10 +378,14 @@
             }
             let verdict = Verdict {
                 confidence: *confidence,
+                drawn_at: now,
                 refused_at: now,
             };
             self.verdicts.insert(*part, verdict);
             self.retests.insert(*part, Retest::new(now, *confidence));
+            if *confidence == Confidence::Firm && !self.refused_elsewhere.contains(part) {
+                self.outbox.refused.insert(*part);
+            }
             self.changes.push(VerdictChange {
                 part: *part,
                 confidence: Some(*confidence),
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -262,6 +262,8 @@
     pub crashes: Vec<CrashReport>,
     /// Parts among these that are known to be sound.
     pub sound: Vec<SoundPart>,
+    /// Parts that the sender refuses since upstreams respond to requests without them.
+    pub refused: Vec<PromptPart>,
 }
 
 /// Pushes observations of crashes to a peer without waiting for the next exchange.
