A stream that ends within an event never looks complete, resumable or not

Callers of streams that may not be resumed got a stream that broke off within an event as a complete one, if its connection ended without a reset or its chunks ended properly. Cause: only resumable streams were split into events. All streams are now; a response that states another type than text/event-stream is forwarded as it is.

--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -183,7 +183,9 @@
     response: UpstreamResponse,
     in_flight: InFlightRequest,
     upstream: Option<UpstreamRecord>,
+    /// Present for a stream of events, of which only complete ones are forwarded.
     splitter: Option<EventSplitter>,
+    resumable: bool,
     head_at: Moment,
     /// Number of parts of the response, each with at least one event, that the upstream has sent.
     progress: u32,
@@ -204,11 +206,13 @@
     ) -> Self {
         let success = response.inner.status().is_success();
         let opened_at = attempts.context.now();
-        let resumable =
-            attempts.request.route.kind == RouteKind::Streaming && attempts.request.route.resumable;
+        let streaming = attempts.request.route.kind == RouteKind::Streaming;
+        let resumable = attempts.request.route.resumable;
+        let events = streaming && (resumable || may_be_event_stream(&response));
         Self {
             upstream: in_flight.upstream_record(),
-            splitter: (success && resumable).then(EventSplitter::default),
+            splitter: (success && events).then(EventSplitter::default),
+            resumable,
             attempts,
             response,
             in_flight,
@@ -297,7 +301,7 @@
     /// resumed elsewhere, until its upstream has sent no event for too long. Comments do not count as events.
     fn read_timeout(&self) -> Duration {
         let remaining = self.attempts.remaining_time();
-        if self.splitter.is_none() {
+        if self.splitter.is_none() || !self.resumable {
             return remaining;
         }
         let silent_for = self
@@ -426,6 +430,12 @@
     }
 }
 
+/// Whether the type of a response, if it states one, is that of a stream of events.
+fn may_be_event_stream(response: &UpstreamResponse) -> bool {
+    let content_type = response.header("content-type");
+    content_type.is_none_or(|content_type| content_type.trim().starts_with("text/event-stream"))
+}
+
 fn copy_headers(from: &HeaderMap, to: &mut HttpResponseBuilder) {
     for (name, value) in from {
         if is_end_to_end(name.as_str()) {
--- a/crates/lab/src/standin/platform/scripted.rs
+++ b/crates/lab/src/standin/platform/scripted.rs
@@ -29,6 +29,8 @@
     pub pause: Duration,
     /// Whether the connection stays open for further requests after the opening, if there is no filler.
     pub keep_open: bool,
+    /// Whether the connection is reset after the opening, instead of being closed.
+    pub reset: bool,
 }
 
 #[derive(Debug, Default)]
@@ -110,6 +112,11 @@
             let written = script.filler.len() as u64;
             counts.written.fetch_add(written, Ordering::AcqRel);
         }
+        if script.reset {
+            // The client must have read the opening, since a reset discards what it has not read.
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            return tcp.set_zero_linger();
+        }
         if !script.keep_open {
             return tcp.shutdown().await;
         }
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -144,6 +144,7 @@
         filler: Bytes::from_static(b"x"),
         opening: format!("{OK_HEAD}x-long: "),
         keep_open: false,
+        ..Script::default()
     };
     assert_aborted(slow).await;
 }
@@ -241,6 +242,7 @@
         filler: Bytes::from(copy),
         pause: Duration::from_millis(60),
         keep_open: true,
+        ..Script::default()
     };
     let (_site, gateway, upstream) = start_with_script(duplicated).await;
 
@@ -378,6 +380,7 @@
         filler: Bytes::from_static(b"w"),
         pause: Duration::from_millis(100),
         keep_open: false,
+        ..Script::default()
     };
     assert_continues_at_another_engine(slow).await;
 }
@@ -391,6 +394,7 @@
         filler: Bytes::from_static(b": still here\n\n"),
         pause: Duration::from_millis(100),
         keep_open: false,
+        ..Script::default()
     };
     assert_continues_at_another_engine(comments).await;
 }
--- a/crates/lab/tests/gateway/streams.rs
+++ b/crates/lab/tests/gateway/streams.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use balsamjunction_lab::standin::platform::{Engine, EngineFault};
+use balsamjunction_lab::standin::platform::{Engine, EngineFault, Script};
 use futures_util::StreamExt;
 
-use crate::common::{event_ids, model_engine_options, wait_until, TestSite, API_KEY};
+use crate::common::{
+    event_ids, model_engine_options, plain_engine_options, wait_until, CallerResponse, TestSite,
+    API_KEY,
+};
 
 #[actix_rt::test]
 async fn events_are_forwarded_as_they_arrive() {
@@ -146,3 +149,117 @@
         "{beyond_first} arrivals beyond the first attempts"
     );
 }
+
+/// A response that has neither a length nor chunks, so that it ends with its connection.
+fn unframed_script(body: &str, reset: bool) -> Script {
+    let head = "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+                Balsamjunction-Server-Signature: e1\r\nConnection: close\r\n\r\n";
+    Script {
+        opening: format!("{head}{body}"),
+        reset,
+        ..Script::default()
+    }
+}
+
+/// Sends one request to an upstream with the script, which is the only one of its service.
+async fn call_scripted(path: &str, script: Script) -> CallerResponse {
+    let mut site = TestSite::start().await;
+    let options = match path.starts_with("/order/") {
+        true => plain_engine_options("e1"),
+        false => model_engine_options("e1", 2, 10),
+    };
+    site.start_scripted_server(options, script).await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    gateway.generate_on(path, "a1").await
+}
+
+#[actix_rt::test]
+async fn a_response_without_length_that_ends_with_its_connection_is_complete() {
+    let got = call_scripted("/order/1", unframed_script("all of it", false)).await;
+
+    assert_eq!(got.status, 200);
+    assert_eq!(got.body.as_deref(), Some("all of it"));
+}
+
+// Guards against half of a response that reaches the caller as a complete one.
+#[actix_rt::test]
+async fn a_response_without_length_whose_connection_is_reset_never_looks_complete() {
+    let got = call_scripted("/order/1", unframed_script("half of", true)).await;
+
+    assert_eq!(got.body, None);
+}
+
+#[actix_rt::test]
+async fn a_stream_without_length_that_ends_after_an_event_is_complete() {
+    let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+    for path in ["/draft/now", "/once/now"] {
+        let got = call_scripted(path, unframed_script(events, false)).await;
+
+        assert_eq!(got.body.as_deref(), Some(events), "{path}");
+    }
+}
+
+// Guards against a stream that broke off within an event and reaches the caller as a complete one. A connection that
+// ends without a reset looks like the end of a response that has no length.
+#[actix_rt::test]
+async fn a_stream_without_length_that_ends_within_an_event_never_looks_complete() {
+    let events = "id: 1\ndata: a\n\nid: 2\nda";
+
+    for path in ["/draft/now", "/once/now"] {
+        let got = call_scripted(path, unframed_script(events, false)).await;
+
+        assert_eq!(got.status, 200, "{path}");
+        assert_eq!(got.body, None, "{path}");
+    }
+}
+
+// Guards against the same where the chunks of the body end as if it were complete.
+#[actix_rt::test]
+async fn a_stream_in_chunks_that_ends_within_an_event_never_looks_complete() {
+    let events = "id: 1\ndata: a\n\nid: 2\nda";
+    let head = "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+                Balsamjunction-Server-Signature: e1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let opening = format!("{head}{:x}\r\n{events}\r\n0\r\n\r\n", events.len());
+
+    for path in ["/draft/now", "/once/now"] {
+        let script = Script {
+            opening: opening.clone(),
+            ..Script::default()
+        };
+        let got = call_scripted(path, script).await;
+
+        assert_eq!(got.body, None, "{path}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_without_length_that_ends_within_an_event_is_resumed() {
+    let mut site = TestSite::start().await;
+    let script = unframed_script("id: 1\ndata: word1\n\nid: 2\nda", false);
+    site.start_scripted_server(model_engine_options("e1", 3, 10), script)
+        .await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    site.start_engine(model_engine_options("e2", 3, 10)).await;
+
+    for n in 0..4 {
+        let got = gateway.generate(&format!("a{n}")).await;
+
+        let body = got.body.expect("the stream is complete");
+        assert_eq!(event_ids(&body), [1, 2, 3]);
+    }
+}
+
+// Guards against a response of another type on a streaming route that counts as a stream which broke off.
+#[actix_rt::test]
+async fn a_response_of_another_type_on_a_streaming_route_is_forwarded_as_it_is() {
+    let mut script = unframed_script("{\"text\": \"all of it\"}", false);
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    script.opening = script.opening.replacen("HTTP/1.1 200 OK\r\n", head, 1);
+
+    let got = call_scripted("/once/now", script).await;
+
+    assert_eq!(got.body.as_deref(), Some("{\"text\": \"all of it\"}"));
+}
