Tests of deadly parts with gateways that restart and freeze, several parts, other crashes

Four real gateways, of which one is killed and starts again and one is stopped for 3 s; two deadly parts beside eight crashes of other causes; a refusal that is immediate and that log, metrics and explain-request name.

--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -94,7 +94,7 @@
     leaving: bool,
     retry_after: Option<SmolStr>,
     limit: Option<SmolStr>,
-    deadly_part: Option<SmolStr>,
+    deadly_parts: Vec<SmolStr>,
     crash_times: Vec<Instant>,
     arrival_times: Vec<Instant>,
 }
@@ -183,10 +183,10 @@
         self.state().limit = limit.map(SmolStr::new);
     }
 
-    /// Makes the engine crash, which breaks all its streams, when it begins a stream whose prompt contains the part
-    /// `id`, unless that is the last part. It is back at once with a later start time.
-    pub fn set_deadly_part(&self, id: Option<&str>) {
-        self.state().deadly_part = id.map(SmolStr::new);
+    /// Makes the engine crash, which breaks all its streams, when it begins a stream whose prompt contains one of the
+    /// parts `ids`, unless that is the last part. It is back at once with a later start time.
+    pub fn set_deadly_parts(&self, ids: &[&str]) {
+        self.state().deadly_parts = ids.iter().map(SmolStr::new).collect();
     }
 
     /// Crashes the engine, which breaks all its streams. It is back at once with a later start time.
@@ -455,17 +455,14 @@
     state.runs.len() - 1
 }
 
-/// Whether a request's prompt contains the deadly part, other than as its last one.
+/// Whether a request's prompt contains a deadly part, other than as its last one.
 fn is_deadly(state: &State, req: &Request<Incoming>) -> bool {
     let parts = header(req, "balsamjunction-prefix-hash").unwrap_or_default();
     let Some((shared, _)) = parts.rsplit_once(',') else {
         return false;
     };
-    let ids = shared.split(',').filter_map(|part| part.split(':').next());
-    state
-        .deadly_part
-        .as_ref()
-        .is_some_and(|deadly| ids.into_iter().any(|id| id == deadly))
+    let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.any(|id| state.deadly_parts.iter().any(|deadly| deadly == id))
 }
 
 /// A stream of events, each sent after a pause.
--- a/crates/lab/tests/gateway/deadly_parts.rs
+++ b/crates/lab/tests/gateway/deadly_parts.rs
@@ -2,14 +2,19 @@
 //! caller and the first part.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
+    ops::Range,
     time::{Duration, Instant},
 };
 
 use balsamjunction_lab::standin::platform::Engine;
-use futures_util::future::{join3, join_all};
+use futures_util::future::{join, join3, join_all};
+use nix::sys::signal::Signal;
 
-use crate::common::{model_engine_options, Gateway, TestSite};
+use crate::{
+    common::{model_engine_options, Gateway, TestSite},
+    explained::explained_cause,
+};
 
 /// Time after the fifth crash from which requests that reach engines are counted: the gateways' default of
 /// `contact_after_ms`.
@@ -26,9 +31,13 @@
 /// The first part of every prompt.
 const FIRST: &str = "a1:40";
 
+/// How long a gateway is frozen, or down.
+const FREEZE: Duration = Duration::from_secs(3);
+const DOWNTIME: Duration = Duration::from_millis(300);
+
 /// Gateways that know each other, and engines that crash on the parts that a test chooses.
 struct Fleet {
-    site: TestSite,
+    site: RefCell<TestSite>,
     gateways: Vec<Gateway>,
     engines: Vec<Engine>,
 }
@@ -50,7 +59,7 @@
         gateway.wait_until_ready().await;
     }
     Fleet {
-        site,
+        site: RefCell::new(site),
         gateways: fleet_gateways,
         engines: fleet_engines,
     }
@@ -63,9 +72,9 @@
 }
 
 impl Fleet {
-    fn set_deadly_part(&self, id: &str) {
+    fn set_deadly_parts(&self, ids: &[&str]) {
         for engine in &self.engines {
-            engine.set_deadly_part(Some(id));
+            engine.set_deadly_parts(ids);
         }
     }
 
@@ -77,7 +86,7 @@
                 let count = engine.crash_times().len();
                 if count != *registered {
                     *registered = count;
-                    self.site.register(engine, "ready");
+                    self.site.borrow().register(engine, "ready");
                 }
             }
             actix_rt::time::sleep(Duration::from_millis(20)).await;
@@ -171,11 +180,13 @@
     );
 }
 
-/// Sends sound requests and requests with the deadly parts through `gateways`; returns the sound ones.
-async fn send_load(fleet: &Fleet, deadly: &[&str]) -> Vec<SoundRequest> {
+/// Sends requests with the deadly parts through all gateways, and sound ones through those in `sound`; returns the
+/// sound ones.
+async fn send_load(fleet: &Fleet, deadly: &[&str], sound: Range<usize>) -> Vec<SoundRequest> {
     let started = Instant::now();
     let running = Cell::new(true);
-    let sound = fleet.gateways.iter().map(|g| fleet.send_sound(g, started));
+    let sound = fleet.gateways[sound].iter();
+    let sound = sound.map(|gateway| fleet.send_sound(gateway, started));
     let sound = async {
         let sent = join_all(sound).await;
         running.set(false);
@@ -188,9 +199,9 @@
 
 async fn assert_deadly_part_is_refused(gateways: usize) {
     let fleet = start_fleet(gateways, 8).await;
-    fleet.set_deadly_part("dead");
+    fleet.set_deadly_parts(&["dead"]);
 
-    let sound = send_load(&fleet, &["dead"]).await;
+    let sound = send_load(&fleet, &["dead"], 0..gateways).await;
 
     fleet.assert_refused("dead");
     let fifth = fleet.crash_times()[CRASHES - 1];
@@ -208,3 +219,90 @@
 async fn a_deadly_part_is_refused_and_sound_requests_are_served_by_several_gateways() {
     assert_deadly_part_is_refused(4).await;
 }
+
+// Guards against gateways that send what all others refuse after they restarted or woke from a freeze.
+#[actix_rt::test]
+async fn a_deadly_part_is_refused_by_gateways_that_restart_and_freeze() {
+    let fleet = start_fleet(4, 8).await;
+    fleet.set_deadly_parts(&["dead"]);
+    let disturb = async {
+        actix_rt::time::sleep(Duration::from_secs(5)).await;
+        let killed = fleet.site.borrow_mut().processes.kill("g2");
+        killed.expect("the process runs");
+        let frozen = fleet.site.borrow().processes.signal("g3", Signal::SIGSTOP);
+        frozen.expect("the process runs");
+        actix_rt::time::sleep(DOWNTIME).await;
+        let restarted = fleet.site.borrow_mut().processes.restart("g2");
+        restarted.expect("the process starts");
+        actix_rt::time::sleep(FREEZE).await;
+        let woken = fleet.site.borrow().processes.signal("g3", Signal::SIGCONT);
+        woken.expect("the process runs");
+    };
+
+    let (sound, ()) = join(send_load(&fleet, &["dead"], 0..2), disturb).await;
+
+    fleet.assert_refused("dead");
+    assert_served(&sound, fleet.crash_times()[CRASHES - 1] + 2 * CONTACT_AFTER);
+}
+
+// Guards against a verdict on what runs everywhere while several parts, and other causes, crash engines.
+#[actix_rt::test]
+async fn several_deadly_parts_are_refused_beside_crashes_of_other_causes() {
+    let fleet = start_fleet(4, 10).await;
+    fleet.set_deadly_parts(&["dead", "beef"]);
+    let crash_others = async {
+        for engine in fleet.engines.iter().cycle().take(8) {
+            actix_rt::time::sleep(Duration::from_millis(900)).await;
+            engine.crash();
+        }
+    };
+
+    let load = send_load(&fleet, &["dead", "beef"], 0..4);
+    let (sound, ()) = join(load, crash_others).await;
+
+    for part in ["dead", "beef"] {
+        fleet.assert_refused(part);
+    }
+    let started = sound.first().map(|request| request.sent_at);
+    let settled = started.expect("requests are sent") + LOAD_TIME - CONTACT_AFTER;
+    assert_served(&sound, settled);
+}
+
+// Guards against a refusal that keeps its caller waiting, or whose reason neither the log nor a metric names.
+#[actix_rt::test]
+async fn a_refusal_for_a_deadly_part_is_immediate_and_names_the_part() {
+    let fleet = start_fleet(1, 8).await;
+    fleet.set_deadly_parts(&["dead"]);
+    send_load(&fleet, &["dead"], 0..1).await;
+    let [gateway] = fleet.gateways[..] else {
+        panic!("one gateway was started");
+    };
+
+    let sent_at = Instant::now();
+    let parts = format!("{FIRST},00DEAD:60,77:20");
+    let got = gateway.generate_from_parts(&parts, "r1").await;
+
+    let got = got.expect("the gateway responds");
+    assert!(sent_at.elapsed() < Duration::from_millis(200));
+    assert_eq!(got.status, 503);
+    assert!(
+        got.retry_after.is_some_and(|seconds| seconds > 1.0),
+        "{got:?}"
+    );
+    let refused = gateway.metric("balsamjunction_refused_prompt_parts").await;
+    assert_eq!(refused, Some(1.0));
+    let broken = gateway
+        .metric("balsamjunction_broken_connections_total")
+        .await;
+    assert!(broken.is_some_and(|count| count >= 3.0), "{broken:?}");
+    let site = fleet.site.into_inner();
+    let cause = explained_cause(&site, "r1", "g0").await;
+    assert!(
+        cause.contains("part dead") && cause.contains("has not run"),
+        "{cause}"
+    );
+    let verdicts = site.log_lines("g0", "prompt-part");
+    assert!(verdicts
+        .iter()
+        .any(|line| line["part"] == "dead" && line["refused"] == true));
+}
--- a/crates/lab/tests/gateway/explained.rs
+++ b/crates/lab/tests/gateway/explained.rs
@@ -8,8 +8,8 @@
 
 use crate::common::{model_engine_options, plain_engine_options, wait_until, TestSite};
 
-/// Runs `balsamjunction explain-request` on the gateway's log and parses its JSON output.
-fn explain_request(site: &TestSite, id: &str) -> Value {
+/// Runs `balsamjunction explain-request` on a gateway's log and parses its JSON output.
+fn explain_request(site: &TestSite, id: &str, gateway: &str) -> Value {
     let test_program = std::env::current_exe().expect("the path of the test program is known");
     let tool: PathBuf = test_program.with_file_name("balsamjunction");
     let tool = match tool.exists() {
@@ -21,23 +21,23 @@
     };
     let output = Command::new(tool)
         .args(["explain-request", id, "--json"])
-        .arg(site.log_path("g1"))
+        .arg(site.log_path(gateway))
         .output()
         .expect("the tool runs");
     serde_json::from_slice(&output.stdout).unwrap_or_default()
 }
 
 /// Returns the cause that the tool reports, once the log has the line of the final response.
-async fn explained_cause(site: &TestSite, id: &str) -> String {
+pub async fn explained_cause(site: &TestSite, id: &str, gateway: &str) -> String {
     wait_until("the log line of the final response", async || {
-        site.log_lines("g1", "answered")
+        site.log_lines(gateway, "answered")
             .iter()
             .any(|line| line["id"] == id)
     })
     .await;
     // The log line about a broken stream follows the one about its head.
     actix_rt::time::sleep(Duration::from_millis(300)).await;
-    explain_request(site, id)["cause"]
+    explain_request(site, id, gateway)["cause"]
         .as_str()
         .unwrap_or_default()
         .to_owned()
@@ -52,7 +52,7 @@
     let got = gateway.call("POST", "/order/new", "a1").await;
 
     assert_eq!(got.status, 503);
-    let cause = explained_cause(&site, "a1").await;
+    let cause = explained_cause(&site, "a1", "g1").await;
     assert!(
         cause.contains("No upstream") && cause.contains("has not run"),
         "{cause}"
@@ -70,7 +70,7 @@
     let got = gateway.generate("a1").await;
 
     assert_eq!(got.body, None);
-    let cause = explained_cause(&site, "a1").await;
+    let cause = explained_cause(&site, "a1", "g1").await;
     assert!(
         cause.contains("e1") && cause.contains("event \"3\""),
         "{cause}"
@@ -88,7 +88,7 @@
     let got = gateway.call("POST", "/order/new", "a1").await;
 
     assert_eq!(got.status, 502);
-    let cause = explained_cause(&site, "a1").await;
+    let cause = explained_cause(&site, "a1", "g1").await;
     assert!(cause.contains("may have run at upstream d1"), "{cause}");
 }
 
@@ -105,7 +105,7 @@
     let got = gateway.call("POST", "/stock/1", "a1").await;
 
     assert_eq!(got.status, 503);
-    let cause = explained_cause(&site, "a1").await;
+    let cause = explained_cause(&site, "a1", "g1").await;
     assert!(
         cause.contains("All 2 upstreams") && cause.contains("has not run"),
         "{cause}"
@@ -131,8 +131,8 @@
     })
     .await;
 
-    let refusal = explained_cause(&site, "refused").await;
-    let detour = explained_cause(&site, "detour").await;
+    let refusal = explained_cause(&site, "refused", "g1").await;
+    let detour = explained_cause(&site, "detour", "g1").await;
     let metric = async |name: &str| gateway.metric(&format!("balsamjunction_{name}")).await;
 
     assert_eq!(refused.status, 503);
