--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -87,6 +87,17 @@
         /// Free text: the observation behind the change.
         detail: String,
     },
+    /// The store was restored from a copy, as its response states.
+    StoreRestored {
+        /// The era of the store from now on.
+        era: u64,
+        /// The era before.
+        previous_era: u64,
+        /// The revision that the response states.
+        revision: u64,
+        /// The revision up to which the facts of this process were complete in the era before.
+        previous_revision: u64,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// Id of the request.
@@ -253,6 +264,7 @@
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::PromptPart { .. }
+            | Self::StoreRestored { .. }
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
             | Self::VersionPublished { .. }
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -49,6 +49,7 @@
     client: Client,
     outage_cause: RefCell<Option<String>>,
     last_failure: Cell<Option<Moment>>,
+    era: Cell<Option<u64>>,
 }
 
 /// Keeps the facts up to date with the store for as long as the process runs.
@@ -59,6 +60,7 @@
         client,
         outage_cause: RefCell::default(),
         last_failure: Cell::default(),
+        era: Cell::default(),
     };
     while !reader.list().await {
         sleep_with_jitter(READER_BACKOFF).await;
@@ -91,6 +93,7 @@
         loop {
             let page = self.store.list(ALL_KEYS_PREFIX, after.as_deref()).await?;
             // Pages are not a snapshot: the listing is only complete up to the first page's revision.
+            self.note_era(page.era, page.revision);
             let revision = *first_revision.get_or_insert(page.revision);
             changes.extend(page.changes);
             after = page.next_after;
@@ -151,6 +154,7 @@
                 }
                 Ok(watched) => {
                     self.record_outcome(queried_at, None);
+                    self.note_era(watched.era, watched.revision);
                     let verification = Verification {
                         revision: watched.revision,
                         queried_at,
@@ -199,6 +203,7 @@
             }
         };
         self.record_outcome(queried_at, None);
+        self.note_era(page.era, page.revision);
         if page.revision > self.cluster_view.revision() {
             actix_rt::time::sleep(WATCH_LAG).await;
         }
@@ -216,6 +221,19 @@
         true
     }
 
+    /// Logs an event if a response is the first of a new era of the store.
+    fn note_era(&self, era: u64, revision: u64) {
+        let previous = self.era.replace(Some(era));
+        if let Some(previous_era) = previous.filter(|previous| *previous != era) {
+            self.cluster_view.events.emit(&Event::StoreRestored {
+                era,
+                previous_era,
+                revision,
+                previous_revision: self.cluster_view.revision(),
+            });
+        }
+    }
+
     /// Notifies the other entries of changes after revision `since`.
     fn notify_entries(&self, since: u64) {
         let notification = notify_changes(self.cluster_view.clone(), self.client.clone(), since);
