--- a/crates/lab/src/standin/platform/store.rs
+++ b/crates/lab/src/standin/platform/store.rs
@@ -41,6 +41,8 @@
     entries: BTreeMap<String, Event>,
     log: Vec<Event>,
     revision: u64,
+    /// Number of restorations, and one.
+    era: u64,
     compacted_revision: u64,
     fault: StoreFault,
     calls: u64,
@@ -58,7 +60,10 @@
 impl Store {
     /// Starts an empty store.
     pub async fn start() -> Result<Self, LabError> {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            era: 1,
+            ..State::default()
+        }));
         let revision_tx = Arc::new(watch::channel(0).0);
         let shared = (state.clone(), revision_tx.clone());
         let address = serve(move |req| {
@@ -112,6 +117,30 @@
         }
     }
 
+    /// The revision of the latest change.
+    pub fn revision(&self) -> u64 {
+        self.state().revision
+    }
+
+    /// Replaces the contents by a copy that was made at `revision`, which begins a new era. Later revisions are given
+    /// out again, and watches that wait are cut.
+    pub fn restore(&self, revision: u64) {
+        let mut state = self.state();
+        state.log.retain(|event| event.revision <= revision);
+        let mut entries = BTreeMap::new();
+        for event in &state.log {
+            match event.value {
+                Some(_) => entries.insert(event.key.clone(), event.clone()),
+                None => entries.remove(&event.key),
+            };
+        }
+        state.entries = entries;
+        state.revision = revision;
+        state.compacted_revision = state.compacted_revision.min(revision);
+        state.era += 1;
+        self.revision_tx.send_replace(revision);
+    }
+
     /// Sets the fault of the store.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state().fault = fault;
@@ -151,6 +180,20 @@
     if fault == StoreFault::Down {
         return Err(io::ErrorKind::ConnectionReset.into());
     }
+    let era = lock(state).era;
+    let mut response = respond(state, revision_tx, req).await?;
+    if lock(state).era != era {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn respond(
+    state: &Mutex<State>,
+    revision_tx: &watch::Sender<u64>,
+    req: &Request<Incoming>,
+) -> ResponseResult {
     let prefix = query_param(req, "prefix").unwrap_or_default();
     match req.uri().path() {
         "/kv-range" => Ok(list_range(&lock(state), &prefix, query_param(req, "after"))),
@@ -197,7 +240,7 @@
         let events: Vec<Value> = newer.map(encode_event).collect();
         (events, state.revision, state.compacted_revision)
     };
-    if after < read_newer().2 {
+    if after < read_newer().2 || after > read_newer().1 {
         return Ok(build_response(410, ""));
     }
     let (mut events, mut at, _) = read_newer();
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -29,6 +29,8 @@
     pub retry_slack: f64,
     /// Time within which engines must serve a published version (setting `version_within_ms`).
     pub version_deadline: Duration,
+    /// Time within which a revoked key must be refused everywhere (setting `revoke_within_ms`).
+    pub revocation_deadline: Duration,
     /// Delay before a process that exited is restarted. If absent, it is not restarted.
     pub restart_after: Option<Duration>,
     addresses: AddressBlock,
@@ -142,6 +144,7 @@
             processes: Processes::new(dir.clone()),
             retry_slack: 20.0,
             version_deadline: Duration::from_millis(3_000),
+            revocation_deadline: Duration::from_millis(2_000),
             restart_after: None,
             config: config(origin.address),
             origin,
@@ -158,6 +161,11 @@
         self.store.put("op/config", &self.config);
     }
 
+    /// The configuration that was published last.
+    pub fn config(&self) -> &Value {
+        &self.config
+    }
+
     /// Starts an engine and registers it.
     pub async fn start_engine(&self, options: EngineOptions) -> Engine {
         let engine = Engine::start(options).await.expect("start the engine");
@@ -228,7 +236,7 @@
             "readiness_listen": gateway.readiness.to_string(),
             "inner_listen": gateway.inner.to_string(),
             "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
-            "seeds": mesh_addresses(seeds), "revoke_within_ms": 2000, "grace_s": 8,
+            "seeds": mesh_addresses(seeds), "revoke_within_ms": self.revocation_deadline.as_millis(), "grace_s": 8,
             "version_within_ms": self.version_deadline.as_millis(), "retry_slack": self.retry_slack,
             "first_start": true,
         });
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod lifecycle;
 mod limits;
 mod requests;
+mod restored_store;
 mod soak;
 mod streams;
 mod versions;
