A process that has listed the store does not hide removals from peers

A fact that was removed between two reads of a process was kept for ever by a peer that pulled from it: the process had never had the fact, so its changes since the peer's position did not contain the removal, but its position said that they were complete. Peers behind a complete copy get a complete copy now.

--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -278,9 +278,9 @@
         }
         if position.era > self.position.era {
             self.enter_era(now, position);
-            // What was removed in the era before is not known, so peers that are behind need a complete copy.
-            self.forgotten = position;
         }
+        // A complete copy does not show what was removed before it, unless this copy had it.
+        self.forgotten = self.forgotten.max(position);
         let listed = changes
             .iter()
             .filter(|change| !change.unconfirmed || !may_be_lost(&change.subject));
--- a/crates/directory/tests/eras.rs
+++ b/crates/directory/tests/eras.rs
@@ -1,12 +1,13 @@
 //! Tests of replicas whose source is restored from an older copy, which begins a new era: revisions are given out again,
 //! and what was written since the copy is written again.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use balsamjunction_directory::{
     Change, Declaration, Directory, Fact, Position, Replica, ReplicaPull, ReplicaUpdate, Subject,
     UpstreamRecord, UpstreamState, Verification, VerificationAge,
 };
+use proptest::prelude::*;
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -428,3 +429,259 @@
     assert_eq!(configuration(&replica), Some(9));
     assert_eq!(states(&replica).len(), 1);
 }
+
+/// The source, with the changes that a watch returns.
+#[derive(Clone, Default)]
+struct Source {
+    position: Position,
+    log: Vec<Change>,
+    facts: BTreeMap<Subject, Change>,
+}
+
+impl Source {
+    fn write(&mut self, subject: Subject, fact: Option<Fact>) {
+        self.position.revision += 1;
+        let change = change(self.position, subject.clone(), fact);
+        match change.fact {
+            Some(_) => self.facts.insert(subject, change.clone()),
+            None => self.facts.remove(&subject),
+        };
+        self.log.push(change);
+    }
+
+    /// Restores the copy, then writes again what has changed since.
+    fn restore(&mut self, copy: &Self) {
+        let truth = self.facts.clone();
+        let era = self.position.era + 1;
+        *self = copy.clone();
+        self.position.era = era;
+        for change in self.log.iter_mut().chain(self.facts.values_mut()) {
+            change.era = era;
+        }
+        let lost: Vec<Subject> = self.facts.keys().cloned().collect();
+        for subject in lost {
+            if !truth.contains_key(&subject) {
+                self.write(subject, None);
+            }
+        }
+        for (subject, change) in truth {
+            let copied = self.facts.get(&subject);
+            if copied.is_none_or(|copied| copied.fact != change.fact) {
+                self.write(subject, change.fact);
+            }
+        }
+    }
+
+    fn listing(&self) -> Vec<Change> {
+        self.facts.values().cloned().collect()
+    }
+}
+
+/// One step of a random history.
+#[derive(Clone, Debug)]
+enum Step {
+    Write(usize, u64),
+    Remove(usize),
+    Copy,
+    Restore,
+    Watch(usize),
+    List(usize),
+    Pull(usize, usize, bool),
+    Notify(usize, usize),
+    Restart(usize),
+    /// A listing that was read before arrives now.
+    LateListing(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let replica = 0..3_usize;
+    let step = prop_oneof![
+        4 => (0..6_usize, 0..3_u64).prop_map(|(n, value)| Step::Write(n, value)),
+        2 => (1..5_usize).prop_map(Step::Remove),
+        1 => Just(Step::Copy),
+        1 => Just(Step::Restore),
+        4 => replica.clone().prop_map(Step::Watch),
+        1 => replica.clone().prop_map(Step::List),
+        3 => (replica.clone(), 0..3_usize, any::<bool>()).prop_map(|(a, b, all)| Step::Pull(a, b, all)),
+        2 => (replica.clone(), 0..3_usize).prop_map(|(a, b)| Step::Notify(a, b)),
+        1 => replica.clone().prop_map(Step::Restart),
+        1 => replica.prop_map(Step::LateListing),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+/// Writes the configuration, the version of a model, or one of four upstreams.
+fn write(source: &mut Source, n: usize, value: u64, next_version: &mut u64) {
+    *next_version += 1;
+    let (subject, fact) = match n {
+        0 => {
+            let declaration = Declaration {
+                version: *next_version,
+                ..Declaration::default()
+            };
+            (
+                Subject::Declaration,
+                Fact::Declaration(Arc::new(declaration)),
+            )
+        }
+        5 => (Subject::Version("m1".into()), Fact::Version(*next_version)),
+        n => {
+            let id = format!("u{n}");
+            let state = match value {
+                0 => UpstreamState::Draining,
+                _ => UpstreamState::Ready,
+            };
+            let mut fact = upstream(&id, state);
+            if let Fact::Upstream(record) = &mut fact {
+                record.slots = value as u32;
+            }
+            (Subject::Upstream(id.into()), fact)
+        }
+    };
+    source.write(subject, Some(fact));
+}
+
+/// Watches the source as a reader does: from its position, or by a listing if the source has begun another era.
+fn watch(replica: &mut Replica, source: &Source, now_ms: u64) {
+    let position = replica.position();
+    if position.era != source.position.era {
+        let proof = verification(source.position, now_ms);
+        replica.replace_by_listing(millis(now_ms), source.listing(), proof);
+        return;
+    }
+    let newer = source.log.iter().filter(|c| c.revision > position.revision);
+    let proof = verification(source.position, now_ms);
+    replica.apply(millis(now_ms), newer.cloned().collect(), proof);
+}
+
+fn pull(replicas: &mut [Replica], to: usize, from: usize, all: bool, now_ms: u64) {
+    let pull = match all {
+        true => ReplicaPull::default(),
+        false => ReplicaPull::from(replicas[to].position()),
+    };
+    if let Some(update) = replicas[from].update_for(millis(now_ms), &pull) {
+        replicas[to].apply_update(millis(now_ms), millis(now_ms - 1), update);
+    }
+}
+
+/// The facts that count, without what a restarted engine writes anyway.
+fn facts(replica: &Replica) -> Vec<(Subject, Fact)> {
+    let facts = replica.facts();
+    facts.map(|f| (f.subject.clone(), f.fact.clone())).collect()
+}
+
+/// What makes all replicas right again in the end.
+#[derive(Clone, Copy, PartialEq)]
+enum Remedy {
+    /// One replica watches every change.
+    Watcher,
+    /// Each upstream registers once more after everyone has read the source.
+    Registration,
+}
+
+fn run(steps: &[Step], remedy: Remedy) {
+    let mut source = Source::default();
+    source.position.era = 1;
+    let mut next_version = 0;
+    write(&mut source, 0, 0, &mut next_version);
+    let mut copy = source.clone();
+    let mut late = source.clone();
+    let mut replicas: Vec<Replica> = (0..3).map(|_| Replica::default()).collect();
+    let mut configurations = [None; 3];
+    let mut now = 1_000;
+    for step in steps {
+        now += 100;
+        match *step {
+            Step::Write(n, value) => write(&mut source, n, value, &mut next_version),
+            Step::Remove(n) => source.write(Subject::Upstream(format!("u{n}").into()), None),
+            Step::Copy => copy = source.clone(),
+            Step::Restore => source.restore(&copy),
+            Step::Watch(n) => watch(&mut replicas[n], &source, now),
+            // The watcher reads every change in order, and no late ones.
+            Step::List(0) | Step::LateListing(0) | Step::Restart(0)
+                if remedy == Remedy::Watcher => {}
+            Step::List(n) => {
+                late = source.clone();
+                let proof = verification(source.position, now);
+                replicas[n].replace_by_listing(millis(now), source.listing(), proof);
+            }
+            Step::LateListing(n) => {
+                let proof = verification(late.position, now);
+                replicas[n].replace_by_listing(millis(now), late.listing(), proof);
+            }
+            Step::Pull(to, from, all) if to != from => pull(&mut replicas, to, from, all, now),
+            Step::Notify(to, from) if to != from => {
+                let since = replicas[to].position();
+                let update = replicas[from].update_for(millis(now), &ReplicaPull::from(since));
+                if let Some(update) = update {
+                    replicas[to].apply_notification(millis(now), since, update);
+                }
+            }
+            Step::Restart(n) => {
+                replicas[n] = Replica::default();
+                configurations[n] = None;
+            }
+            Step::Pull(..) | Step::Notify(..) => {}
+        }
+        if remedy == Remedy::Watcher {
+            watch(&mut replicas[0], &source, now);
+        }
+        for (replica, before) in replicas.iter().zip(&mut configurations) {
+            let configuration = configuration(replica);
+            assert!(configuration >= *before, "a configuration went back");
+            *before = configuration;
+        }
+    }
+    if remedy == Remedy::Registration {
+        for replica in &mut replicas {
+            watch(replica, &source, now);
+        }
+        let upstreams: Vec<Subject> = source.facts.keys().cloned().collect();
+        for subject in upstreams {
+            if let Subject::Upstream(id) = &subject {
+                let fact = upstream(id, UpstreamState::Ready);
+                source.write(subject, Some(fact));
+            }
+        }
+    }
+    // Everyone reads and exchanges facts until the copy has settled.
+    for _ in 0..40 {
+        now += 200;
+        for n in 0..3 {
+            watch(&mut replicas[n], &source, now);
+            if n > 0 {
+                pull(&mut replicas, n, n - 1, true, now);
+            }
+            replicas[n].drop_unconfirmed(millis(now));
+        }
+    }
+    let truth: Vec<(Subject, Fact)> = source
+        .facts
+        .iter()
+        .filter_map(|(subject, change)| Some((subject.clone(), change.fact.clone()?)))
+        .collect();
+    for replica in &replicas {
+        assert_eq!(facts(replica), truth);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: prop::test_runner::RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against replicas that stay wrong after restorations, in whatever order they learn of them.
+    #[test]
+    fn replicas_agree_with_the_source_once_upstreams_register(steps in steps()) {
+        run(&steps, Remedy::Registration);
+    }
+
+    // Guards against what a replica took for part of the copy, and keeps although another one knows better.
+    #[test]
+    fn replicas_agree_with_the_source_if_one_of_them_watches(steps in steps()) {
+        run(&steps, Remedy::Watcher);
+    }
+}
--- a/crates/directory/tests/replica.rs
+++ b/crates/directory/tests/replica.rs
@@ -436,3 +436,24 @@
 
     assert_eq!(not_before(&replica), None);
 }
+
+// Guards against a fact that is removed between two reads of a process, which its peers then keep for ever: it never had
+// the fact, so it could not tell them.
+#[test]
+fn a_process_that_has_listed_does_not_hide_removals_from_peers_that_are_behind() {
+    let mut behind = Replica::default();
+    behind.replace_by_listing(millis(0), vec![version_change(1, 1)], verification(1, 0));
+    behind.apply(
+        millis(10),
+        vec![evacuation_change(2, "addis-a", true)],
+        verification(2, 10),
+    );
+    let mut listing = Replica::default();
+    listing.replace_by_listing(millis(20), vec![version_change(1, 1)], verification(3, 20));
+
+    let update = listing.update_for(millis(30), &ReplicaPull::from(behind.position()));
+    behind.apply_update(millis(30), millis(25), update.expect("it has facts"));
+
+    let directory = Directory::from_replica(&behind, &Directory::default());
+    assert!(directory.evacuated_data_centres.is_empty());
+}
