A stager does not go back to the services of an older configuration

A stager that reaches no gateway reads the store itself. After a restoration from an older copy it took over the models and the origin of the configuration there, although it had a later one. Updates tell the version of the configuration now. The target version was never lowered before, and is not now.

--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -378,8 +378,9 @@
         }
     }
 
-    /// Applies a weights update that was verified at `verified_at`; a target version is never lowered.
-    fn apply_update(&self, update: WeightsUpdate, verified_at: Moment) {
+    /// Applies a weights update that was verified at `verified_at`; neither a target version nor the configuration of the
+    /// services goes back.
+    fn apply_update(&self, mut update: WeightsUpdate, verified_at: Moment) {
         let is_older = self
             .update
             .borrow()
@@ -388,6 +389,9 @@
         if is_older || update.service_models.is_empty() {
             return;
         }
+        if let Some((known, _)) = self.update.borrow().as_ref() {
+            update.keep_later_services(known);
+        }
         *self.update.borrow_mut() = Some((update, verified_at));
         let Some(model) = self.model() else {
             return;
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -166,11 +166,26 @@
     /// Pairs of a service of engines and a model that its engines may load.
     #[serde(rename = "models")]
     pub service_models: Vec<(SmolStr, SmolStr)>,
+    /// The version of the configuration that declares the origin and the models; zero if the sender does not tell.
+    #[serde(default)]
+    pub configuration: u64,
 }
 
 impl WeightsUpdate {
+    /// Keeps what a later configuration declares, if this update is of an earlier one: a store that was restored from an
+    /// older copy may lack the later one.
+    pub fn keep_later_services(&mut self, known: &Self) {
+        if (1..known.configuration).contains(&self.configuration) {
+            self.configuration = known.configuration;
+            self.origin.clone_from(&known.origin);
+            self.origin_kbit_s = known.origin_kbit_s;
+            self.service_models.clone_from(&known.service_models);
+        }
+    }
+
     /// Adds the models of a configuration's services, and sets the origin if one is declared.
     pub fn add_services(&mut self, declaration: &Declaration) {
+        self.configuration = declaration.version;
         for service in &declaration.services {
             let models = service.engine.iter().flat_map(|engine| &engine.models);
             let pairs = models.map(|m| (service.name.clone(), m.name.clone()));
