explain-request names a restoration of the store before a refusal

A refusal for stale facts, an unknown route or key, or no upstream within ten seconds of a restoration is traced to it: log lines and the metric were there, but the explanation of a request did not mention it.

--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -10,6 +10,17 @@
 /// Fields that a line of the timeline does not repeat as `name=value`.
 const HEADING_FIELDS: [&str; 3] = ["at_ms", "event", "id"];
 
+/// Reasons of refusals that depend on the facts that the process has.
+const FACTS_REASONS: [&str; 5] = [
+    "stale-facts",
+    "no-configuration",
+    "no-route",
+    "unknown-key",
+    "no-upstream",
+];
+/// Time after a restoration of the store within which it may explain such a refusal, in milliseconds.
+const RECENT_RESTORATION_MS: u64 = 10_000;
+
 /// A log line of the request.
 struct Step {
     at_ms: u64,
@@ -19,7 +30,7 @@
 
 /// Writes the events of a request in order of time, and a sentence that explains its outcome.
 pub fn run(id: &str, files: &[PathBuf], json: bool, out: &mut dyn Write) -> Result<(), CliError> {
-    let (mut steps, mut limits) = (Vec::new(), Vec::new());
+    let (mut steps, mut limits, mut restorations) = (Vec::new(), Vec::new(), Vec::new());
     for file in files {
         let buf = read_file(file)?;
         let text = String::from_utf8_lossy(&buf);
@@ -28,6 +39,8 @@
                 steps.push(step);
             } else if step.event == "upstream-limit" {
                 limits.push(step);
+            } else if step.event == "store-restored" {
+                restorations.push(step);
             }
         }
     }
@@ -36,7 +49,10 @@
     }
     steps.sort_by_key(|step| step.at_ms);
     limits.sort_by_key(|step| step.at_ms);
-    let cause = explain_outcome(&steps, &limits);
+    let mut cause = explain_outcome(&steps, &limits);
+    if let Some(restoration) = describe_restoration(&steps, &restorations) {
+        cause.push_str(&restoration);
+    }
     if json {
         let steps: Vec<Value> = steps.into_iter().map(|s| Value::Object(s.fields)).collect();
         writeln!(out, "{}", json!({"id": id, "steps": steps, "cause": cause}))?;
@@ -91,6 +107,23 @@
     })
 }
 
+/// Names the latest restoration of the store before a refusal that depends on the facts, if it was shortly before.
+fn describe_restoration(steps: &[Step], restorations: &[Step]) -> Option<String> {
+    let answered = steps.iter().rev().find(|step| step.event == "answered")?;
+    if !FACTS_REASONS.contains(&text_field(answered, "reason")) {
+        return None;
+    }
+    let elapsed = |step: &Step| answered.at_ms.checked_sub(step.at_ms);
+    let recent = restorations
+        .iter()
+        .filter_map(|step| Some((elapsed(step)?, step)));
+    let (elapsed_ms, step) = recent.min_by_key(|(elapsed_ms, _)| *elapsed_ms)?;
+    let era = step.fields.get("era").and_then(Value::as_u64)?;
+    (elapsed_ms <= RECENT_RESTORATION_MS).then(|| {
+        format!(" The store had been restored from a copy {elapsed_ms} ms before (era {era}).")
+    })
+}
+
 /// Explains the outcome of a request in one sentence, or two if a limit sent it elsewhere.
 fn explain_outcome(steps: &[Step], limits: &[Step]) -> String {
     let outcome = explain_response(steps, limits);
--- a/crates/lab/tests/gateway/restored_store.rs
+++ b/crates/lab/tests/gateway/restored_store.rs
@@ -7,7 +7,10 @@
 use futures_util::future::join_all;
 use serde_json::{json, Value};
 
-use crate::common::{plain_engine_options, wait_until, Gateway, TestSite};
+use crate::{
+    common::{plain_engine_options, wait_until, Gateway, TestSite},
+    explained::explained_cause,
+};
 
 /// Time within which a change must be in force.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_000);
@@ -279,7 +282,7 @@
     assert!(count_arrivals(&gateways, &lives, Duration::from_secs(1)).await > 0);
 }
 
-// Guards against a restoration that neither the log nor a metric shows.
+// Guards against a restoration that neither the log nor a metric shows, and that no refusal is traced to.
 #[actix_rt::test]
 async fn a_restoration_is_logged_and_counted() {
     let (site, gateways, _engine) = start(1).await;
@@ -301,4 +304,8 @@
         .metric("balsamjunction_store_restorations_total")
         .await;
     assert_eq!(counted, Some(1.0));
+    assert_eq!(status_on(&gateways[0], "unknown", "r1").await, 404);
+    let cause = explained_cause(&site, "r1", "g0").await;
+    assert!(cause.contains("restored from a copy"), "{cause}");
+    assert!(cause.contains("era 2"), "{cause}");
 }
