--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -7,6 +7,7 @@
 //! The source may be restored from an older copy, which begins a new era. See docs/DESIGN.md, "Eras".
 
 mod era;
+mod peers;
 mod position;
 
 use std::{
@@ -145,6 +146,52 @@
     not_before: Option<Duration>,
 }
 
+/// How a change relates to the stored fact of its subject.
+enum Relation {
+    Later,
+    Same,
+    Older,
+}
+
+impl Entry {
+    fn relation_of(&self, change: &Change) -> Relation {
+        let provenance = change.provenance();
+        let other_era = provenance.position.era != self.provenance.position.era;
+        let fact = change.fact.as_ref();
+        let same_fact = fact == Some(&self.fact);
+        if provenance.is_same(&self.provenance) {
+            // A revision of one era is one change, so another fact at the same revision is of another era.
+            return match other_era && fact.is_some() && !same_fact {
+                false => Relation::Same,
+                true if provenance.position.era > self.provenance.position.era => Relation::Later,
+                true => Relation::Older,
+            };
+        }
+        // The stored fact came with the copy, and the change tells when it was published.
+        if other_era && same_fact && self.provenance.copied && !provenance.copied {
+            return Relation::Same;
+        }
+        // Versions only increase, so a higher one is later wherever it was read.
+        let raised = fact.is_some_and(|fact| is_lower_version(&self.fact, fact));
+        match raised || provenance.is_later(&self.provenance) {
+            true => Relation::Later,
+            false => Relation::Older,
+        }
+    }
+
+    /// Merges what is known of the same change; returns whether the time before which it cannot have been published
+    /// changed.
+    fn merge_same(&mut self, provenance: Provenance, known_since: Duration) -> bool {
+        if self.provenance.copied && !provenance.copied {
+            self.provenance = provenance;
+        }
+        self.known_since = self.known_since.min(known_since);
+        let previous = self.not_before;
+        self.not_before = previous.map(|not_before| not_before.min(known_since));
+        self.not_before != previous
+    }
+}
+
 /// A fact in a replica, with the bounds on the time of its publication.
 #[derive(Clone, Copy, Debug)]
 pub struct StoredFact<'r> {
@@ -380,48 +427,21 @@
                 stored.confirmed = true;
                 stored.confirmed_at = stored.confirmed_at.max(provenance.position);
             }
-            // A revision of one era is one change, so another fact at the same revision is of another era.
-            let same_revision = provenance.is_same(&stored.provenance);
-            let other_era = provenance.position.era != stored.provenance.position.era;
-            let differs = change
-                .fact
-                .as_ref()
-                .is_some_and(|fact| *fact != stored.fact);
-            let replaced = same_revision && other_era && differs;
-            if replaced && provenance.position.era < stored.provenance.position.era {
-                stored.provenance.copied = false;
-                return false;
-            }
-            if same_revision && !replaced {
-                if stored.provenance.copied && !provenance.copied {
-                    stored.provenance = provenance;
+            match stored.relation_of(&change) {
+                Relation::Later => {}
+                Relation::Same => return stored.merge_same(provenance, known_since),
+                Relation::Older => {
+                    // Another fact at the same revision is of another era, so the stored one did not come with a copy.
+                    stored.provenance.copied &= !provenance.is_same(&stored.provenance);
+                    return false;
                 }
-                stored.known_since = stored.known_since.min(known_since);
-                let previous = stored.not_before;
-                stored.not_before = previous.map(|not_before| not_before.min(known_since));
-                return stored.not_before != previous;
-            }
-            let same_fact = change.fact.as_ref() == Some(&stored.fact);
-            if other_era && same_fact && stored.provenance.copied && !provenance.copied {
-                // The stored fact came with the copy, and this is when it was published.
-                stored.provenance = provenance;
-                return false;
-            }
-            // Versions only increase, so a higher one is later wherever it was read.
-            let raised = change.fact.as_ref();
-            let raised = raised.is_some_and(|fact| is_lower_version(&stored.fact, fact));
-            if !replaced && !raised && !provenance.is_later(&stored.provenance) {
-                return false;
             }
         }
-        if let Some(removed) = self.latest_removal(&change.subject) {
-            let restored = provenance.position.era > removed.position.era
-                && provenance.position.revision == removed.position.revision;
+        if let Some(removed) = self.latest_removal(&change.subject).copied() {
             let returned =
                 present && removed.position.era == self.era.number && removed.position < as_of;
-            if !restored && !returned && !provenance.is_later(removed) {
+            if !returned && !provenance.undoes(&removed) {
                 if present && removed.position.era < self.era.number {
-                    let removed = *removed;
                     self.revived.insert(change.subject, removed);
                 }
                 return false;
@@ -494,151 +514,6 @@
             }
         }
     }
-
-    /// The changes that a peer which is complete up to the position of `pull` is missing.
-    ///
-    /// Target versions are always included, since the peer may have received them later than this
-    /// process. Absent before the first verification.
-    pub fn update_for(&self, now: Duration, pull: &ReplicaPull) -> Option<ReplicaUpdate> {
-        let verified_at = self.verified_at?;
-        let pulled = Position {
-            era: pull.era,
-            revision: pull.revision,
-        };
-        let complete =
-            pulled.revision == 0 || pulled.era != self.position.era || pulled < self.forgotten;
-        let is_newer = |provenance: &Provenance| complete || provenance.position > pulled;
-        let mut changes: Vec<Change> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| is_newer(&e.provenance) || matches!(e.fact, Fact::Version(_)))
-            .map(|(subject, e)| Change {
-                subject: subject.clone(),
-                revision: e.provenance.position.revision,
-                fact: Some(e.fact.clone()),
-                known_for_ms: now.saturating_sub(e.known_since).as_millis() as u64,
-                era: e.provenance.position.era,
-                copied: e.provenance.copied,
-                unconfirmed: !e.confirmed,
-            })
-            .collect();
-        if complete {
-            let revived = self.revived.iter();
-            changes.extend(
-                revived.map(|(subject, removed)| removal(subject.clone(), removed.position)),
-            );
-        } else {
-            let removals = self
-                .removals
-                .iter()
-                .filter(|(_, provenance)| is_newer(provenance));
-            changes.extend(
-                removals.map(|(subject, provenance)| removal(subject.clone(), provenance.position)),
-            );
-        }
-        changes.sort_by_key(|change| (change.era, change.revision));
-        Some(ReplicaUpdate {
-            revision: self.position.revision,
-            era: self.position.era,
-            age_ms: now.saturating_sub(verified_at).as_millis() as u64,
-            complete,
-            changes,
-        })
-    }
-
-    /// Applies changes after `base` that a peer pushed without a request.
-    ///
-    /// Returns nothing if they do not follow the known position directly; they are not applied then.
-    /// The facts are valid, but do not verify that this copy is complete: the notification may have
-    /// been delayed.
-    pub fn apply_notification(
-        &mut self,
-        now: Duration,
-        base: Position,
-        update: ReplicaUpdate,
-    ) -> Option<ApplySummary> {
-        let position = update.position();
-        if position.era < self.position.era {
-            // The peer, or the message, is of an era that has ended.
-            return Some(ApplySummary::default());
-        }
-        let follows = base.era == self.position.era && position.era == base.era;
-        if self.verified_at.is_none() || !follows || self.position < base || update.complete {
-            return None;
-        }
-        if position <= self.position {
-            return Some(ApplySummary::default());
-        }
-        let mut summary = ApplySummary::default();
-        for change in update.changes {
-            summary.changed += usize::from(self.put(now, change));
-        }
-        self.position = position;
-        // The peer has sent the latest change of each subject only.
-        self.era.forget_history(position.revision);
-        Some(summary)
-    }
-
-    /// Applies a peer's response to a pull that was sent at `queried_at`.
-    ///
-    /// The age of the peer's verification counts back from `queried_at`, so that the time which the
-    /// exchange took does not make it look more recent.
-    pub fn apply_update(
-        &mut self,
-        now: Duration,
-        queried_at: Duration,
-        update: ReplicaUpdate,
-    ) -> ApplySummary {
-        let age = Duration::from_millis(update.age_ms);
-        let position = update.position();
-        let verification = Verification {
-            position,
-            queried_at: queried_at.saturating_sub(age),
-        };
-        if position < self.position {
-            return self.merge_older(now, update);
-        }
-        let summary = match update.complete {
-            true => self.replace(now, update.changes, verification),
-            // Only a complete copy can begin an era.
-            false if position.era != self.position.era => return ApplySummary::default(),
-            false => self.apply(now, update.changes, verification),
-        };
-        self.era.forget_history(position.revision);
-        self.adopt_verified_at(verification.queried_at);
-        summary
-    }
-
-    /// Merges what a peer that is behind may know better: when it received the facts that both have, facts of an era
-    /// that has ended which the source lost, and which changes were certainly made in the present era.
-    fn merge_older(&mut self, now: Duration, update: ReplicaUpdate) -> ApplySummary {
-        let mut summary = ApplySummary::default();
-        let same_era = update.era == self.position.era;
-        for change in update.changes {
-            let provenance = change.provenance();
-            let stored = self.entries.get(&change.subject);
-            let known = match same_era {
-                true => {
-                    let in_era = provenance.position.era == self.era.number;
-                    let certain = in_era && !change.copied && change.fact.is_some();
-                    match stored {
-                        Some(stored) => certain || provenance.is_same(&stored.provenance),
-                        None => certain && self.was_removed_before_era(&change),
-                    }
-                }
-                false => stored.is_some() || !matches!(change.subject, Subject::Upstream(_)),
-            };
-            if known {
-                // Whether the source still has the subject is known better here.
-                let change = Change {
-                    unconfirmed: true,
-                    ..change
-                };
-                summary.changed += usize::from(self.put(now, change));
-            }
-        }
-        summary
-    }
 }
 
 fn removal(subject: Subject, position: Position) -> Change {
--- a/crates/directory/src/replica/position.rs
+++ b/crates/directory/src/replica/position.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    /// Whether the change brings back what `removal` removed: it was made later, or it has the same revision and so is
+    /// another change, of a later era.
+    pub fn undoes(&self, removal: &Self) -> bool {
+        let later_era = self.position.era > removal.position.era;
+        let same_revision = self.position.revision == removal.position.revision;
+        (later_era && same_revision) || self.is_later(removal)
+    }
+
     /// Whether the changes were read in different eras, but may have been made in the same one.
     fn older_era_of(&self, other: &Self) -> bool {
         let (early, late) = match self.position.era < other.position.era {
