--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -6,6 +6,9 @@
 use super::attempts::RequestAttempts;
 use crate::{events::Event, mesh};
 
+/// Most parts of a prompt that a log line names; callers choose how many there are.
+const MAX_LOGGED_PARTS: usize = 32;
+
 /// How far an upstream had come with a request when its connection broke.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenAttempt {
@@ -53,7 +56,10 @@
                 upstream: upstream.id.clone(),
                 began: broken.began,
                 sound: broken.sound,
-                parts: parts.map(ToString::to_string).collect(),
+                parts: parts
+                    .take(MAX_LOGGED_PARTS)
+                    .map(ToString::to_string)
+                    .collect(),
             });
         if !broken.sound && !self.request.prompt_parts.is_empty() {
             let upstream = (upstream.id.clone(), upstream.started_at_ms);
