--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod crash_evidence;
 mod event_stream;
 mod lifecycle;
+mod reported_state;
 mod response;
 mod send;
 
