The soak restores the store from a copy

Seeds from 1,000 on choose from one disruption more: the store is away and comes back from a copy that lacks up to a dozen changes, which are written again. Lower seeds do what they did.

--- a/crates/lab/src/standin/platform/store.rs
+++ b/crates/lab/src/standin/platform/store.rs
@@ -141,6 +141,24 @@
         self.revision_tx.send_replace(revision);
     }
 
+    /// The same, after which everything that the copy lacks is written again.
+    pub fn restore_and_write_again(&self, revision: u64) {
+        let truth = self.state().entries.clone();
+        self.restore(revision);
+        let copy = self.state().entries.clone();
+        for key in copy.keys().filter(|key| !truth.contains_key(*key)) {
+            self.apply_change(key, None);
+        }
+        for (key, event) in &truth {
+            if copy
+                .get(key)
+                .is_none_or(|copied| copied.value != event.value)
+            {
+                self.apply_change(key, event.value.clone());
+            }
+        }
+    }
+
     /// Sets the fault of the store.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state().fault = fault;
--- a/crates/lab/tests/gateway/soak/disruptions.rs
+++ b/crates/lab/tests/gateway/soak/disruptions.rs
@@ -33,6 +33,23 @@
     NewVersion,
     NewConfiguration,
     KeyRevoked,
+    StoreRestored,
+}
+
+/// Number of disruptions, the first ones, that seeds below [`FIRST_SEED_OF_ALL`] choose from. A longer list would
+/// change what they do.
+const ORIGINAL_DISRUPTIONS: usize = 15;
+/// The first seed that chooses from all disruptions.
+const FIRST_SEED_OF_ALL: u64 = 1_000;
+
+impl Disruption {
+    /// The disruptions that a seed chooses from.
+    pub fn of_seed(seed: u64) -> &'static [Self] {
+        match seed < FIRST_SEED_OF_ALL {
+            true => &Self::VARIANTS[..ORIGINAL_DISRUPTIONS],
+            false => Self::VARIANTS,
+        }
+    }
 }
 
 /// Ends a disruption.
@@ -123,6 +140,15 @@
                 self.site.store.set_fault(StoreFault::LostWatchEvents);
                 Box::new(|soak| soak.site.store.set_fault(StoreFault::None))
             }
+            Disruption::StoreRestored => {
+                let lost = self.rng.random_range(0..12);
+                let copied = self.site.store.revision().saturating_sub(lost).max(1);
+                self.site.store.set_fault(StoreFault::Down);
+                Box::new(move |soak| {
+                    soak.site.store.restore_and_write_again(copied);
+                    soak.site.store.set_fault(StoreFault::None);
+                })
+            }
             Disruption::NewVersion => {
                 self.version += 1;
                 self.site.publish_version(self.version);
@@ -175,7 +201,8 @@
         let mut log = Vec::new();
         let mut active: Vec<(Instant, Undo)> = Vec::new();
         while started.elapsed() < Duration::from_secs(seconds) {
-            let disruption = *Disruption::VARIANTS
+            let disruption = *self
+                .disruptions
                 .choose(&mut self.rng)
                 .expect("the list is not empty");
             log.push(format!("{:?} {disruption:?}", started.elapsed()));
--- a/crates/lab/tests/gateway/soak/mod.rs
+++ b/crates/lab/tests/gateway/soak/mod.rs
@@ -23,6 +23,7 @@
 
 use self::{
     callers::{run_caller, send_call},
+    disruptions::Disruption,
     oracle::{find_violations, RequestKind},
     proxy::Proxy,
 };
@@ -33,7 +34,7 @@
 /// Seeds of a default run, with every seed that has failed:
 /// 40, with 6 s: a stager fetched older versions along with the newest and dropped the newest in favour of
 /// them.
-const DEFAULT_SEEDS: [u64; 4] = [1, 2, 3, 40];
+const DEFAULT_SEEDS: [u64; 5] = [1, 2, 3, 40, 1_000];
 /// Time during which a default run starts disruptions.
 const DEFAULT_SECONDS: u64 = 6;
 const GATEWAYS: usize = 3;
@@ -58,6 +59,8 @@
     /// The newest published version of the weights.
     version: u64,
     rng: Pcg64Mcg,
+    /// The disruptions to choose from.
+    disruptions: &'static [Disruption],
 }
 
 impl Soak {
@@ -76,6 +79,7 @@
             revoked: HashMap::new(),
             version: 1,
             rng: Pcg64Mcg::seed_from_u64(seed),
+            disruptions: Disruption::of_seed(seed),
         };
         for n in 0..GATEWAYS {
             let seeds = soak.gateways.clone();
