--- a/crates/policy/tests/crash_suspects/fleet.rs
+++ b/crates/policy/tests/crash_suspects/fleet.rs
@@ -140,23 +140,29 @@
     }
 }
 
+/// Loses all upstreams six times in a row, each time before a response can be sound; returns the share of sound requests
+/// that are refused later than 6 s after the last time.
+fn refused_after_outages(entries: usize, seed: u64) -> f64 {
+    let mut fleet = Fleet::new(entries, 12, seed);
+    fleet.run(ms(100));
+    for _ in 0..6 {
+        for n in 0..fleet.engine_count() {
+            fleet.crash_engine(n);
+        }
+        fleet.run(ms(3_200));
+    }
+    let back = fleet.now;
+    fleet.run(Moment::from_secs(15));
+    fleet.refused_share(back + Moment::from_secs(6))
+}
+
 // Guards against parts that are refused after all upstreams were lost, at the start or several times in a row.
 #[test]
 fn outages_of_all_upstreams_leave_nothing_refused() {
     for entries in [1, 4, 35] {
         for seed in 0..6 {
-            let mut fleet = Fleet::new(entries, 12, seed);
-            fleet.run(ms(100));
-            for _ in 0..6 {
-                for n in 0..fleet.engine_count() {
-                    fleet.crash_engine(n);
-                }
-                fleet.run(ms(3_200));
-            }
-            let back = fleet.now;
-            fleet.run(Moment::from_secs(15));
+            let refused = refused_after_outages(entries, seed);
 
-            let refused = fleet.refused_share(back + Moment::from_secs(6));
             assert!(
                 refused < 0.01,
                 "{refused} refused, {entries} entries, seed {seed}"
@@ -165,6 +171,24 @@
     }
 }
 
+// Guards against a part that stays refused since the entries that may test it get few requests with it.
+#[test]
+fn outages_leave_nothing_refused_where_few_requests_can_test_a_verdict() {
+    let refused = refused_after_outages(35, 7);
+
+    assert!(refused < 0.01, "{refused} refused");
+}
+
+// Guards against a part whose crashes other deadly parts explain, since they were at the same upstreams.
+#[test]
+fn four_deadly_parts_among_few_upstreams_are_all_refused_in_time() {
+    let mut fleet = start(1, 12, 4, 29);
+
+    fleet.run(Moment::from_secs(40));
+
+    assert_bound(&fleet, "seed 29");
+}
+
 // Guards against requests that crash one upstream after the other while nothing else is requested.
 #[test]
 fn a_deadly_part_is_refused_if_nothing_else_is_requested() {
