--- a/crates/daemon/src/mesh/crash_evidence.rs
+++ b/crates/daemon/src/mesh/crash_evidence.rs
@@ -1,9 +1,10 @@
 //! The part of the cluster view that tells which parts of prompts crash upstreams.
 
-use balsamjunction_policy::stated_limits::UpstreamId;
 use balsamjunction_policy::{
     crash_suspects::{CrashSuspects, RefusedPart},
-    rendezvous, Moment,
+    rendezvous,
+    stated_limits::UpstreamId,
+    Moment,
 };
 use balsamjunction_protocol::mesh::{CrashEvidence, ProcessRole, PromptPart};
 
@@ -41,7 +42,7 @@
         if parts.is_empty() {
             return None;
         }
-        self.update_suspects(|suspects, now| suspects.is_refused(now, parts))
+        self.update_suspects(|suspects, now| suspects.refused_part(now, parts))
     }
 
     /// Number of parts that are refused.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -18,7 +18,7 @@
     fact::{Fact, LoadedModel, Subject, UpstreamRecord, UpstreamState},
     lookup::{ApiKeyOwner, Directory, RouteTable, TargetVersion},
     replica::{
-        ApplySummary, Change, Position, Provenance, Replica, ReplicaPull, ReplicaUpdate,
-        StoredFact, Verification, VerificationAge,
+        ApplySummary, Change, Position, Replica, ReplicaPull, ReplicaUpdate, StoredFact,
+        Verification, VerificationAge,
     },
 };
--- a/crates/policy/src/crash_suspects/mod.rs
+++ b/crates/policy/src/crash_suspects/mod.rs
@@ -295,9 +295,9 @@
         })
     }
 
-    /// Whether a request that [`Self::admit`] admitted may still be sent: none of its parts is refused, or it is
-    /// the one that tests the verdict.
-    pub fn is_refused(&mut self, now: Moment, parts: &[PromptPart]) -> Option<PromptPart> {
+    /// Returns the first refused part of a request that [`Self::admit`] admitted and that is about to be sent; absent if it
+    /// may be sent, also as the one that tests a verdict.
+    pub fn refused_part(&mut self, now: Moment, parts: &[PromptPart]) -> Option<PromptPart> {
         let now = now + BEFORE_START;
         self.evaluate_if_due(now);
         let mut refused = parts.iter().copied();
--- a/crates/policy/tests/crash_suspects/conclusions.rs
+++ b/crates/policy/tests/crash_suspects/conclusions.rs
@@ -168,7 +168,7 @@
     while now < Moment::from_secs(3_600) {
         assert!(admit(&mut suspects, now, &[DEADLY]).is_err());
         if suspects.admit(now, &[DEADLY], |_, _| true).is_ok() {
-            assert_eq!(suspects.is_refused(now, &[DEADLY]), None);
+            assert_eq!(suspects.refused_part(now, &[DEADLY]), None);
             tests.push(now);
             let n = 100 + tests.len() as u64;
             suspects.record_break(now + ms(100), &upstream(n), &[DEADLY], true);
