--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -94,12 +94,8 @@
         loop {
             let page = self.store.list(ALL_KEYS_PREFIX, after.as_deref()).await?;
             // Pages are not a snapshot: the listing is only complete up to the first page's position.
-            let read_at = Position {
-                era: page.era,
-                revision: page.revision,
-            };
-            let position = *first_position.get_or_insert(read_at);
-            if position.era != page.era {
+            let position = *first_position.get_or_insert(page.position);
+            if position.era != page.position.era {
                 return Err(PlatformError::Restored);
             }
             changes.extend(page.changes);
@@ -154,7 +150,7 @@
                 .watch(ALL_KEYS_PREFIX, position.revision, WATCH_WAIT)
                 .await
             {
-                Ok(watched) if watched.era > self.cluster_view.position().era => {
+                Ok(watched) if watched.position.era > self.cluster_view.position().era => {
                     // The revision that was watched from may exist again, but it is of another history.
                     self.list().await;
                     self.notify_entries(position);
@@ -167,10 +163,7 @@
                 Ok(watched) => {
                     self.record_outcome(queried_at, None);
                     let verification = Verification {
-                        position: Position {
-                            era: watched.era,
-                            revision: watched.revision,
-                        },
+                        position: watched.position,
                         queried_at,
                     };
                     self.cluster_view
@@ -219,10 +212,7 @@
             }
         };
         self.record_outcome(queried_at, None);
-        let read_at = Position {
-            era: page.era,
-            revision: page.revision,
-        };
+        let read_at = page.position;
         let known = self.cluster_view.position();
         if read_at > known && read_at.era == known.era {
             actix_rt::time::sleep(WATCH_LAG).await;
--- a/crates/directory/src/replica/era.rs
+++ b/crates/directory/src/replica/era.rs
@@ -87,6 +87,16 @@
     hasher.finish()
 }
 
+/// How long a fact is kept that a restored source lacks. A configuration and a target version stay in force until a higher
+/// one is published.
+pub(super) fn hold(subject: &Subject) -> Option<Duration> {
+    match subject {
+        Subject::Upstream(_) => Some(UPSTREAM_HOLD),
+        Subject::Evacuation(_) => Some(EVACUATION_HOLD),
+        Subject::Declaration | Subject::Version(_) => None,
+    }
+}
+
 impl Replica {
     /// Decides for each change of a listing whether it was made in the listing's era or came with the copy.
     ///
@@ -150,12 +160,8 @@
         let began_at = self.era.began_at;
         let verified_at = self.verified_at.unwrap_or_default();
         let lost = self.entries.iter().filter(|(subject, entry)| {
-            let hold = match subject {
-                Subject::Upstream(_) => UPSTREAM_HOLD,
-                Subject::Evacuation(_) => EVACUATION_HOLD,
-                Subject::Declaration | Subject::Version(_) => return false,
-            };
-            !entry.confirmed && verified_at >= began_at + hold
+            let hold = hold(subject);
+            !entry.confirmed && hold.is_some_and(|hold| verified_at >= began_at + hold)
         });
         let lost: Vec<Subject> = lost.map(|(subject, _)| subject.clone()).collect();
         for subject in lost {
--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -330,7 +330,7 @@
         self.forgotten = self.forgotten.max(position);
         let listed = changes
             .iter()
-            .filter(|change| !change.unconfirmed || !may_be_lost(&change.subject));
+            .filter(|change| !change.unconfirmed || era::hold(&change.subject).is_none());
         let listed: Vec<Subject> = listed.map(|change| change.subject.clone()).collect();
         if position >= self.position {
             self.revived.retain(|subject, _| listed.contains(subject));
@@ -528,15 +528,6 @@
     }
 }
 
-/// Whether a fact ends when a restored source lacks it. A configuration and a target version stay in force until a
-/// higher one is published.
-fn may_be_lost(subject: &Subject) -> bool {
-    match subject {
-        Subject::Upstream(_) | Subject::Evacuation(_) => true,
-        Subject::Declaration | Subject::Version(_) => false,
-    }
-}
-
 /// Whether a fact is of a lower version than the stored one, which is never replaced by it, wherever it comes from.
 fn is_lower_version(new: &Fact, stored: &Fact) -> bool {
     match (new, stored) {
