Logs and metrics tell why a stream was cut, and why nothing resumed it

"timed out" was said of a request's own time limit and of an upstream's silence. stream-broken now has the cause, the reason why no other upstream resumed the stream, the silence and the time left; a counter and explain-request name them. No decision changes. The new test fails without it.

--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -139,18 +139,37 @@
     }
 }
 
+/// Explains why a stream ended before its last event.
+fn explain_broken_stream(broken: &Step) -> String {
+    let end = match text_field(broken, "cause") {
+        "silent" => "sent nothing for too long",
+        "out-of-time" => "did not end before the request timed out",
+        _ => "broke off",
+    };
+    let reason = match text_field(broken, "not_resumed") {
+        "not-events" => "a response that is no stream of events cannot be resumed",
+        "out-of-time" => "no time was left to resume it",
+        "no-retry" => {
+            "its route allows no further attempt or the retry budget was used up, so it was not resumed"
+        }
+        "error-response" => "the upstream that should resume it responded with an error",
+        _ => "no other upstream could resume it",
+    };
+    format!(
+        "The stream of upstream {} {end} after event \"{}\" ({}), and {reason}.",
+        text_field(broken, "upstream"),
+        text_field(broken, "last_event"),
+        text_field(broken, "detail"),
+    )
+}
+
 /// Explains the response to a request in one sentence, from its last events.
 fn explain_response(steps: &[Step], limits: &[Step]) -> String {
     let last = |event: &str| steps.iter().rev().find(|step| step.event == event);
     let sends = steps.iter().filter(|step| step.event == "sent").count();
     let upstream = last("sent").map_or("", |step| text_field(step, "upstream"));
     if let Some(broken) = last("stream-broken").filter(|s| s.fields["resumed"] == false) {
-        return format!(
-            "The stream of upstream {} broke off after event \"{}\" ({}), and no other upstream could resume it.",
-            text_field(broken, "upstream"),
-            text_field(broken, "last_event"),
-            text_field(broken, "detail"),
-        );
+        return explain_broken_stream(broken);
     }
     let Some(answered) = last("answered") else {
         return format!(
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -179,3 +179,27 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(text(&output.stderr).contains("127.0.0.1:1 does not answer"));
 }
+
+// Guards against a stream that a silent upstream ended and one that ran out of time being explained alike.
+#[test]
+fn explain_request_tells_the_causes_of_a_broken_stream_apart() {
+    let explain = |name: &str, cause: &str, not_resumed: &str| {
+        let line = format!(
+            "{{\"at_ms\":7,\"event\":\"stream-broken\",\"id\":\"a1\",\"upstream\":\"u1\",\"last_event\":\"4\",\
+             \"resumed\":false,\"cause\":\"{cause}\",\"not_resumed\":\"{not_resumed}\",\"detail\":\"timed out\"}}"
+        );
+        let file = TempFile::new(name, &line);
+        let path = file.path().to_str().expect("the path is text").to_owned();
+        text(&run_tool(&["explain-request", "a1", &path]).stdout)
+    };
+
+    let silent = explain("silent", "silent", "no-retry");
+    let late = explain("late", "out-of-time", "out-of-time");
+
+    assert!(silent.contains("sent nothing for too long"), "{silent}");
+    assert!(silent.contains("the retry budget was used up"), "{silent}");
+    assert!(
+        late.contains("did not end before the request timed out"),
+        "{late}"
+    );
+}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -238,6 +238,15 @@
         last_event: SmolStr,
         /// Whether the stream resumes at another upstream.
         resumed: bool,
+        /// Why the rest of the upstream's response is not received, such as `broken`, `silent` or `out-of-time`.
+        cause: &'static str,
+        /// Why no other upstream resumes the stream; absent if one does.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        not_resumed: Option<&'static str>,
+        /// Time in milliseconds since the upstream's last event.
+        silent_ms: u64,
+        /// Time in milliseconds until the request times out.
+        remaining_ms: u64,
         /// Free text: how the stream ended.
         detail: String,
     },
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -22,7 +22,11 @@
     event_stream::EventSplitter,
     send::UpstreamResponse,
 };
-use crate::{events::Event, http::is_end_to_end, metrics::RequestLabels};
+use crate::{
+    events::Event,
+    http::is_end_to_end,
+    metrics::{RequestLabels, StateLabels},
+};
 
 /// Jitter of the time in `retry-after`, as a fraction of it, so that callers do not retry simultaneously.
 const RETRY_AFTER_JITTER: f64 = 0.5;
@@ -35,26 +39,49 @@
 /// Why the rest of an upstream's response is not received.
 struct Interruption {
     detail: String,
-    /// Whether the upstream ended the connection, as it does if it crashes.
-    connection_broke: bool,
+    cause: InterruptionCause,
+}
+
+/// The cause of an interruption, for the log and the metrics.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+enum InterruptionCause {
+    /// The upstream ended the connection, as it does if it crashes.
+    Broken,
+    /// The upstream sent no event for too long.
+    Silent,
+    /// The time limit of caller or route has passed.
+    OutOfTime,
+    /// An event of the upstream is too long.
+    EventTooLong,
 }
 
 impl Interruption {
-    fn broken(detail: String) -> Self {
-        Self {
-            detail,
-            connection_broke: true,
-        }
+    fn new(cause: InterruptionCause, detail: String) -> Self {
+        Self { detail, cause }
     }
 
-    fn abandoned(detail: String) -> Self {
-        Self {
-            detail,
-            connection_broke: false,
-        }
+    fn broken(detail: String) -> Self {
+        Self::new(InterruptionCause::Broken, detail)
     }
 }
 
+/// Why a stream that was interrupted is not resumed, for the log and the metrics.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+enum NotResumed {
+    /// The response is not a stream of events.
+    NotEvents,
+    /// The time limit of caller or route has passed.
+    OutOfTime,
+    /// The route allows no further run, or no retry is left in the budget.
+    NoRetry,
+    /// No other upstream responded.
+    NoResponse,
+    /// Another upstream responded with an error.
+    ErrorResponse,
+}
+
 /// The source or cause of a response, for the log, the metrics and the body of a local response.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -225,20 +252,37 @@
         }
     }
 
-    fn emit_stream_broken(&self, resumed: bool, detail: String) {
+    /// Logs and counts an interruption; `not_resumed` is absent if the stream resumes at another upstream.
+    fn record_interruption(&self, interruption: Interruption, not_resumed: Option<NotResumed>) {
         let last_id = self.splitter.as_ref().and_then(|s| s.last_id().cloned());
         let upstream = self.upstream.as_ref();
-        self.attempts
-            .context
-            .cluster_view
-            .events
-            .emit(&Event::StreamBroken {
-                id: self.attempts.request.id.clone(),
-                upstream: upstream.map(|u| u.id.clone()).unwrap_or_default(),
-                last_event: last_id.unwrap_or_default(),
-                resumed,
-                detail,
-            });
+        let context = &self.attempts.context;
+        let silent = context.now().saturating_sub(self.last_event_at);
+        let cause = interruption.cause.into();
+        let not_resumed = not_resumed.map(<&'static str>::from);
+        let state = match not_resumed {
+            Some(reason) => format!("{cause}, not resumed: {reason}"),
+            None => format!("{cause}, resumed"),
+        };
+        let interruptions = &context.metrics.mesh.stream_interruptions;
+        interruptions.get_or_create(&StateLabels { state }).inc();
+        context.cluster_view.events.emit(&Event::StreamBroken {
+            id: self.attempts.request.id.clone(),
+            upstream: upstream.map(|u| u.id.clone()).unwrap_or_default(),
+            last_event: last_id.unwrap_or_default(),
+            resumed: not_resumed.is_none(),
+            cause,
+            not_resumed,
+            silent_ms: silent.as_millis() as u64,
+            remaining_ms: self.attempts.remaining_time().as_millis() as u64,
+            detail: interruption.detail,
+        });
+    }
+
+    /// Records that the response ends before it is complete; returns the error that aborts the caller's connection.
+    fn abort(&self, interruption: Interruption, not_resumed: NotResumed) -> io::Error {
+        self.record_interruption(interruption, Some(not_resumed));
+        io::ErrorKind::ConnectionAborted.into()
     }
 
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
@@ -258,7 +302,7 @@
                             return Ok(Some(events.buf));
                         }
                         Ok(None) => continue,
-                        Err(e) => Interruption::abandoned(e.to_string()),
+                        Err(e) => Interruption::new(InterruptionCause::EventTooLong, e.to_string()),
                     }
                 }
                 Ok(None) => {
@@ -285,7 +329,11 @@
                     Interruption::broken("the stream ended within an event".to_owned())
                 }
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                    Interruption::abandoned(e.to_string())
+                    let cause = match self.attempts.remaining_time().is_zero() {
+                        true => InterruptionCause::OutOfTime,
+                        false => InterruptionCause::Silent,
+                    };
+                    Interruption::new(cause, e.to_string())
                 }
                 Err(e) => Interruption::broken(e.to_string()),
             };
@@ -378,19 +426,15 @@
     /// Resumes the stream at another upstream after the last complete event, if the request may run again.
     async fn resume(&mut self, interruption: Interruption) -> Result<(), io::Error> {
         self.in_flight.set_outcome(AttemptOutcome::Failed);
-        if interruption.connection_broke {
+        if interruption.cause == InterruptionCause::Broken {
             self.report_break();
         }
-        let detail = interruption.detail;
         let last_id = match &mut self.splitter {
             Some(splitter) => {
                 splitter.discard_incomplete();
                 splitter.last_id().cloned()
             }
-            None => {
-                self.emit_stream_broken(false, detail);
-                return Err(io::ErrorKind::ConnectionAborted.into());
-            }
+            None => return Err(self.abort(interruption, NotResumed::NotEvents)),
         };
         if let Some(upstream) = self
             .upstream
@@ -400,25 +444,22 @@
             self.attempts.report_crash(upstream);
         }
         let remaining = self.attempts.remaining_time();
-        if remaining.is_zero() || !self.attempts.reserve_repeat() {
-            self.emit_stream_broken(false, detail);
-            return Err(io::ErrorKind::ConnectionAborted.into());
+        if remaining.is_zero() {
+            return Err(self.abort(interruption, NotResumed::OutOfTime));
+        }
+        if !self.attempts.reserve_repeat() {
+            return Err(self.abort(interruption, NotResumed::NoRetry));
         }
         let resumed =
             actix_rt::time::timeout(remaining, self.attempts.obtain_response(last_id.as_ref()))
                 .await;
         let Ok(Ok((response, in_flight))) = resumed else {
-            self.emit_stream_broken(false, detail);
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return Err(self.abort(interruption, NotResumed::NoResponse));
         };
         if !response.inner.status().is_success() {
-            self.emit_stream_broken(
-                false,
-                format!("{detail}; the next upstream returned an error"),
-            );
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return Err(self.abort(interruption, NotResumed::ErrorResponse));
         }
-        self.emit_stream_broken(true, detail);
+        self.record_interruption(interruption, None);
         self.upstream = in_flight.upstream_record();
         self.response = *response;
         self.in_flight = in_flight;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,7 +40,7 @@
 /// Label of metrics by state.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StateLabels {
-    /// Name of the state, role of a process, or purpose of a version with its model.
+    /// Name of the state, role of a process, purpose of a version with its model, or cause of an interruption.
     pub state: String,
 }
 
@@ -85,6 +85,8 @@
     pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
     pub limit_detours: Counter,
+    /// Interruptions of streams, by cause and by what became of the stream.
+    pub stream_interruptions: Family<StateLabels, Counter>,
 }
 
 impl MeshMetrics {
@@ -111,6 +113,7 @@
             refused_parts: Gauge::default(),
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
+            stream_interruptions: Family::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -150,6 +153,9 @@
         r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
         r.register("limit_detours", detours, m.limit_detours.clone());
+        let interrupted = "Interruptions of streams by cause";
+        let interruptions = m.stream_interruptions.clone();
+        r.register("stream_interruptions", interrupted, interruptions);
         metrics
     }
 }
