An upstream that is silent is not given up before another one has begun

Callers saw streams that ended without a whole answer, and 502 for requests that waited at busy but sound engines: a gateway closed the connection after 1.5 s of silence and only then asked for a retry, which the budget, the route or the dispatcher refused while all engines were slow.

A silent upstream now keeps the request. Another one is tried as well, if route, budget and dispatcher allow it; the first response counts, and in a stream the first one that goes on with an event. How long a silence is unusual follows what the service's upstreams take at present (policy/silence.rs), so that a fleet that is slow as a whole is not asked twice. Runs are counted when a request is sent, so that a route's limit holds with two at once. A rest of a stream of another type than events is not joined to it.

Tests: crates/lab/tests/gateway/silence.rs; three of five fail on the code before (the planned stop, the wait at the only engine, the stalled stream). The test of an error within a resumed stream passed there too; it stays as a proof.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -140,6 +140,19 @@
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
     },
+    /// An upstream has sent nothing for so long that the request is to be sent to another one as well.
+    UpstreamSilent {
+        /// Id of the request.
+        id: SmolStr,
+        /// Id of the upstream.
+        upstream: SmolStr,
+        /// Time in milliseconds for which it has sent nothing.
+        silent_ms: u64,
+        /// Whether the response had begun.
+        began: bool,
+        /// What follows: `tries-another`, or why nothing does: `no-attempt` or `no-retry`.
+        decision: &'static str,
+    },
     /// The connection to an upstream broke under a request, as it does if the upstream crashes.
     UpstreamBroke {
         /// Id of the request.
@@ -273,7 +286,9 @@
             Self::Sent { id, once, .. }
             | Self::AttemptFailed { id, once, .. }
             | Self::Answered { id, once, .. } => (!once).then_some(id),
-            Self::UpstreamBackoff { id, .. } | Self::UpstreamBroke { id, .. } => Some(id),
+            Self::UpstreamBackoff { id, .. }
+            | Self::UpstreamBroke { id, .. }
+            | Self::UpstreamSilent { id, .. } => Some(id),
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::PromptPart { .. }
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -14,32 +14,37 @@
 };
 use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
+use futures_util::{future, FutureExt};
 use http_body_util::Full;
 use hyper::{
     header::{HeaderName, HeaderValue},
     Request,
 };
 use smol_str::SmolStr;
+use strum::IntoStaticStr;
 
 use super::{
     admission::InProgress,
     caller_request::CallerRequest,
     context::{GatewayContext, InFlightRequest},
     crash_evidence::BrokenAttempt,
+    pending::{self, PendingAttempt, PendingResult},
     response::{self, FinalResponse, ResponseReason, ResponseRelay},
     send::{self, SendError, UpstreamResponse},
 };
-use crate::events::Event;
+use crate::{events::Event, metrics::StateLabels};
 
 /// Upstreams that are tried for one request, including those that never received it.
 const MAX_UPSTREAMS_TRIED: u32 = 5;
-/// Silence after which a streaming upstream is abandoned for another one, before its first event or between
-/// events; engines pause for a few hundred milliseconds at most.
-const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Lower bound of the silence after which an upstream of a plain service is abandoned for another one.
-const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Multiple of the route's target latency after which a silent upstream of a plain service is abandoned.
+/// Shortest silence of a streaming upstream, before its first event or between events, after which another one is
+/// tried as well; engines that are not overloaded pause for a few hundred milliseconds at most.
+const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1_500);
+/// Lower bound of the same for an upstream of a plain service.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Multiple of the route's target latency after which another upstream of a plain service is tried as well.
 const SILENCE_LATENCY_FACTOR: u32 = 3;
+/// Time until another upstream is tried again for a silent one, after the retry budget or the dispatcher allowed none.
+pub const NEXT_ATTEMPT_INTERVAL: Duration = Duration::from_millis(250);
 /// Retry-after for a request that no upstream has run.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -49,12 +54,42 @@
     Response(Box<UpstreamResponse>, InFlightRequest),
     /// The request certainly did not run.
     NotRun,
-    /// The request certainly did not run, and the retry budget allows no further upstream.
-    RetryBudgetExhausted,
     /// The request may have run.
     Unknown,
 }
 
+/// When the next upstream is tried.
+enum NextAttempt {
+    /// Now.
+    Start,
+    /// Once those that have the request have been silent until a time.
+    AfterSilence(Moment),
+    /// Not while an upstream that has the request may still respond.
+    Never,
+}
+
+/// What happens next to a request.
+enum Step {
+    /// The wait for an upstream ended.
+    Ended(PendingAttempt, PendingResult),
+    /// The request was sent to another upstream, could not be sent to it, or no further one may be tried.
+    Started(Result<Option<PendingAttempt>, Failure>),
+    /// Every upstream that has the request has been silent for too long.
+    Silent,
+}
+
+/// What is done about a silent upstream, for the log and the metrics.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SilenceDecision {
+    /// Another upstream is tried; the silent one may still respond first.
+    TriesAnother,
+    /// The request may be sent to no further upstream.
+    NoAttempt,
+    /// No retry is left in the budget.
+    NoRetry,
+}
+
 /// One request and its attempts at upstreams.
 pub struct RequestAttempts {
     /// The state that all requests share.
@@ -63,6 +98,7 @@
     pub request: Arc<CallerRequest>,
     requirements: RequestRequirements,
     upstreams_tried: u32,
+    /// Number of upstreams that run the request or may have run it.
     run_count: u32,
     /// Whether an upstream has received the request, even if it only rejected it.
     reached_upstream: bool,
@@ -156,69 +192,165 @@
 
     /// Tries upstreams until one responds or no further attempt is allowed.
     ///
-    /// `resume_after` is the id of the last event that the caller has received, if a stream is resumed.
+    /// An upstream that is silent for too long is not given up: another one is tried as well, and the first response
+    /// counts. See docs/ROUTING.md, "Silence". `resume_after` is the id of the last event that the caller has
+    /// received, if a stream is resumed.
     pub async fn obtain_response(
         &mut self,
         resume_after: Option<&SmolStr>,
     ) -> Result<(Box<UpstreamResponse>, InFlightRequest), Failure> {
+        let mut pending = Vec::new();
+        let mut next = NextAttempt::Start;
         loop {
-            if self
-                .context
-                .cluster_view
-                .reaches_crash_limit(self.request.fingerprint)
-            {
-                return Err(self.build_failure(ResponseReason::CrashesUpstreams, RETRY_AFTER));
-            }
-            let admitted = self
-                .context
-                .cluster_view
-                .admit_parts(&self.request.prompt_parts);
-            if let Err(refused) = admitted {
-                return Err(self.refused_part_failure(refused));
-            }
-            if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
-                return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
-            }
-            let in_flight = match self
-                .context
-                .assign_upstream(self.requirements.clone())
-                .await
-            {
-                Ok(in_flight) => in_flight,
-                Err(refusal) => return Err(self.refusal_failure(&refusal)),
+            let step = tokio::select! {
+                biased;
+                (attempt, result) = pending::next_result(&mut pending) =>
+                    Step::Ended(attempt, result),
+                step = self.next_step(&next, resume_after) => step,
             };
-            self.requirements.tried.push(in_flight.upstream_key());
-            self.upstreams_tried += 1;
-            match self.attempt(in_flight, resume_after).await {
-                AttemptResult::Response(response, in_flight) => {
-                    self.run_count += 1;
-                    let server_error = response.inner.status().is_server_error();
-                    if server_error && self.reserve_repeat() {
-                        drop(response);
-                        continue;
+            next = match step {
+                Step::Ended(attempt, result) => {
+                    let result = self.conclude(attempt, result);
+                    if let Some(response) = self.select_response(result, &pending)? {
+                        return Ok(response);
                     }
-                    return Ok((response, in_flight));
+                    self.next_after_silence(&pending)
+                }
+                Step::Started(Ok(Some(attempt))) => {
+                    pending.push(attempt);
+                    self.next_after_silence(&pending)
                 }
-                AttemptResult::NotRun if self.upstreams_tried < MAX_UPSTREAMS_TRIED => {}
-                AttemptResult::NotRun | AttemptResult::RetryBudgetExhausted => {
+                Step::Started(Ok(None)) if self.may_try_another() => NextAttempt::Start,
+                Step::Started(Ok(None)) if pending.is_empty() => {
                     return Err(self.build_failure(ResponseReason::TurnedAway, RETRY_AFTER));
                 }
-                AttemptResult::Unknown => {
-                    self.run_count += 1;
-                    if !self.reserve_repeat() {
-                        return Err(self.build_failure(ResponseReason::BrokenResponse, RETRY_AFTER));
-                    }
+                Step::Started(Ok(None)) => NextAttempt::Never,
+                Step::Started(Err(failure)) if pending.is_empty() => return Err(failure),
+                Step::Started(Err(_)) => {
+                    NextAttempt::AfterSilence(self.context.now() + NEXT_ATTEMPT_INTERVAL)
                 }
+                Step::Silent => self.replace_silent(&mut pending),
+            };
+        }
+    }
+
+    async fn next_step(&mut self, next: &NextAttempt, resume_after: Option<&SmolStr>) -> Step {
+        match next {
+            NextAttempt::Start => Step::Started(self.start_attempt(resume_after).await),
+            NextAttempt::AfterSilence(at) => {
+                actix_rt::time::sleep(at.saturating_sub(self.context.now())).await;
+                Step::Silent
+            }
+            NextAttempt::Never => future::pending().await,
+        }
+    }
+
+    /// Decides when another upstream is tried beside those in `pending`.
+    fn next_after_silence(&self, pending: &[PendingAttempt]) -> NextAttempt {
+        let limit = self.silence_limit();
+        let silent_at = pending.iter().map(|attempt| attempt.sent_at + limit).max();
+        silent_at.map_or(NextAttempt::Start, NextAttempt::AfterSilence)
+    }
+
+    /// Returns the response, if it is final; fails if no upstream that has the request is left and none may be tried.
+    fn select_response(
+        &mut self,
+        result: AttemptResult,
+        pending: &[PendingAttempt],
+    ) -> Result<Option<(Box<UpstreamResponse>, InFlightRequest)>, Failure> {
+        match result {
+            AttemptResult::Response(response, in_flight) => {
+                let server_error = response.inner.status().is_server_error();
+                if server_error && (!pending.is_empty() || self.reserve_repeat()) {
+                    return Ok(None);
+                }
+                for superseded in pending {
+                    let detail = "another upstream responded first".to_owned();
+                    self.log_failed_attempt(&superseded.upstream, "superseded", detail);
+                }
+                Ok(Some((response, in_flight)))
+            }
+            _ if !pending.is_empty() => Ok(None),
+            AttemptResult::NotRun if self.may_try_another() => Ok(None),
+            AttemptResult::NotRun => {
+                Err(self.build_failure(ResponseReason::TurnedAway, RETRY_AFTER))
             }
+            AttemptResult::Unknown if self.reserve_repeat() => Ok(None),
+            AttemptResult::Unknown => {
+                Err(self.build_failure(ResponseReason::BrokenResponse, RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Decides whether another upstream is tried, since those that have the request are silent.
+    fn replace_silent(&mut self, pending: &mut [PendingAttempt]) -> NextAttempt {
+        let decision = self.decide_on_silence();
+        let now = self.context.now();
+        for attempt in pending {
+            if attempt.mark_silent() {
+                let silent_for = now.saturating_sub(attempt.sent_at);
+                self.log_silence(Some(&attempt.upstream), silent_for, false, decision);
+            }
+        }
+        match decision {
+            SilenceDecision::TriesAnother => NextAttempt::Start,
+            SilenceDecision::NoAttempt => NextAttempt::Never,
+            SilenceDecision::NoRetry => NextAttempt::AfterSilence(now + NEXT_ATTEMPT_INTERVAL),
         }
     }
 
+    /// Decides whether another upstream is tried for a silent one; reserves a retry for it.
+    ///
+    /// The first event's deadline restarts now, so that only an upstream that is expected to begin in time is tried.
+    pub fn decide_on_silence(&mut self) -> SilenceDecision {
+        if !self.may_run_again() || !self.may_try_another() {
+            return SilenceDecision::NoAttempt;
+        }
+        if !self.reserve_retry() {
+            return SilenceDecision::NoRetry;
+        }
+        self.requirements.first_event_deadline =
+            self.request.first_event_deadline(self.context.now());
+        SilenceDecision::TriesAnother
+    }
+
+    /// Logs and counts an upstream that has sent nothing for too long.
+    pub fn log_silence(
+        &self,
+        upstream: Option<&UpstreamRecord>,
+        silent_for: Duration,
+        began: bool,
+        decision: SilenceDecision,
+    ) {
+        let decision: &'static str = decision.into();
+        let state = decision.to_owned();
+        let silences = &self.context.metrics.mesh.silences;
+        silences.get_or_create(&StateLabels { state }).inc();
+        self.context
+            .cluster_view
+            .events
+            .emit(&Event::UpstreamSilent {
+                id: self.request.id.clone(),
+                upstream: upstream.map(|u| u.id.clone()).unwrap_or_default(),
+                silent_ms: silent_for.as_millis() as u64,
+                began,
+                decision,
+            });
+    }
+
+    fn may_try_another(&self) -> bool {
+        self.upstreams_tried < MAX_UPSTREAMS_TRIED
+    }
+
+    /// Whether the request's kind and its route allow another run beside those that may have begun.
+    fn may_run_again(&self) -> bool {
+        self.request.route.repeatable() && self.run_count < self.request.route.max_attempts
+    }
+
     /// Reserves a retry for a request that may have run; returns whether its kind, its route and the retry
     /// budget allow another run.
     pub fn reserve_repeat(&mut self) -> bool {
-        self.request.route.repeatable()
-            && self.run_count < self.request.route.max_attempts
-            && self.reserve_retry()
+        self.may_run_again() && self.reserve_retry()
     }
 
     /// Reserves a retry from the budget, unless an unused one is reserved; returns whether one is reserved.
@@ -263,91 +395,144 @@
         }
     }
 
-    async fn attempt(
+    /// Selects an upstream and sends the request to it; returns `None` if it turned out that it cannot be sent there.
+    async fn start_attempt(
         &mut self,
-        mut in_flight: InFlightRequest,
         resume_after: Option<&SmolStr>,
-    ) -> AttemptResult {
+    ) -> Result<Option<PendingAttempt>, Failure> {
+        self.check_may_run()?;
+        let assigned = self
+            .context
+            .assign_upstream(self.requirements.clone())
+            .await;
+        let mut in_flight = assigned.map_err(|refusal| self.refusal_failure(&refusal))?;
         let Some(upstream) = in_flight.upstream_record() else {
-            return AttemptResult::NotRun;
+            self.record_tried(&in_flight);
+            return Ok(None);
         };
-        let model = self.requirements.model.as_ref();
-        let served = model.and_then(|model| in_flight.served_version(model));
-        let start_deadline = served.and_then(|served| served.start_deadline);
-        let now = self.context.now();
-        self.context.cluster_view.events.emit(&Event::Sent {
-            id: self.request.id.clone(),
-            upstream: upstream.id.clone(),
-            attempt: self.upstreams_tried,
-            expected_ms: in_flight.expected_ms() as u64,
-            version: served.map(|served| served.version),
-            begin_within_ms: start_deadline
-                .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
-            instead_of: in_flight.instead_of(),
-            once: self.request.runs_at_most_once(),
+        let model = self.requirements.model.clone();
+        let served = model.and_then(|model| {
+            let served = in_flight.served_version(&model)?;
+            Some((model, served))
         });
+        self.log_send(&in_flight, &upstream, served.as_ref());
         let tcp = match send::connect(upstream.address).await {
             Ok(tcp) => tcp,
             Err(e) => {
                 in_flight.set_outcome(AttemptOutcome::Unreachable);
+                self.record_tried(&in_flight);
                 self.log_failed_attempt(&upstream, "unreachable", e.to_string());
-                return AttemptResult::NotRun;
+                return Ok(None);
             }
         };
+        self.record_tried(&in_flight);
         let parts = &self.request.prompt_parts;
         if let Some(part) = self.context.cluster_view.refused_part(parts) {
             let detail = format!("part {part} of the prompt turned out to crash upstreams");
             self.log_failed_attempt(&upstream, "not-sent", detail);
-            return AttemptResult::NotRun;
+            return Ok(None);
         }
         if !in_flight.may_be_sent(&self.requirements) {
             let detail =
                 "the upstream became unavailable or limited while the connection was opened"
                     .to_owned();
             self.log_failed_attempt(&upstream, "not-sent", detail);
-            return AttemptResult::NotRun;
+            return Ok(None);
         }
         // Each upstream that receives the request after the first counts as a retry, even if earlier ones
         // rejected the request.
         if self.reached_upstream && !self.reserve_retry() {
-            return AttemptResult::RetryBudgetExhausted;
+            return Err(self.build_failure(ResponseReason::TurnedAway, RETRY_AFTER));
         }
         self.reached_upstream = true;
         self.retry_reserved = false;
+        self.run_count += 1;
         let req = self.build_request(&upstream, resume_after);
-        let silence_timeout = self.silence_timeout();
-        let sent_at = self.context.now();
-        let response = tokio::select! {
-            // A response that is available at the deadline takes precedence: the request has started.
-            biased;
-            response = actix_rt::time::timeout(silence_timeout, send::send(tcp, req)) => response,
-            () = self.wait_until_overdue(&in_flight, served) =>
-                return self.cancel_overdue(&mut in_flight, &upstream),
-        };
-        let detail = match response {
-            Ok(Ok(response)) => {
-                return self.classify_response(response, in_flight, &upstream, sent_at)
+        Ok(Some(PendingAttempt {
+            upstream,
+            sent_at: self.context.now(),
+            silent: false,
+            in_flight,
+            served,
+            response: send::send(tcp, req).boxed_local(),
+        }))
+    }
+
+    /// Excludes an upstream from the further attempts.
+    fn record_tried(&mut self, in_flight: &InFlightRequest) {
+        self.requirements.tried.push(in_flight.upstream_key());
+        self.upstreams_tried += 1;
+    }
+
+    /// Refuses a request that must not run, or no longer, before it is sent.
+    fn check_may_run(&self) -> Result<(), Failure> {
+        let cluster_view = &self.context.cluster_view;
+        if cluster_view.reaches_crash_limit(self.request.fingerprint) {
+            return Err(self.build_failure(ResponseReason::CrashesUpstreams, RETRY_AFTER));
+        }
+        cluster_view
+            .admit_parts(&self.request.prompt_parts)
+            .map_err(|refused| self.refused_part_failure(refused))?;
+        if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
+            return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
+        }
+        Ok(())
+    }
+
+    fn log_send(
+        &self,
+        in_flight: &InFlightRequest,
+        upstream: &UpstreamRecord,
+        served: Option<&(SmolStr, ServedVersion)>,
+    ) {
+        let start_deadline = served.and_then(|(_, served)| served.start_deadline);
+        let now = self.context.now();
+        self.context.cluster_view.events.emit(&Event::Sent {
+            id: self.request.id.clone(),
+            upstream: upstream.id.clone(),
+            attempt: self.upstreams_tried + 1,
+            expected_ms: in_flight.expected_ms() as u64,
+            version: served.map(|(_, served)| served.version),
+            begin_within_ms: start_deadline
+                .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
+            instead_of: in_flight.instead_of(),
+            once: self.request.runs_at_most_once(),
+        });
+    }
+
+    /// Determines the result of an attempt, and records what it shows of its upstream.
+    fn conclude(&mut self, attempt: PendingAttempt, result: PendingResult) -> AttemptResult {
+        let PendingAttempt {
+            upstream,
+            sent_at,
+            mut in_flight,
+            ..
+        } = attempt;
+        let result = match result {
+            PendingResult::Response(response) => {
+                self.classify_response(response, in_flight, &upstream, sent_at)
             }
-            Ok(Err(e)) => {
+            PendingResult::Overdue => self.cancel_overdue(&mut in_flight, &upstream),
+            PendingResult::Broken(e) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
                     self.report_crash(&upstream);
                     self.report_break(&upstream, BrokenAttempt::WITHOUT_HEAD);
                 }
-                e.to_string()
+                in_flight.set_outcome(AttemptOutcome::Failed);
+                self.log_failed_attempt(&upstream, "unknown", e.to_string());
+                AttemptResult::Unknown
             }
-            Err(_) => format!("no response within {} ms", silence_timeout.as_millis()),
         };
-        in_flight.set_outcome(AttemptOutcome::Failed);
-        self.log_failed_attempt(&upstream, "unknown", detail);
-        AttemptResult::Unknown
-    }
-
-    /// Waits until the request must have started, if its upstream serves a superseded version.
-    async fn wait_until_overdue(&self, in_flight: &InFlightRequest, served: Option<ServedVersion>) {
-        match self.requirements.model.as_ref().zip(served) {
-            Some((model, served)) => in_flight.wait_until_overdue(model, served.version).await,
-            None => std::future::pending().await,
+        match &result {
+            AttemptResult::NotRun => self.run_count -= 1,
+            AttemptResult::Response(response, _) if response.inner.status().is_success() => {
+                let took = self.context.now().saturating_sub(sent_at);
+                self.context
+                    .record_response_time(&self.request.service, took);
+            }
+            AttemptResult::Response(..) | AttemptResult::Unknown => {}
         }
+        result
     }
 
     /// Cancels a request that has waited at an upstream until its version is overdue.
@@ -371,17 +556,18 @@
         AttemptResult::Unknown
     }
 
-    /// Returns how long an upstream may be silent before the request is sent elsewhere.
-    pub fn silence_timeout(&self) -> Duration {
-        let another_run_allowed =
-            self.request.route.repeatable() && self.run_count + 1 < self.request.route.max_attempts;
-        if !another_run_allowed {
-            return self.remaining_time();
-        }
+    /// Returns how long an upstream may be silent before its response until another one is tried as well.
+    fn silence_limit(&self) -> Duration {
+        let floor = self.min_silence();
+        self.context.silence_limit(&self.request.service, floor)
+    }
+
+    /// Returns the shortest silence of an upstream after which another one is tried as well.
+    pub fn min_silence(&self) -> Duration {
         let target_latency = Duration::from_millis(self.request.route.target_latency_ms);
         match self.request.route.kind {
-            RouteKind::Streaming => STREAM_SILENCE_TIMEOUT,
-            _ => MIN_SILENCE_TIMEOUT.max(target_latency * SILENCE_LATENCY_FACTOR),
+            RouteKind::Streaming => MIN_STREAM_SILENCE,
+            _ => MIN_SILENCE.max(target_latency * SILENCE_LATENCY_FACTOR),
         }
     }
 
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -16,6 +16,7 @@
         SelectedUpstream, ServedVersion, UpstreamCondition, UpstreamKey, WaitKey,
     },
     retry_window::{RetryWindowSettings, WindowedRetryBudget},
+    silence::ResponseTimes,
     Moment,
 };
 use balsamjunction_protocol::mesh::ProcessRole;
@@ -63,6 +64,8 @@
     dispatch: Mutex<Dispatch>,
     retry_budgets: Mutex<HashMap<SmolStr, WindowedRetryBudget>>,
     retry_window: RetryWindowSettings,
+    /// What the upstreams of each service take to respond at present.
+    response_times: Mutex<HashMap<SmolStr, ResponseTimes>>,
     retry_slack_from: Moment,
     request_waiting: Notify,
     /// Incremented when the deadlines for starting requests on older versions change.
@@ -102,6 +105,7 @@
             }),
             retry_budgets: Mutex::default(),
             retry_window,
+            response_times: Mutex::default(),
             retry_slack_from,
             request_waiting: Notify::new(),
             start_deadlines_changed: watch::channel(0).0,
@@ -236,6 +240,25 @@
         withdrawn
     }
 
+    /// Records that an upstream of a service began its response after `took`.
+    pub fn record_response_time(&self, service: &SmolStr, took: Duration) {
+        let now = self.now();
+        let mut response_times = lock(&self.response_times);
+        response_times
+            .entry(service.clone())
+            .or_default()
+            .record(now, took);
+    }
+
+    /// Returns how long an upstream of a service may be silent, at least `floor`, before a request is also sent to
+    /// another one.
+    pub fn silence_limit(&self, service: &SmolStr, floor: Duration) -> Duration {
+        let now = self.now();
+        let response_times = lock(&self.response_times);
+        let times = response_times.get(service).copied().unwrap_or_default();
+        times.silence_limit(now, floor)
+    }
+
     /// Records the limit that a response of an upstream states, or that it states none, for a request sent
     /// at `sent_at`; returns whether the limit changed.
     pub fn record_limit(
--- a/crates/daemon/src/gateway/event_stream.rs
+++ b/crates/daemon/src/gateway/event_stream.rs
@@ -60,9 +60,9 @@
         self.last_id.as_ref()
     }
 
-    /// Discards an event that was cut off.
-    pub fn discard_incomplete(&mut self) {
-        self.incomplete.clear();
+    /// Continues a stream whose last event had the given id.
+    pub fn resume_after(&mut self, last_id: Option<SmolStr>) {
+        self.last_id = last_id;
     }
 }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 mod crash_evidence;
 mod event_stream;
 mod lifecycle;
+mod pending;
+mod reader;
 mod reported_state;
 mod response;
 mod send;
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -3,12 +3,11 @@
 use std::{io, time::Duration};
 
 use actix_web::{body::SizedStream, http::StatusCode, HttpResponse, HttpResponseBuilder};
-use balsamjunction_directory::{RouteKind, UpstreamRecord};
-use balsamjunction_policy::{dispatch::AttemptOutcome, Moment};
+use balsamjunction_directory::RouteKind;
+use balsamjunction_policy::Moment;
 use balsamjunction_protocol::mesh::PromptPart;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{stream, Stream};
-use http_body_util::BodyExt;
 use hyper::{body::Body, HeaderMap};
 use rand::Rng;
 use smol_str::SmolStr;
@@ -16,10 +15,9 @@
 
 use super::{
     admission::InProgress,
-    attempts::RequestAttempts,
+    attempts::{RequestAttempts, SilenceDecision, NEXT_ATTEMPT_INTERVAL},
     context::{GatewayContext, InFlightRequest},
-    crash_evidence::BrokenAttempt,
-    event_stream::EventSplitter,
+    reader::{Interruption, InterruptionCause, Received, ResponseReader},
     send::UpstreamResponse,
 };
 use crate::{
@@ -31,41 +29,6 @@
 /// Jitter of the time in `retry-after`, as a fraction of it, so that callers do not retry simultaneously.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
-/// Parts of a response that an upstream must have sent before the request counts as one that does not crash it.
-const SOUND_PROGRESS: u32 = 3;
-/// Time from the head of the response for which the upstream must have sent it besides.
-const SOUND_AFTER: Duration = Duration::from_millis(300);
-
-/// Why the rest of an upstream's response is not received.
-struct Interruption {
-    detail: String,
-    cause: InterruptionCause,
-}
-
-/// The cause of an interruption, for the log and the metrics.
-#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
-#[strum(serialize_all = "kebab-case")]
-enum InterruptionCause {
-    /// The upstream ended the connection, as it does if it crashes.
-    Broken,
-    /// The upstream sent no event for too long.
-    Silent,
-    /// The time limit of caller or route has passed.
-    OutOfTime,
-    /// An event of the upstream is too long.
-    EventTooLong,
-}
-
-impl Interruption {
-    fn new(cause: InterruptionCause, detail: String) -> Self {
-        Self { detail, cause }
-    }
-
-    fn broken(detail: String) -> Self {
-        Self::new(InterruptionCause::Broken, detail)
-    }
-}
-
 /// Why a stream that was interrupted is not resumed, for the log and the metrics.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -207,22 +170,28 @@
 /// Streams an upstream's response to the caller; resumes it at another upstream if it breaks off.
 pub struct ResponseRelay {
     attempts: RequestAttempts,
-    response: UpstreamResponse,
-    in_flight: InFlightRequest,
-    upstream: Option<UpstreamRecord>,
-    /// Present for a stream of events, of which only complete ones are forwarded.
-    splitter: Option<EventSplitter>,
+    reader: ResponseReader,
     resumable: bool,
-    head_at: Moment,
-    /// Number of parts of the response, each with at least one event, that the upstream has sent.
-    progress: u32,
-    /// Whether the upstream has sent enough to show that the request does not crash it.
-    sound: bool,
-    last_event_at: Moment,
+    /// When another upstream is tried next for a silent one; absent until it is silent.
+    next_attempt_at: Option<Moment>,
     longest_pause: Duration,
     _in_progress: InProgress,
 }
 
+/// What came first while another upstream was tried for a silent one.
+enum Race {
+    /// The silent upstream went on.
+    WentOn(Received),
+    /// The silent upstream's response was interrupted, and no other one took its place.
+    Interrupted(Interruption),
+    /// Another upstream began to send the rest.
+    Replaced(Box<ResponseReader>, Received),
+    /// No other upstream can send the rest at present.
+    NotReplaced,
+    /// The time limit of caller or route has passed.
+    OutOfTime,
+}
+
 impl ResponseRelay {
     /// Creates a relay for a response whose head has been received.
     pub fn new(
@@ -232,32 +201,25 @@
         in_progress: InProgress,
     ) -> Self {
         let success = response.inner.status().is_success();
-        let opened_at = attempts.context.now();
         let streaming = attempts.request.route.kind == RouteKind::Streaming;
         let resumable = attempts.request.route.resumable;
         let events = streaming && (resumable || may_be_event_stream(&response));
+        let head_at = attempts.context.now();
         Self {
-            upstream: in_flight.upstream_record(),
-            splitter: (success && events).then(EventSplitter::default),
+            reader: ResponseReader::new(response, in_flight, success && events, head_at),
             resumable,
             attempts,
-            response,
-            in_flight,
-            head_at: opened_at,
-            progress: 0,
-            sound: false,
-            last_event_at: opened_at,
+            next_attempt_at: None,
             longest_pause: Duration::ZERO,
             _in_progress: in_progress,
         }
     }
 
     /// Logs and counts an interruption; `not_resumed` is absent if the stream resumes at another upstream.
-    fn record_interruption(&self, interruption: Interruption, not_resumed: Option<NotResumed>) {
-        let last_id = self.splitter.as_ref().and_then(|s| s.last_id().cloned());
-        let upstream = self.upstream.as_ref();
+    fn log_interruption(&self, interruption: Interruption, not_resumed: Option<NotResumed>) {
+        let upstream = self.reader.upstream.as_ref();
         let context = &self.attempts.context;
-        let silent = context.now().saturating_sub(self.last_event_at);
+        let silent = context.now().saturating_sub(self.reader.last_event_at);
         let cause = interruption.cause.into();
         let not_resumed = not_resumed.map(<&'static str>::from);
         let state = match not_resumed {
@@ -269,7 +231,7 @@
         context.cluster_view.events.emit(&Event::StreamBroken {
             id: self.attempts.request.id.clone(),
             upstream: upstream.map(|u| u.id.clone()).unwrap_or_default(),
-            last_event: last_id.unwrap_or_default(),
+            last_event: self.reader.last_id().cloned().unwrap_or_default(),
             resumed: not_resumed.is_none(),
             cause,
             not_resumed,
@@ -281,168 +243,145 @@
 
     /// Records that the response ends before it is complete; returns the error that aborts the caller's connection.
     fn abort(&self, interruption: Interruption, not_resumed: NotResumed) -> io::Error {
-        self.record_interruption(interruption, Some(not_resumed));
+        self.log_interruption(interruption, Some(not_resumed));
         io::ErrorKind::ConnectionAborted.into()
     }
 
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, io::Error> {
         loop {
-            let interruption = match self.next_data().await {
-                Ok(Some(buf)) => {
-                    let Some(splitter) = &mut self.splitter else {
-                        self.record_progress();
-                        return Ok(Some(buf));
-                    };
-                    match splitter.push(&buf) {
-                        Ok(Some(events)) => {
-                            if events.has_content {
-                                self.record_progress();
-                            }
-                            return Ok(Some(events.buf));
-                        }
-                        Ok(None) => continue,
-                        Err(e) => Interruption::new(InterruptionCause::EventTooLong, e.to_string()),
+            match self.receive().await {
+                Ok(Received::Bytes { buf, has_content }) => {
+                    if has_content {
+                        self.next_attempt_at = None;
+                        let pause = self.reader.record_progress(&self.attempts);
+                        self.longest_pause = self.longest_pause.max(pause.unwrap_or_default());
                     }
+                    return Ok(Some(buf));
                 }
-                Ok(None) => {
-                    let complete = self
-                        .splitter
-                        .as_ref()
-                        .is_none_or(EventSplitter::is_at_boundary);
-                    if complete {
-                        self.in_flight.set_outcome(match self.is_server_error() {
-                            true => AttemptOutcome::Failed,
-                            false => AttemptOutcome::Served,
-                        });
-                        self.attempts
-                            .context
-                            .cluster_view
-                            .record_success(self.attempts.request.fingerprint);
-                        self.record_sound();
-                        if self.splitter.is_some() {
-                            let mesh = &self.attempts.context.metrics.mesh;
-                            mesh.longest_pause.observe(self.longest_pause.as_secs_f64());
-                        }
-                        return Ok(None);
+                Ok(Received::End) => {
+                    self.reader.record_end(&self.attempts);
+                    if self.reader.splits_events() {
+                        let mesh = &self.attempts.context.metrics.mesh;
+                        mesh.longest_pause.observe(self.longest_pause.as_secs_f64());
                     }
-                    Interruption::broken("the stream ended within an event".to_owned())
+                    return Ok(None);
                 }
-                Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                    let cause = match self.attempts.remaining_time().is_zero() {
-                        true => InterruptionCause::OutOfTime,
-                        false => InterruptionCause::Silent,
-                    };
-                    Interruption::new(cause, e.to_string())
-                }
-                Err(e) => Interruption::broken(e.to_string()),
-            };
-            self.resume(interruption).await?;
+                Err(interruption) => self.resume(interruption).await?,
+            }
         }
     }
 
-    fn is_server_error(&self) -> bool {
-        self.response.inner.status().is_server_error()
-    }
-
-    /// Returns the time to wait for more bytes: until the request times out and, for a stream that can be
-    /// resumed elsewhere, until its upstream has sent no event for too long. Comments do not count as events.
-    fn read_timeout(&self) -> Duration {
-        let remaining = self.attempts.remaining_time();
-        if self.splitter.is_none() || !self.resumable {
-            return remaining;
+    /// Returns when another upstream is tried beside the present one, if the stream can be resumed there.
+    fn silent_at(&self) -> Option<Moment> {
+        if !self.reader.splits_events() || !self.resumable {
+            return None;
         }
-        let silent_for = self
-            .attempts
-            .context
-            .now()
-            .saturating_sub(self.last_event_at);
-        remaining.min(self.attempts.silence_timeout().saturating_sub(silent_for))
+        let silent_at = self.reader.last_event_at + self.attempts.min_silence();
+        Some(
+            self.next_attempt_at
+                .map_or(silent_at, |at| at.max(silent_at)),
+        )
     }
 
-    async fn next_data(&mut self) -> Result<Option<Bytes>, io::Error> {
+    /// Reads the next part of the response.
+    ///
+    /// An upstream that is silent for too long is not given up: another one is tried as well, and takes its place
+    /// only once it has begun to send the rest. See docs/ROUTING.md, "Silence".
+    async fn receive(&mut self) -> Result<Received, Interruption> {
         loop {
-            let timeout = self.read_timeout();
-            // A timeout of zero would still return bytes that are already buffered.
-            if timeout.is_zero() {
-                return Err(io::ErrorKind::TimedOut.into());
+            let now = self.attempts.context.now();
+            let remaining = self.attempts.remaining_time();
+            let until_silent = self.silent_at().map(|at| at.saturating_sub(now));
+            let wait = until_silent.map_or(remaining, |wait| wait.min(remaining));
+            // Bytes that are already buffered do not extend the time limit.
+            if remaining.is_zero() {
+                return Err(out_of_time());
+            }
+            if !wait.is_zero() {
+                match actix_rt::time::timeout(wait, self.reader.next()).await {
+                    Ok(received) => return received,
+                    Err(_) => continue,
+                }
+            }
+            match self.race().await {
+                Race::WentOn(received) => return Ok(received),
+                Race::Interrupted(interruption) => return Err(interruption),
+                Race::OutOfTime => return Err(out_of_time()),
+                Race::NotReplaced => {
+                    let now = self.attempts.context.now();
+                    self.next_attempt_at = Some(now + NEXT_ATTEMPT_INTERVAL);
+                }
+                Race::Replaced(reader, received) => {
+                    self.reader
+                        .record_interruption(&self.attempts, InterruptionCause::Silent);
+                    let detail = "another upstream has begun to send the rest".to_owned();
+                    let interruption = Interruption::new(InterruptionCause::Silent, detail);
+                    self.log_interruption(interruption, None);
+                    self.reader = *reader;
+                    return Ok(received);
+                }
             }
-            let frame = self.response.inner.body_mut().frame();
-            let frame = actix_rt::time::timeout(timeout, frame).await;
-            let frame = frame.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
-            let Some(frame) = frame else {
-                return Ok(None);
-            };
-            let frame = frame.map_err(io::Error::other)?;
-            let Ok(buf) = frame.into_data() else {
-                continue;
-            };
-            return Ok(Some(buf));
-        }
-    }
-
-    /// Records that the upstream has made progress.
-    fn record_progress(&mut self) {
-        let now = self.attempts.context.now();
-        self.progress += 1;
-        if self.progress == 1 {
-            self.in_flight.record_first_event();
-        } else {
-            let pause = now.saturating_sub(self.last_event_at);
-            self.longest_pause = self.longest_pause.max(pause);
-        }
-        self.last_event_at = now;
-        let elapsed = now.saturating_sub(self.head_at);
-        if self.progress >= SOUND_PROGRESS && elapsed >= SOUND_AFTER {
-            self.record_sound();
         }
     }
 
-    /// Records once that the request does not crash its upstream, if it is known by a successful response.
-    fn record_sound(&mut self) {
-        if self.sound || !self.response.inner.status().is_success() {
-            return;
+    /// Tries another upstream for a silent one, which may still go on.
+    async fn race(&mut self) -> Race {
+        let decision = self.attempts.decide_on_silence();
+        if self.next_attempt_at.is_none() {
+            let now = self.attempts.context.now();
+            let silent_for = now.saturating_sub(self.reader.last_event_at);
+            let upstream = self.reader.upstream.as_ref();
+            self.attempts
+                .log_silence(upstream, silent_for, true, decision);
         }
-        self.sound = true;
-        let parts = &self.attempts.request.prompt_parts;
-        if !parts.is_empty() {
-            self.attempts.context.cluster_view.record_sound(parts);
-        }
-    }
-
-    /// Records that the upstream ended the connection within its response, unless it aborted the response to
-    /// switch to other weights.
-    fn report_break(&self) {
-        let upstream = self.upstream.as_ref();
-        if let Some(upstream) = upstream.filter(|_| !self.in_flight.is_switching()) {
-            let broken = BrokenAttempt {
-                began: true,
-                sound: self.sound,
-            };
-            self.attempts.report_break(upstream, broken);
+        if decision != SilenceDecision::TriesAnother {
+            return Race::NotReplaced;
         }
+        let remaining = self.attempts.remaining_time();
+        let last_id = self.reader.last_id().cloned();
+        let replacement = obtain_replacement(&mut self.attempts, last_id);
+        let race = async {
+            tokio::pin!(replacement);
+            let mut interruption = None;
+            // Comments count once the silent upstream goes on.
+            let mut held = BytesMut::new();
+            loop {
+                tokio::select! {
+                    biased;
+                    received = self.reader.next(), if interruption.is_none() => match received {
+                        Ok(Received::Bytes { buf, has_content }) => {
+                            held.extend_from_slice(&buf);
+                            if has_content {
+                                let buf = std::mem::take(&mut held).freeze();
+                                return Race::WentOn(Received::Bytes { buf, has_content });
+                            }
+                        }
+                        Ok(Received::End) => return Race::WentOn(Received::End),
+                        Err(e) => interruption = Some(e),
+                    },
+                    replaced = &mut replacement => {
+                        return match (replaced, interruption) {
+                            (Some((reader, received)), _) => Race::Replaced(Box::new(reader), received),
+                            (None, Some(interruption)) => Race::Interrupted(interruption),
+                            (None, None) => Race::NotReplaced,
+                        };
+                    }
+                }
+            }
+        };
+        let result = actix_rt::time::timeout(remaining, race).await;
+        result.unwrap_or(Race::OutOfTime)
     }
 
     /// Resumes the stream at another upstream after the last complete event, if the request may run again.
     async fn resume(&mut self, interruption: Interruption) -> Result<(), io::Error> {
-        self.in_flight.set_outcome(AttemptOutcome::Failed);
-        if interruption.cause == InterruptionCause::Broken {
-            self.report_break();
-        }
-        let last_id = match &mut self.splitter {
-            Some(splitter) => {
-                splitter.discard_incomplete();
-                splitter.last_id().cloned()
-            }
-            None => return Err(self.abort(interruption, NotResumed::NotEvents)),
-        };
-        if let Some(upstream) = self
-            .upstream
-            .as_ref()
-            .filter(|_| !self.in_flight.is_switching())
-        {
-            self.attempts.report_crash(upstream);
+        self.reader
+            .record_interruption(&self.attempts, interruption.cause);
+        if !self.reader.splits_events() {
+            return Err(self.abort(interruption, NotResumed::NotEvents));
         }
+        let last_id = self.reader.last_id().cloned();
         let remaining = self.attempts.remaining_time();
         if remaining.is_zero() {
             return Err(self.abort(interruption, NotResumed::OutOfTime));
@@ -456,21 +395,49 @@
         let Ok(Ok((response, in_flight))) = resumed else {
             return Err(self.abort(interruption, NotResumed::NoResponse));
         };
-        if !response.inner.status().is_success() {
+        if !resumes_events(&response) {
             return Err(self.abort(interruption, NotResumed::ErrorResponse));
         }
-        self.record_interruption(interruption, None);
-        self.upstream = in_flight.upstream_record();
-        self.response = *response;
-        self.in_flight = in_flight;
-        self.head_at = self.attempts.context.now();
-        self.last_event_at = self.head_at;
-        self.progress = 0;
-        self.sound = false;
+        self.log_interruption(interruption, None);
+        let now = self.attempts.context.now();
+        self.reader = ResponseReader::new(*response, in_flight, true, now);
+        self.reader.resume_after(last_id);
         Ok(())
     }
 }
 
+fn out_of_time() -> Interruption {
+    let detail = "the request's time limit has passed".to_owned();
+    Interruption::new(InterruptionCause::OutOfTime, detail)
+}
+
+/// Obtains the rest of a stream after the event `last_id` from another upstream, once that one has begun to send it.
+async fn obtain_replacement(
+    attempts: &mut RequestAttempts,
+    last_id: Option<SmolStr>,
+) -> Option<(ResponseReader, Received)> {
+    let obtained = attempts.obtain_response(last_id.as_ref()).await;
+    let (response, in_flight) = obtained.ok()?;
+    if !resumes_events(&response) {
+        return None;
+    }
+    let now = attempts.context.now();
+    let mut reader = ResponseReader::new(*response, in_flight, true, now);
+    reader.resume_after(last_id);
+    match reader.next_progress().await {
+        Ok(received) => Some((reader, received)),
+        Err(interruption) => {
+            reader.record_interruption(attempts, interruption.cause);
+            None
+        }
+    }
+}
+
+/// Whether a response may be the rest of a stream: an error or a response of another type is not.
+fn resumes_events(response: &UpstreamResponse) -> bool {
+    response.inner.status().is_success() && may_be_event_stream(response)
+}
+
 /// Whether the type of a response, if it states one, is that of a stream of events.
 fn may_be_event_stream(response: &UpstreamResponse) -> bool {
     let content_type = response.header("content-type");
@@ -487,7 +454,7 @@
 
 /// Builds the response that streams an upstream's response to the caller.
 pub async fn relay_response(relay: ResponseRelay) -> HttpResponse {
-    let upstream_response = &relay.response.inner;
+    let upstream_response = &relay.reader.response.inner;
     let status = StatusCode::from_u16(upstream_response.status().as_u16())
         .unwrap_or(StatusCode::BAD_GATEWAY);
     record_response(
@@ -499,7 +466,7 @@
             reason: ResponseReason::Upstream,
             retry_after: None,
             arrived_at: relay.attempts.request.arrived_at,
-            version: relay.response.version(),
+            version: relay.reader.response.version(),
             limited: None,
             refused_part: None,
             at_most_once: relay.attempts.request.runs_at_most_once(),
@@ -508,7 +475,7 @@
     let mut builder = new_response_builder(&relay.attempts.context, status);
     copy_headers(upstream_response.headers(), &mut builder);
     let length = upstream_response.body().size_hint().exact();
-    match length.filter(|_| relay.splitter.is_none()) {
+    match length.filter(|_| !relay.reader.splits_events()) {
         Some(length) => builder.body(SizedStream::new(length, stream_body(relay))),
         None => builder.streaming(stream_body(relay)),
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,8 @@
     pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
     pub limit_detours: Counter,
+    /// Upstreams that were silent for too long under a request, by what was done.
+    pub silences: Family<StateLabels, Counter>,
     /// Interruptions of streams, by cause and by what became of the stream.
     pub stream_interruptions: Family<StateLabels, Counter>,
 }
@@ -113,6 +115,7 @@
             refused_parts: Gauge::default(),
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
+            silences: Family::default(),
             stream_interruptions: Family::default(),
         };
         let m = &metrics;
@@ -153,6 +156,8 @@
         r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
         r.register("limit_detours", detours, m.limit_detours.clone());
+        let silences = "Silent upstreams by what was done";
+        r.register("silences", silences, m.silences.clone());
         let interrupted = "Interruptions of streams by cause";
         let interruptions = m.stream_interruptions.clone();
         r.register("stream_interruptions", interrupted, interruptions);
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod requests;
 mod restored_store;
+mod silence;
 mod soak;
 mod streams;
 mod versions;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod retry_window;
 pub mod router;
+pub mod silence;
 pub mod sliding_window;
 pub mod stated_limits;
 pub mod upgrade;
