A test of the arithmetic that cut streams with time left

Cause: with no further attempt allowed, the silence limit was the time that remained, and the time since the last complete event was subtracted from it whenever a part of an event or a comment arrived.

--- a/crates/lab/tests/gateway/silence.rs
+++ b/crates/lab/tests/gateway/silence.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use balsamjunction_lab::standin::platform::{EngineFault, Script};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use nix::sys::signal::Signal;
 
@@ -141,3 +142,34 @@
         assert_eq!(resume_at(&opening).await, None, "{opening}");
     }
 }
+
+// Guards against a stream that is cut although it has time left: with no attempt left, the time since its last complete
+// event was subtracted from the time that remained, whenever a part of an event or a comment arrived.
+#[actix_rt::test]
+async fn a_stream_with_no_attempt_left_is_not_cut_before_its_time_limit() {
+    let mut site = TestSite::start().await;
+    site.update_config(|config| config["routes"][0]["maxAttempts"] = 1.into());
+    let script = Script {
+        opening: "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+                  Balsamjunction-Server-Signature: e1\r\n\r\nid: 1\ndata: a\n\nid: 2\nda"
+            .to_owned(),
+        filler: Bytes::from_static(b"a"),
+        pause: Duration::from_millis(100),
+        ..Script::default()
+    };
+    site.start_scripted_server(model_engine_options("e1", 3, 10), script)
+        .await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let sent_at = Instant::now();
+
+    let got = gateway.generate("a1").await;
+
+    // The caller's time limit is three seconds.
+    assert_eq!(got.body, None);
+    assert!(
+        sent_at.elapsed() >= Duration::from_millis(2_900),
+        "{:?}",
+        sent_at.elapsed()
+    );
+}
