A stopping gateway answers requests without a response before it exits

What callers saw: a request that still waited at an upstream when the grace period ended lost its connection without an answer. Cause: the process exits 0.3 s before the end of the grace period whatever is in progress. From 0.7 s before it on, each request without a response gets one: 503 with Retry-After if no upstream may have run it, else 502, with the reason "stopping". The test fails on the code before (the connection ends without a response).

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -115,10 +115,15 @@
     context.count_request(&request.service);
     let mut attempts = RequestAttempts::new(context, Arc::new(request));
     let remaining = attempts.remaining_time();
-    // A timeout drops the current attempt, which closes its connection.
-    let result = actix_rt::time::timeout(remaining, attempts.obtain_response(None)).await;
+    let shared = attempts.context.clone();
+    let result = tokio::select! {
+        biased;
+        // A timeout drops the current attempt, which closes its connection.
+        result = actix_rt::time::timeout(remaining, attempts.obtain_response(None)) => Some(result),
+        () = shared.stop_signal.wait_until_exiting() => None,
+    };
     let failure = match result {
-        Ok(Ok((response, in_flight))) => {
+        Some(Ok(Ok((response, in_flight)))) => {
             return response::relay_response(ResponseRelay::new(
                 attempts,
                 *response,
@@ -127,8 +132,9 @@
             ))
             .await;
         }
-        Ok(Err(failure)) => failure,
-        Err(_) => attempts.timeout_failure(),
+        Some(Ok(Err(failure))) => failure,
+        Some(Err(_)) => attempts.timeout_failure(),
+        None => attempts.build_failure(ResponseReason::Stopping, RETRY_AFTER),
     };
     response::build_local_response(
         &attempts.context,
--- a/crates/daemon/src/gateway/lifecycle.rs
+++ b/crates/daemon/src/gateway/lifecycle.rs
@@ -6,6 +6,7 @@
 };
 
 use balsamjunction_policy::Moment;
+use tokio::sync::watch;
 
 use super::context::GatewayContext;
 use crate::{error::DaemonError, events::Event, process};
@@ -18,19 +19,33 @@
 const REJECT_AFTER: Duration = Duration::from_millis(2_900);
 /// Time before the end of the grace period at which the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the end of the grace period at which requests without a response are answered by the process itself.
+const LAST_RESPONSES_MARGIN: Duration = Duration::from_millis(700);
 /// Interval between checks for requests in progress.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// When the process received its stop signal.
+/// When the process received its stop signal, and whether it is about to exit.
 #[derive(Debug, Default)]
-pub struct StopSignal(OnceLock<Moment>);
+pub struct StopSignal {
+    received_at: OnceLock<Moment>,
+    exiting: watch::Sender<bool>,
+}
 
 impl StopSignal {
     /// Whether a request that arrives now is rejected.
     pub fn rejects_requests(&self, now: Moment) -> bool {
-        let received = self.0.get();
+        let received = self.received_at.get();
         received.is_some_and(|received| now >= *received + REJECT_AFTER)
     }
+
+    /// Waits until requests without a response must be answered, since the process is about to exit.
+    pub async fn wait_until_exiting(&self) {
+        let mut exiting = self.exiting.subscribe();
+        if exiting.wait_for(|exiting| *exiting).await.is_err() {
+            // The sender lives as long as this object.
+            std::future::pending().await
+        }
+    }
 }
 
 /// Waits for a stop signal, then until no request is in progress or the grace period is about to end.
@@ -39,7 +54,10 @@
     grace: Duration,
 ) -> Result<(), DaemonError> {
     process::wait_for_stop_signal().await?;
-    let stopped_at = *context.stop_signal.0.get_or_init(|| context.now());
+    let stopped_at = *context
+        .stop_signal
+        .received_at
+        .get_or_init(|| context.now());
     context.lifecycle.stop();
     context
         .cluster_view
@@ -53,10 +71,14 @@
         ),
     });
     let max_drain = grace.saturating_sub(EXIT_MARGIN);
+    let last_responses = grace.saturating_sub(LAST_RESPONSES_MARGIN);
     // Timers are late on a busy host, so the time is read instead of added up.
     loop {
         let waited = context.now().saturating_sub(stopped_at);
         let idle = context.in_progress.load(Ordering::Acquire) == 0;
+        if waited >= last_responses {
+            context.stop_signal.exiting.send_replace(true);
+        }
         if waited >= max_drain || (waited >= MIN_DRAIN && idle) {
             return Ok(());
         }
--- a/crates/lab/tests/gateway/lifecycle.rs
+++ b/crates/lab/tests/gateway/lifecycle.rs
@@ -146,3 +146,29 @@
     assert_eq!(response.status, 503, "{:?}", response.body);
     assert!(!second.is_ready().await);
 }
+
+// Guards against a request that still waits at an upstream when the process exits and whose connection ends without an
+// answer.
+#[actix_rt::test]
+async fn a_request_without_a_response_is_answered_before_a_stopping_gateway_exits() {
+    let mut site = TestSite::start().await;
+    site.update_config(|config| config["routes"][0]["timeoutMs"] = 20_000.into());
+    let engine = site.start_engine(model_engine_options("e1", 2, 10)).await;
+    engine.set_queue_wait(Duration::from_secs(20));
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let running = actix_rt::spawn(async move { gateway.open_stream("a1").await });
+    wait_until("the engine to have the request", async || {
+        engine.arrival_count() == 1
+    })
+    .await;
+
+    site.processes
+        .signal("g1", Signal::SIGTERM)
+        .expect("the process runs");
+    let mut response = running.await.expect("the gateway responds");
+
+    assert_eq!(response.status(), 502);
+    let body = response.body().await.expect("the response is complete");
+    assert_eq!(body, "stopping");
+}
