--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -187,6 +187,9 @@
                 "It may have run at upstream {upstream}, whose response was not received completely ({failed}); it was not sent again."
             )
         }
+        "stopping" if sends > 0 => format!(
+            "The process was about to exit before upstream {upstream} responded; it may have run."
+        ),
         "overload" => "Every upstream was too busy to start it in time; it has not run.".to_owned(),
         "upstreams-rest" => {
             let backoff = last("upstream-rests").map_or_else(String::new, |step| {
