Each id that a response echoes is compared, also a second or an unreadable one

What callers could see (reported by other operators): a copy of an earlier refusal taken as theirs, so "not run" for a request that runs. A response with two ids was judged by its first, and an id that is not ASCII counted as none. All ids are compared as bytes now.

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -632,12 +632,6 @@
         AttemptResult::Response(Box::new(response), in_flight)
     }
 
-    /// Whether a response echoes the id of another request.
-    pub fn answers_another_request(&self, response: &UpstreamResponse) -> bool {
-        let id = response.header(headers::ATTEMPT_ID);
-        id.is_some_and(|id| id != self.request.id.as_str())
-    }
-
     /// Counts a response on an overdue version: its request should have been cancelled before it started.
     fn count_overdue_response(&self, response: &UpstreamResponse) {
         let model = self.requirements.model.as_ref();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod context;
 mod crash_evidence;
 mod event_stream;
+mod identity;
 mod lifecycle;
 mod pending;
 mod reader;
--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -346,7 +346,9 @@
     let id = header(&req, "balsamjunction-attempt-id").unwrap_or_default();
     let expected = header(&req, "balsamjunction-expect-instance");
     if expected.is_some_and(|expected| expected != options.id.as_str()) {
-        return Ok(build_response(421, ""));
+        let mut response = build_response(421, "");
+        set_header(&mut response, "balsamjunction-attempt-id", &id);
+        return Ok(response);
     }
     let (fault, queue_wait) = {
         let state = lock(state);
@@ -354,6 +356,7 @@
     };
     if fault == EngineFault::Overloaded {
         let mut response = build_response(503, "");
+        set_header(&mut response, "balsamjunction-attempt-id", &id);
         set_header(&mut response, "balsamjunction-not-executed", "1");
         if let Some(retry_after) = &lock(state).retry_after {
             set_header(&mut response, "retry-after", retry_after);
--- a/crates/lab/src/standin/platform/scripted.rs
+++ b/crates/lab/src/standin/platform/scripted.rs
@@ -21,7 +21,9 @@
 /// What the server writes after it has received a request.
 #[derive(Clone, Debug, Default)]
 pub struct Script {
-    /// Written first; `{id}` is replaced by the id of the attempt.
+    /// Written before a request is read, unless empty.
+    pub greeting: String,
+    /// Written first after a request; `{id}` is replaced by the id of the attempt.
     pub opening: String,
     /// Written repeatedly until the client closes the connection, unless empty.
     pub filler: Bytes,
@@ -93,6 +95,7 @@
 }
 
 async fn run_script(mut tcp: TcpStream, script: &Script, counts: &Counts) -> std::io::Result<()> {
+    tcp.write_all(script.greeting.as_bytes()).await?;
     loop {
         let Some(head) = read_request(&mut tcp).await? else {
             return Ok(());
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod deadly_parts;
 mod departures;
 mod explained;
+mod faulty_refusals;
 mod hostile;
 mod lifecycle;
 mod limits;
