An order to load weights relies on a recent comparison of what is staged

Cause: a stager compared all staged chunks with their digests and then waited for the notification of the gateways, for up to 120 ms if one of them does not respond, before it sent the order. It never asked how old the comparison was. Whatever lengthens this interval, or the comparison itself, adds to the time for which a loaded chunk may have been corrupt; the platform tolerates 3 s. A freeze of the stager in it lasts 4 s, a comparison with reads of 300 ms for 16 chunks 4.8 s.

Fix: a comparison carries the time of its first read, by the clock that counts suspensions, and an order may be sent for 1.5 s from then. With the second after which an order without response is given up, that leaves half a second of the tolerance. The order's body asks for permission when it is polled, which is when the connection is open and nothing has been written yet, so no await lies between the check and the first byte. A withheld order leads to a new comparison with twice the number of concurrent reads, from 4 up to 32. Gateways are still notified between the two, so an engine serves during its comparison.

The test in hostile.rs passes a permission that always holds; what it asserts is unchanged.

--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -6,7 +6,10 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderOutcome, PlatformError, SwitchMode};
-use balsamjunction_policy::{rendezvous, version_queue::VersionQueue, Moment};
+use balsamjunction_policy::{
+    rendezvous, staged_check::StagedCheck, version_queue::VersionQueue, Moment,
+};
+use futures_util::{stream, StreamExt, TryStreamExt};
 use log::debug;
 
 use super::{
@@ -31,6 +34,10 @@
 /// An engine that neither serves the version nor processes the order after this time is ordered again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Numbers of chunks that are read back and staged at a time, in successive attempts at a switch. If reads are slow,
+/// a comparison of all chunks with fewer of them at a time would be too old at its end.
+const PARALLEL_CHUNKS: [usize; 4] = [4, 8, 16, 32];
+
 /// Fetches target versions, the newest first, for as long as the process runs.
 pub async fn fetch_loop(stager: Rc<Stager>) {
     let mut queue = VersionQueue::default();
@@ -168,7 +175,7 @@
     let Some(manifest) = stager.chunk_cache.manifest(id) else {
         return Ok(());
     };
-    stage_missing_chunks(stager, id, &manifest).await?;
+    stage_missing_chunks(stager, id, &manifest, PARALLEL_CHUNKS[0]).await?;
     let staged_at = stager.now();
     while stager.serving_version(&id.model).is_some()
         && stager.now() < scheduled_switch_time(stager, id, staged_at)
@@ -178,29 +185,52 @@
         }
         actix_rt::time::sleep(POLL_INTERVAL).await;
     }
-    // Staged chunks may have changed since; the engine loads what is staged now.
-    let restaged = stage_missing_chunks(stager, id, &manifest).await?;
-    let started_at_ms = stager.engine_started_at_ms();
-    if next_switch_target(stager).as_ref() != Some(id) {
-        return Ok(());
+    let mut notified = false;
+    for parallel_chunks in PARALLEL_CHUNKS {
+        let started_at_ms = stager.engine_started_at_ms();
+        // Staged chunks may have changed since; the engine loads what is staged when it accepts the order.
+        let check = StagedCheck::start(stager.now());
+        let restaged = stage_missing_chunks(stager, id, &manifest, parallel_chunks).await?;
+        if next_switch_target(stager).as_ref() != Some(id) {
+            return Ok(());
+        }
+        if !notified && check.holds(stager.now()) {
+            stager.notify_switch().await;
+            notified = true;
+        }
+        let outcome = order_load(stager, id, check).await?;
+        let age_ms = check.age(stager.now()).as_millis();
+        let detail =
+            format!("{outcome:?}, {restaged} chunks staged again, first read {age_ms} ms before");
+        if outcome == OrderOutcome::Withheld {
+            log_step(stager, id, "withheld", detail);
+            continue;
+        }
+        log_step(stager, id, "ordered", detail);
+        if outcome == OrderOutcome::Accepted {
+            wait_for_switch(stager, id, started_at_ms).await;
+        }
+        break;
     }
-    stager.notify_switch().await;
+    Ok(())
+}
+
+/// Orders the engine to load the staged chunks, unless `check` is too old when the order can be sent.
+async fn order_load(
+    stager: &Stager,
+    id: &VersionId,
+    check: StagedCheck,
+) -> Result<OrderOutcome, PlatformError> {
     let order = LoadOrder {
         model: id.model.clone(),
         version: id.version,
         mode: SwitchMode::Abort,
     };
-    let order_outcome = stager.engine.load(&order).await?;
-    log_step(
-        stager,
-        id,
-        "ordered",
-        format!("{order_outcome:?}, {restaged} chunks staged again"),
-    );
-    if order_outcome == OrderOutcome::Accepted {
-        wait_for_switch(stager, id, started_at_ms).await;
-    }
-    Ok(())
+    let clock = stager.cluster_view.clock;
+    stager
+        .engine
+        .load(&order, move || check.holds(clock.now()))
+        .await
 }
 
 /// The time at which this engine switches. Engines switch one after the other, so that most of them serve
@@ -222,28 +252,44 @@
     start + (end - start).mul_f64(fraction)
 }
 
-/// Stages every chunk that is not staged with its digest; returns the number of chunks that it staged.
+/// Stages every chunk that is not staged with its digest, `parallel_chunks` at a time; returns the number of chunks
+/// that it staged.
 async fn stage_missing_chunks(
     stager: &Stager,
     id: &VersionId,
     manifest: &Manifest,
+    parallel_chunks: usize,
 ) -> Result<usize, PlatformError> {
     let staged = stager.engine.staged_chunks(&id.model).await?;
-    let mut added = 0;
-    for chunk in 0..manifest.digests.len() {
-        if staged.contains(&chunk) {
-            let buf = stager.engine.read_staged(&id.model, chunk).await?;
-            if matches_digest(manifest, chunk, &buf) {
-                continue;
-            }
+    stream::iter(0..manifest.digests.len())
+        .map(|chunk| stage_chunk(stager, id, manifest, chunk, staged.contains(&chunk)))
+        .buffer_unordered(parallel_chunks)
+        .try_fold(
+            0,
+            |added, staged| async move { Ok(added + usize::from(staged)) },
+        )
+        .await
+}
+
+/// Stages a chunk unless it is staged with its digest; returns whether it staged it.
+async fn stage_chunk(
+    stager: &Stager,
+    id: &VersionId,
+    manifest: &Manifest,
+    chunk: usize,
+    is_staged: bool,
+) -> Result<bool, PlatformError> {
+    if is_staged {
+        let buf = stager.engine.read_staged(&id.model, chunk).await?;
+        if matches_digest(manifest, chunk, &buf) {
+            return Ok(false);
         }
-        let Some(buf) = stager.chunk_cache.get(id, chunk) else {
-            return Err(PlatformError::Status { status: 404 });
-        };
-        stager.engine.stage(&id.model, chunk, buf).await?;
-        added += 1;
     }
-    Ok(added)
+    let Some(buf) = stager.chunk_cache.get(id, chunk) else {
+        return Err(PlatformError::Status { status: 404 });
+    };
+    stager.engine.stage(&id.model, chunk, buf).await?;
+    Ok(true)
 }
 
 /// Waits until the engine serves the version, has restarted, or does not process the order.
--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -44,6 +44,18 @@
     WrongAttemptId,
 }
 
+/// The fault in an engine's handling of the next order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OrderFault {
+    /// It accepts orders and responds at once.
+    #[default]
+    None,
+    /// It closes the connection of the next order without accepting it.
+    Lost,
+    /// It accepts the next order after this time, also if the connection is closed meanwhile.
+    Late(Duration),
+}
+
 /// The properties of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -89,8 +101,15 @@
     runs: Vec<Run>,
     staged: BTreeMap<usize, Bytes>,
     version: Option<u64>,
+    /// When a staged chunk was corrupted after it had been staged.
+    corrupted_at: BTreeMap<usize, Instant>,
     corrupt_next_staged_chunk: bool,
+    staged_reads: usize,
+    staged_read_delay: Duration,
+    order_fault: OrderFault,
+    received_orders: Vec<u64>,
     inconsistent_loads: u32,
+    longest_loaded_corruption: Duration,
     leaving: bool,
     retry_after: Option<SmolStr>,
     limit: Option<SmolStr>,
@@ -100,6 +119,20 @@
 }
 
 impl State {
+    fn has_staged(&self, version: u64) -> bool {
+        (0..super::CHUNK_COUNT)
+            .all(|n| self.staged.get(&n) == Some(&super::origin::chunk(version, n)))
+    }
+
+    fn load(&mut self, version: u64) {
+        self.inconsistent_loads += u32::from(!self.has_staged(version));
+        let longest = self.corrupted_at.values().map(Instant::elapsed).max();
+        self.longest_loaded_corruption = self
+            .longest_loaded_corruption
+            .max(longest.unwrap_or_default());
+        self.version = Some(version);
+    }
+
     /// The start time that the engine reports, in milliseconds since the Unix epoch. Each crash changes it.
     fn started_at_ms(&self) -> u64 {
         FIRST_START_MS + self.crash_times.len() as u64
@@ -219,11 +252,50 @@
         self.state().corrupt_next_staged_chunk = true;
     }
 
+    /// Corrupts staged chunks that were staged correctly.
+    pub fn corrupt_staged_chunks(&self, chunks: &[usize]) {
+        let mut state = self.state();
+        for chunk in chunks {
+            state.corrupted_at.insert(*chunk, Instant::now());
+            state.staged.insert(*chunk, Bytes::from_static(b"corrupt"));
+        }
+    }
+
+    /// Whether every chunk of a version is staged correctly.
+    pub fn has_staged(&self, version: u64) -> bool {
+        self.state().has_staged(version)
+    }
+
+    /// Number of chunks that were read back since a chunk was last staged.
+    pub fn staged_reads(&self) -> usize {
+        self.state().staged_reads
+    }
+
+    /// Makes each read of a staged chunk take this long from now on. It returns what was staged at its start.
+    pub fn set_staged_read_delay(&self, delay: Duration) {
+        self.state().staged_read_delay = delay;
+    }
+
+    /// Sets the fault in the handling of the next order.
+    pub fn set_order_fault(&self, fault: OrderFault) {
+        self.state().order_fault = fault;
+    }
+
+    /// The versions of the orders that were received, also of those that were lost, in this order.
+    pub fn received_orders(&self) -> Vec<u64> {
+        self.state().received_orders.clone()
+    }
+
     /// Number of orders accepted while a staged chunk was missing, corrupt or of another version.
     pub fn inconsistent_loads(&self) -> u32 {
         self.state().inconsistent_loads
     }
 
+    /// The longest time for which a chunk had been corrupt when an order loaded it.
+    pub fn longest_loaded_corruption(&self) -> Duration {
+        self.state().longest_loaded_corruption
+    }
+
     /// Its entry in the platform's registry, with the given state.
     pub fn registry_entry(&self, state: &str) -> Value {
         let (version, started_at_ms) = {
@@ -296,42 +368,70 @@
 }
 
 /// Handles orders, and chunks that are staged or read back.
-async fn handle_weights(state: &Mutex<State>, req: Request<Incoming>) -> ResponseResult {
+async fn handle_weights(state: &Arc<Mutex<State>>, req: Request<Incoming>) -> ResponseResult {
     let chunk: Option<usize> = query_param(&req, "quantity").and_then(|n| n.parse().ok());
     let path = req.uri().path().to_owned();
     let buf = req.into_body().collect().await.map_err(io::Error::other)?;
     let buf = buf.to_bytes();
-    let mut state = lock(state);
     match (path.as_str(), chunk) {
-        ("/order", _) => {
-            let order: Value = serde_json::from_slice(&buf)?;
-            let version = order["version"].as_u64().unwrap_or_default();
-            let complete = (0..super::CHUNK_COUNT)
-                .all(|n| state.staged.get(&n) == Some(&super::origin::chunk(version, n)));
-            state.inconsistent_loads += u32::from(!complete);
-            state.version = Some(version);
-            Ok(build_response(202, ""))
-        }
+        ("/order", _) => handle_order(state, &buf).await,
         (path, Some(chunk)) if path.starts_with("/stage-put/") => {
+            let mut state = lock(state);
             let corrupt = std::mem::take(&mut state.corrupt_next_staged_chunk);
             let buf = match corrupt {
                 true => Bytes::from(vec![0; buf.len()]),
                 false => buf,
             };
             state.staged.insert(chunk, buf);
+            state.corrupted_at.remove(&chunk);
+            state.staged_reads = 0;
             Ok(build_response(200, ""))
         }
-        (_, Some(chunk)) => match state.staged.get(&chunk) {
-            Some(buf) => Ok(build_response(200, buf.clone())),
-            None => Ok(build_response(404, "")),
-        },
+        (_, Some(chunk)) => {
+            let (staged, delay) = {
+                let mut state = lock(state);
+                state.staged_reads += 1;
+                (state.staged.get(&chunk).cloned(), state.staged_read_delay)
+            };
+            if !delay.is_zero() {
+                actix_rt::time::sleep(delay).await;
+            }
+            match staged {
+                Some(buf) => Ok(build_response(200, buf)),
+                None => Ok(build_response(404, "")),
+            }
+        }
         (_, None) => {
-            let staged: Vec<usize> = state.staged.keys().copied().collect();
+            let staged: Vec<usize> = lock(state).staged.keys().copied().collect();
             Ok(build_response(200, json!({"held": staged}).to_string()))
         }
     }
 }
 
+async fn handle_order(state: &Arc<Mutex<State>>, buf: &[u8]) -> ResponseResult {
+    let order: Value = serde_json::from_slice(buf)?;
+    let version = order["version"].as_u64().unwrap_or_default();
+    let fault = {
+        let mut state = lock(state);
+        state.received_orders.push(version);
+        std::mem::take(&mut state.order_fault)
+    };
+    match fault {
+        OrderFault::None => lock(state).load(version),
+        OrderFault::Lost => return Err(io::ErrorKind::ConnectionReset.into()),
+        OrderFault::Late(delay) => {
+            // A task of its own, because the server drops this future when the connection closes.
+            let state = state.clone();
+            let accepted = actix_rt::spawn(async move {
+                actix_rt::time::sleep(delay).await;
+                lock(&state).load(version);
+            });
+            accepted.await.map_err(io::Error::other)?;
+        }
+    }
+    Ok(build_response(202, ""))
+}
+
 fn header(req: &Request<Incoming>, name: &str) -> Option<String> {
     Some(req.headers().get(name)?.to_str().ok()?.to_owned())
 }
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -292,7 +292,8 @@
             .read_staged("m1", 0)
             .await
             .expect("the engine responds");
-        engine.load(&order).await.expect("the engine responds");
+        let ordered = engine.load(&order, || true).await;
+        ordered.expect("the engine responds");
     }
 
     assert_eq!(upstream.requests(), 12);
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -1,8 +1,19 @@
 //! Distribution of weight versions from the origin to engines, through stagers and their peers.
 
-use balsamjunction_lab::standin::platform::{Engine, CHUNK_COUNT};
+use std::time::Duration;
 
-use crate::common::{model_engine_options, wait_until, Gateway, TestSite};
+use balsamjunction_lab::standin::platform::{Engine, OrderFault, CHUNK_COUNT};
+use balsamjunction_platform as platform;
+use nix::sys::signal::Signal;
+
+use crate::common::{model_engine_options, new_client, wait_until, Gateway, TestSite};
+
+/// Time for which the platform tolerates that a chunk was corrupt when it was loaded.
+const CORRUPTION_TOLERANCE: Duration = Duration::from_millis(3_000);
+/// How long a host is frozen.
+const FREEZE: Duration = Duration::from_millis(4_000);
+/// Two chunks that become corrupt.
+const CORRUPT_CHUNKS: [usize; 2] = [3, 10];
 
 /// Starts engines, each with its stager, behind one gateway.
 async fn start_fleet(site: &mut TestSite, engines: usize) -> (Gateway, Vec<Engine>) {
@@ -124,3 +135,148 @@
 
     wait_until_served(&engines, 5).await;
 }
+
+/// Starts an engine with its stager behind two gateways, and returns once the first version is fetched.
+async fn start_engine_behind_two_gateways(site: &mut TestSite) -> Engine {
+    let first = site.start_gateway("g1", &[]);
+    let second = site.start_gateway("g2", &[first]);
+    let engine = site.start_engine(model_engine_options("e0", 3, 5)).await;
+    site.start_stager("s0", &engine, &[first, second]);
+    first.wait_until_ready().await;
+    second.wait_until_ready().await;
+    wait_until("the stager to fetch the first version", async || {
+        let lines = site.log_lines("s0", "weights");
+        lines.iter().any(|line| line["step"] == "fetched")
+    })
+    .await;
+    engine
+}
+
+/// Waits until `reads` chunks of a completely staged version were read back.
+///
+/// The wait is busy, because the interval between the last read and the order is short.
+async fn wait_for_staged_reads(engine: &Engine, version: u64, reads: usize) {
+    let started = std::time::Instant::now();
+    while !engine.has_staged(version) || engine.staged_reads() < reads {
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "version {version} was not read back"
+        );
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn signal(site: &TestSite, name: &str, signal: Signal) {
+    let sent = site.processes.signal(name, signal);
+    sent.expect("signal the process");
+}
+
+/// Freezes the stager for four seconds, while staged chunks become corrupt.
+async fn freeze_stager_and_corrupt_chunks(site: &TestSite, engine: &Engine) {
+    signal(site, "s0", Signal::SIGSTOP);
+    engine.corrupt_staged_chunks(&CORRUPT_CHUNKS);
+    actix_rt::time::sleep(FREEZE).await;
+    signal(site, "s0", Signal::SIGCONT);
+}
+
+fn assert_no_old_corruption_was_loaded(engine: &Engine) {
+    let longest = engine.longest_loaded_corruption();
+    assert!(
+        longest < CORRUPTION_TOLERANCE,
+        "a chunk that had been corrupt for {longest:?} was loaded"
+    );
+}
+
+/// Guards against an order that relies on a comparison from before a freeze of the stager: a notification of
+/// gateways, one of which was frozen, lay between the two.
+#[actix_rt::test]
+async fn a_stager_that_freezes_before_its_order_compares_the_staged_chunks_again() {
+    let mut site = TestSite::start().await;
+    let engine = start_engine_behind_two_gateways(&mut site).await;
+
+    signal(&site, "g2", Signal::SIGSTOP);
+    site.publish_version(2);
+    wait_for_staged_reads(&engine, 2, CHUNK_COUNT).await;
+    freeze_stager_and_corrupt_chunks(&site, &engine).await;
+    signal(&site, "g2", Signal::SIGCONT);
+    wait_until_served(&[engine.clone()], 2).await;
+
+    assert_no_old_corruption_was_loaded(&engine);
+}
+
+/// Guards against an order that relies on reads from before a freeze in the middle of the comparison.
+#[actix_rt::test]
+async fn a_stager_that_freezes_during_its_comparison_begins_it_again() {
+    let mut site = TestSite::start().await;
+    let engine = start_engine_behind_two_gateways(&mut site).await;
+    engine.set_staged_read_delay(Duration::from_millis(10));
+
+    site.publish_version(2);
+    wait_for_staged_reads(&engine, 2, CHUNK_COUNT - 2).await;
+    freeze_stager_and_corrupt_chunks(&site, &engine).await;
+    wait_until_served(&[engine.clone()], 2).await;
+
+    assert_no_old_corruption_was_loaded(&engine);
+}
+
+/// Guards against an order after a comparison that took so long that chunks read early were corrupt for too long.
+#[actix_rt::test]
+async fn a_comparison_with_slow_reads_is_not_relied_on_for_too_long() {
+    let mut site = TestSite::start().await;
+    let engine = start_engine_behind_two_gateways(&mut site).await;
+    engine.set_staged_read_delay(Duration::from_millis(300));
+
+    site.publish_version(2);
+    wait_for_staged_reads(&engine, 2, 5).await;
+    engine.corrupt_staged_chunks(&[0]);
+    wait_until_served(&[engine.clone()], 2).await;
+
+    assert_no_old_corruption_was_loaded(&engine);
+}
+
+/// Guards against an order that is repeated on the comparison that the lost one relied on.
+#[actix_rt::test]
+async fn an_order_that_was_lost_is_repeated_on_a_new_comparison() {
+    let mut site = TestSite::start().await;
+    let engine = start_engine_behind_two_gateways(&mut site).await;
+    engine.set_order_fault(OrderFault::Lost);
+
+    site.publish_version(2);
+    wait_until("the order to be lost", async || {
+        !engine.received_orders().is_empty()
+    })
+    .await;
+    freeze_stager_and_corrupt_chunks(&site, &engine).await;
+    wait_until_served(&[engine.clone()], 2).await;
+
+    assert_eq!(engine.received_orders(), [2, 2]);
+    assert_no_old_corruption_was_loaded(&engine);
+}
+
+/// Guards against an order that is delayed between the check of its age and its first byte, such as by the connection.
+#[actix_rt::test]
+async fn an_order_that_is_not_permitted_when_its_connection_is_open_is_not_sent() {
+    let server = Engine::start(model_engine_options("e0", 3, 5)).await;
+    let server = server.expect("start the engine");
+    let engine = platform::Engine::new(new_client(), new_client(), server.address);
+    let order = platform::LoadOrder {
+        model: "m1".into(),
+        version: 2,
+        mode: platform::SwitchMode::Abort,
+    };
+
+    let withheld = engine.load(&order, || false).await;
+    let received_before = server.received_orders();
+    let sent = engine.load(&order, || true).await;
+
+    assert_eq!(
+        withheld.expect("nothing fails"),
+        platform::OrderOutcome::Withheld
+    );
+    assert!(received_before.is_empty());
+    assert_eq!(
+        sent.expect("the engine responds"),
+        platform::OrderOutcome::Accepted
+    );
+    assert_eq!(server.received_orders(), [2]);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod router;
 pub mod silence;
 pub mod sliding_window;
+pub mod staged_check;
 pub mod stated_limits;
 pub mod upgrade;
 pub mod version_queue;
