Nothing of another version is staged while an engine may still accept an order

A stager gives up an order without response after a second.

Fix: after a call whose response was not received, and which was not merely refused a connection, nothing of another version is staged for 1.5 s. A repeated call for the same version is not delayed. The same covers a late chunk, which would replace one of the later version.

Test: no_other_version_is_staged_while_an_order_without_response_may_be_accepted, with an engine that accepts 1.4 s after it received the order.

--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -34,6 +34,9 @@
 /// An engine that neither serves the version nor processes the order after this time is ordered again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after a call without response in which the engine may still carry it out. Nothing of another version is staged
+/// meanwhile: a late order would load it, and a late chunk would replace it.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Numbers of chunks that are read back and staged at a time, in successive attempts at a switch. If reads are slow,
 /// a comparison of all chunks with fewer of them at a time would be too old at its end.
 const PARALLEL_CHUNKS: [usize; 4] = [4, 8, 16, 32];
@@ -111,19 +114,36 @@
 
 /// Switches the engine to the newest completely fetched version, for as long as the process runs.
 pub async fn switch_loop(stager: Rc<Stager>) {
+    // The version of the last call to the engine whose response was not received, and when the call was given up.
+    let mut unsettled: Option<(VersionId, Moment)> = None;
     loop {
         actix_rt::time::sleep(POLL_INTERVAL).await;
         let Some(id) = next_switch_target(&stager) else {
             continue;
         };
+        let settles_at = unsettled
+            .as_ref()
+            .filter(|(unsettled, _)| *unsettled != id)
+            .map(|(_, since)| *since + SETTLE_TIME);
+        if settles_at.is_some_and(|at| stager.now() < at) {
+            continue;
+        }
         if let Err(e) = switch_engine(&stager, &id).await {
             debug!("cannot switch the engine to {id:?} yet: {e}");
+            if may_be_carried_out(&e) {
+                unsettled = Some((id, stager.now()));
+            }
             actix_rt::time::sleep(RETRY_DELAY).await;
         }
         stager.switching.set(false);
     }
 }
 
+/// Whether the engine may still carry out a call that failed.
+fn may_be_carried_out(e: &PlatformError) -> bool {
+    matches!(e, PlatformError::Send(e) if !balsamjunction_client::failed_to_connect(e))
+}
+
 /// The newest completely fetched version, if the engine serves an older one or none.
 fn next_switch_target(stager: &Stager) -> Option<VersionId> {
     stager.engine_started_at_ms()?;
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -4,6 +4,7 @@
 
 use balsamjunction_lab::standin::platform::{Engine, OrderFault, CHUNK_COUNT};
 use balsamjunction_platform as platform;
+use balsamjunction_policy::rendezvous;
 use nix::sys::signal::Signal;
 
 use crate::common::{model_engine_options, new_client, wait_until, Gateway, TestSite};
@@ -280,3 +281,33 @@
     );
     assert_eq!(server.received_orders(), [2]);
 }
+
+/// The stager, of two, whose engine switches last to a version.
+fn last_to_switch(version: u64) -> usize {
+    let order = rendezvous::rank(&version.to_le_bytes(), ["s0", "s1"].into_iter());
+    usize::from(order[1] == "s1")
+}
+
+/// Guards against chunks of a later version being staged while the engine may still accept the order for an
+/// earlier one, which would then load chunks of both.
+#[actix_rt::test]
+async fn no_other_version_is_staged_while_an_order_without_response_may_be_accepted() {
+    let mut site = TestSite::start().await;
+    // Long enough that the later version is staged well before its turn.
+    site.version_deadline = Duration::from_secs(8);
+    let (_, engines) = start_fleet(&mut site, 2).await;
+    let last = last_to_switch(2);
+    let later = (3..).find(|version| last_to_switch(*version) == last);
+    let later = later.expect("some version has the same last stager");
+    engines[last].set_order_fault(OrderFault::Late(Duration::from_millis(1_400)));
+
+    site.publish_version(2);
+    wait_until("the last order to be received", async || {
+        !engines[last].received_orders().is_empty()
+    })
+    .await;
+    site.publish_version(later);
+    wait_until_served(&engines, later).await;
+
+    assert_eq!(engines[last].inconsistent_loads(), 0);
+}
