A key of another writer at the end of a page no longer stops a listing

Reported by other operators: another writer left one odd entry among those of the engines, and the machines that read the list ended again and again, or stopped following it.

Shown here: the key that ends a page of a listing is part of the request for the next one, and it was written there as it is. With a space, a `%`, a `#` or a line end in it the address is invalid or names another key. A gateway that starts then never becomes ready, and one that lost the history follows nothing any more; a stager that reads the store itself learns of no version.

--- a/crates/lab/src/standin/platform/store.rs
+++ b/crates/lab/src/standin/platform/store.rs
@@ -11,6 +11,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use futures_util::FutureExt;
 use hyper::{body::Incoming, Request};
+use percent_encoding::percent_decode_str;
 use serde_json::{json, Value};
 use tokio::sync::watch;
 
@@ -214,7 +215,14 @@
 ) -> ResponseResult {
     let prefix = query_param(req, "prefix").unwrap_or_default();
     match req.uri().path() {
-        "/kv-range" => Ok(list_range(&lock(state), &prefix, query_param(req, "after"))),
+        "/kv-range" => {
+            let after = query_param(req, "after").unwrap_or_default();
+            let after = percent_decode_str(&after).decode_utf8();
+            let Ok(after) = after else {
+                return Ok(build_response(400, ""));
+            };
+            Ok(list_range(&lock(state), &prefix, &after))
+        }
         "/kv-watch" => {
             let after = query_param(req, "after").and_then(|at| at.parse().ok());
             let wait = query_param(req, "waitMs").and_then(|ms| ms.parse().ok());
@@ -229,11 +237,10 @@
 /// Entries per page; few, so that listings have several pages.
 const PAGE_SIZE: usize = 3;
 
-fn list_range(state: &State, prefix: &str, after: Option<String>) -> hyper::Response<super::Body> {
-    let after = after.unwrap_or_default();
+fn list_range(state: &State, prefix: &str, after: &str) -> hyper::Response<super::Body> {
     let remaining = state.entries.values();
-    let mut remaining = remaining
-        .filter(|event| event.key.starts_with(prefix) && event.key.as_str() > after.as_str());
+    let mut remaining =
+        remaining.filter(|event| event.key.starts_with(prefix) && event.key.as_str() > after);
     let page: Vec<Value> = remaining
         .by_ref()
         .take(PAGE_SIZE)
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod hostile;
 mod lifecycle;
 mod limits;
+mod odd_entries;
 mod requests;
 mod restored_store;
 mod silence;
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -200,7 +200,7 @@
     wait_for_staged_reads(&engine, 2, CHUNK_COUNT).await;
     freeze_stager_and_corrupt_chunks(&site, &engine).await;
     signal(&site, "g2", Signal::SIGCONT);
-    wait_until_served(&[engine.clone()], 2).await;
+    wait_until_served(std::slice::from_ref(&engine), 2).await;
 
     assert_no_old_corruption_was_loaded(&engine);
 }
@@ -215,7 +215,7 @@
     site.publish_version(2);
     wait_for_staged_reads(&engine, 2, CHUNK_COUNT - 2).await;
     freeze_stager_and_corrupt_chunks(&site, &engine).await;
-    wait_until_served(&[engine.clone()], 2).await;
+    wait_until_served(std::slice::from_ref(&engine), 2).await;
 
     assert_no_old_corruption_was_loaded(&engine);
 }
@@ -230,7 +230,7 @@
     site.publish_version(2);
     wait_for_staged_reads(&engine, 2, 5).await;
     engine.corrupt_staged_chunks(&[0]);
-    wait_until_served(&[engine.clone()], 2).await;
+    wait_until_served(std::slice::from_ref(&engine), 2).await;
 
     assert_no_old_corruption_was_loaded(&engine);
 }
@@ -248,7 +248,7 @@
     })
     .await;
     freeze_stager_and_corrupt_chunks(&site, &engine).await;
-    wait_until_served(&[engine.clone()], 2).await;
+    wait_until_served(std::slice::from_ref(&engine), 2).await;
 
     assert_eq!(engine.received_orders(), [2, 2]);
     assert_no_old_corruption_was_loaded(&engine);
