What an odd entry said of an engine does not outlast the entry

Three things that a gateway derived from the entry outlasted it: - the time for which the engine stays cold only ever grew, so that 1e308 limited it as a cold one for good; - a refusal makes an engine count as full, which decays by half in 0.7 s; with 4,294,967,295 slots it counted as full for some 20 s, and its requests were refused; - an engine that was refused at its address counts as replaced for as long as it has its start time; with the address of another engine in the odd entry it was never used again.

Fix: the cold time is that of the newest record; a record with other slots resets the load that was derived from them; one with another address is no longer known to be replaced.

--- a/crates/lab/tests/gateway/odd_entries.rs
+++ b/crates/lab/tests/gateway/odd_entries.rs
@@ -1,14 +1,22 @@
 //! Entries of another writer among those of the engines, which gateways and stagers must neither use nor stumble over.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use balsamjunction_lab::standin::platform::{Engine, EngineFault};
 use futures_util::future::join_all;
 use serde_json::{json, Value};
 
 use crate::common::{model_engine_options, plain_engine_options, wait_until, Gateway, TestSite};
 
+/// How long an odd entry stands in place of an engine's own one.
+const REPLACED_FOR: Duration = Duration::from_millis(1_000);
 /// Time within which a gateway follows a change of the registry.
 const FOLLOW_TIME: Duration = Duration::from_millis(500);
+/// Calls that a sound engine serves in a burst.
+const BURST: usize = 12;
+
+/// The metric of the number of cold upstreams.
+const COLD_UPSTREAMS: &str = "balsamjunction_upstreams{state=\"cold\"}";
 
 /// A value with arrays nested this deep.
 fn nested(depth: usize) -> String {
@@ -81,6 +89,30 @@
     }
 }
 
+async fn start_plain_site(slots: u32) -> (TestSite, Gateway, Engine) {
+    let mut site = TestSite::start().await;
+    let engine = site.start_engine(plain_engine_options("d1")).await;
+    let mut entry = engine.registry_entry("ready");
+    entry["slots"] = json!(slots);
+    site.store.put("servers/d1", &entry);
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    (site, gateway, engine)
+}
+
+/// Replaces the engine's own entry by an odd one for a while, sends a burst meanwhile, and restores the entry.
+async fn replace_own_entry(site: &TestSite, gateway: Gateway, engine: &Engine, odd: &[u8]) {
+    let sound = engine.registry_entry("ready");
+    site.store.put_bytes("servers/d1", odd);
+    let replaced_at = Instant::now();
+    actix_rt::time::sleep(FOLLOW_TIME).await;
+    count_served(gateway, "meanwhile", BURST).await;
+    actix_rt::time::sleep(REPLACED_FOR.saturating_sub(replaced_at.elapsed())).await;
+    engine.set_fault(EngineFault::None);
+    site.store.put("servers/d1", &sound);
+    actix_rt::time::sleep(FOLLOW_TIME).await;
+}
+
 // Guards against a process that ends, or stops following the registry, because of an entry that cannot be decoded or
 // whose values are out of range.
 #[actix_rt::test]
@@ -157,3 +189,56 @@
 
     assert_eq!(count_served(gateway, "a", 4).await, 4);
 }
+
+// Guards against an engine that stays limited as a cold one after an odd entry in place of its own said so.
+#[actix_rt::test]
+async fn an_engine_is_not_limited_as_cold_after_its_own_entry_is_back() {
+    for remaining in ["1e308", "1e12", "86400000"] {
+        let (mut site, gateway, engine) = start_plain_site(4).await;
+        site.update_config(|config| {
+            config["services"][1]["coldStartS"] = json!(1.0);
+            config["services"][1]["coldPerS"] = json!(100.0);
+        });
+        let sound = engine.registry_entry("ready");
+        let odd = entry_with(&sound, "coldRemainingMs", remaining);
+
+        replace_own_entry(&site, gateway, &engine, &odd).await;
+        let served = count_served(gateway, "after", 4).await;
+        let cold = gateway.metric(COLD_UPSTREAMS).await;
+
+        assert_eq!(served, 4, "with {remaining}");
+        assert_eq!(cold.unwrap_or(0.0), 0.0, "with {remaining}");
+    }
+}
+
+// Guards against an engine that counts as full for as long as the slots of an odd entry take to drain.
+#[actix_rt::test]
+async fn an_engine_does_not_count_as_full_after_its_own_entry_is_back() {
+    for slots in ["4294967295", "60000"] {
+        let (site, gateway, engine) = start_plain_site(4).await;
+        let odd = entry_with(&engine.registry_entry("ready"), "slots", slots);
+        engine.set_fault(EngineFault::Overloaded);
+
+        replace_own_entry(&site, gateway, &engine, &odd).await;
+        // The estimate of the load is held for a second before it decays.
+        actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+
+        assert_eq!(count_served(gateway, "after", 4).await, 4, "with {slots}");
+    }
+}
+
+// Guards against an engine that is never used again after an odd entry gave it the address of another engine, which
+// refused its requests.
+#[actix_rt::test]
+async fn an_engine_is_used_again_after_an_odd_entry_gave_it_the_address_of_another() {
+    let (site, gateway, engine) = start_plain_site(4).await;
+    let other = Engine::start(plain_engine_options("d9")).await;
+    let other = other.expect("start the engine");
+    let address = format!("\"{}\"", other.address);
+    let odd = entry_with(&engine.registry_entry("ready"), "address", &address);
+
+    replace_own_entry(&site, gateway, &engine, &odd).await;
+
+    assert_eq!(count_served(gateway, "after", 4).await, 4);
+    assert!(other.runs().is_empty());
+}
--- a/crates/policy/src/dispatch/availability.rs
+++ b/crates/policy/src/dispatch/availability.rs
@@ -50,6 +50,11 @@
         self.replaced = true;
     }
 
+    /// Records that the upstream has another address, at which nothing else has responded.
+    pub fn mark_moved(&mut self) {
+        self.replaced = false;
+    }
+
     /// Records that the upstream is leaving, which later registry updates do not revoke. Returns whether
     /// this was not known before.
     pub fn mark_leaving(&mut self) -> bool {
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -120,9 +120,15 @@
         service: &Service,
         status: Option<&EngineStatus>,
     ) {
-        let cold = Moment::from_millis(record.cold_remaining_ms);
-        self.cold_until = self.cold_until.max(received_at + cold);
+        // What an earlier record said must not outlast it: that may have been another writer's.
+        self.cold_until = received_at + Moment::from_millis(record.cold_remaining_ms);
         self.cold_per_s = service.cold_requests_per_s;
+        if record.slots != self.record.slots {
+            self.other_requests = 0.0;
+        }
+        if record.address != self.record.address {
+            self.availability.mark_moved();
+        }
         self.record = record.clone();
         let switching = status.is_some_and(|status| status.switching);
         if self.switching && !switching {
