--- a/crates/lab/tests/gateway/odd_entries.rs
+++ b/crates/lab/tests/gateway/odd_entries.rs
@@ -1,6 +1,9 @@
 //! Entries of another writer among those of the engines, which gateways and stagers must neither use nor stumble over.
 
-use std::time::{Duration, Instant};
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
 
 use balsamjunction_lab::standin::platform::{Engine, EngineFault};
 use futures_util::future::join_all;
@@ -242,3 +245,39 @@
     assert_eq!(count_served(gateway, "after", 4).await, 4);
     assert!(other.runs().is_empty());
 }
+
+/// Bytes that a process has logged, in structured lines and otherwise.
+fn logged_bytes(site: &TestSite, name: &str) -> u64 {
+    let paths = [
+        site.log_path(name),
+        site.log_path(name).with_extension("log"),
+    ];
+    let lengths = paths.iter().filter_map(|path| fs::metadata(path).ok());
+    lengths.map(|metadata| metadata.len()).sum()
+}
+
+// Guards against a log that grows with the length and the number of odd entries.
+#[actix_rt::test]
+async fn odd_entries_that_are_written_again_and_again_leave_a_bounded_log() {
+    let (site, gateway, engine) = start_plain_site(4).await;
+    let sound = engine.registry_entry("ready");
+    let odd = entry_with(&sound, "state", &format!("\"{}\"", "x".repeat(20_000)));
+    let before = logged_bytes(&site, "g1");
+
+    for _ in 0..10 {
+        for n in 0..50 {
+            site.store.put_bytes(&format!("servers/odd{n}"), &odd);
+        }
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    site.store.delete("servers/d1");
+    let later = site.start_engine(plain_engine_options("d2")).await;
+    wait_until("the gateway to follow the registry", async || {
+        count_served(gateway, "a", 1).await;
+        !later.runs().is_empty()
+    })
+    .await;
+
+    let logged = logged_bytes(&site, "g1") - before;
+    assert!(logged < 100_000, "{logged} bytes were logged");
+}
