A stopping gateway passes on only what can end before it exits

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated (LOST).

Shown here, with a real gateway and grace_s 8: new requests are rejected from 2.9 s after the signal on, but whether an accepted request can still end in time was never asked before it was sent. An order whose body arrived 4 s after the signal was passed on, ran, and got 502 as the process exited; a stream that may not be resumed, sent 1 s after the signal on a route with a time limit of 20 s, was cut.

What does not fit is refused at once as not run. It is asked before an upstream is selected and again when the connection is open.

A second order on a kept connection, a short order shortly after the signal, and a stager that stops during a distribution passed before and pass now. Stagers take no requests of callers. Not tested with real processes: a request that waits for a slot, or for another upstream after a failure; the property in policy covers any such delay.

--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -19,7 +19,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    attempts,
+    attempts::{self, STOPPING_RETRY_AFTER},
     caller_request::{self, CallerRequest},
     context::GatewayContext,
     response::{self, FinalResponse, ResponseReason},
@@ -29,8 +29,6 @@
 const MIN_TIMEOUT: Duration = Duration::from_millis(1);
 /// A process without a configuration usually receives one in about this time.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Short, since other processes accept the callers that a stopping process rejects.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Capacity that is reserved with the first chunk of a body.
 const INITIAL_BODY_CAPACITY_BYTES: usize = 1_024;
 
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -47,6 +47,8 @@
 pub const NEXT_ATTEMPT_INTERVAL: Duration = Duration::from_millis(250);
 /// Retry-after for a request that no upstream has run.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Short, since other processes accept the callers that a stopping process rejects.
+pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// The result of one attempt.
 enum AttemptResult {
@@ -445,6 +447,9 @@
             self.log_failed_attempt(&upstream, "not-sent", detail);
             return Ok(None);
         }
+        // The request may have waited for the upstream and its connection.
+        let expected_ms = in_flight.expected_ms().max(0.0) as u64;
+        self.check_time_until_exit(Duration::from_millis(expected_ms))?;
         // Each upstream that receives the request after the first counts as a retry, even if earlier ones
         // rejected the request.
         if self.reached_upstream && !self.reserve_retry() {
@@ -482,7 +487,23 @@
         if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
             return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
         }
-        Ok(())
+        self.check_time_until_exit(Duration::ZERO)
+    }
+
+    /// Refuses a request that a stopping process may leave without a complete response, if the next upstream is
+    /// expected to respond after `expected`.
+    fn check_time_until_exit(&self, expected: Duration) -> Result<(), Failure> {
+        let request = &self.request;
+        let may_pass_on = self.context.stop_signal.may_pass_on(
+            self.context.now(),
+            expected,
+            request.deadline(),
+            request.interruptible(),
+        );
+        match may_pass_on {
+            true => Ok(()),
+            false => Err(self.build_failure(ResponseReason::Stopping, STOPPING_RETRY_AFTER)),
+        }
     }
 
     fn log_send(
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use actix_web::HttpRequest;
-use balsamjunction_directory::{ApiKeyOwner, Route};
+use balsamjunction_directory::{ApiKeyOwner, Route, RouteKind};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::{dispatch::RequestRequirements, Moment};
+use balsamjunction_policy::{dispatch::RequestRequirements, shutdown::Interruptible, Moment};
 use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use hyper::{
@@ -113,6 +113,15 @@
         !self.route.repeatable()
     }
 
+    /// What an interrupted run means for the caller.
+    pub fn interruptible(&self) -> Interruptible {
+        match self.route.kind {
+            _ if self.route.repeatable() => Interruptible::Repeatable,
+            RouteKind::Streaming => Interruptible::StreamedOnce,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => Interruptible::Once,
+        }
+    }
+
     /// Returns the time at which the request times out.
     pub fn deadline(&self) -> Moment {
         self.arrived_at + self.timeout
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod limits;
 mod odd_entries;
+mod planned_stops;
 mod requests;
 mod restored_store;
 mod silence;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod retry_window;
 pub mod router;
+pub mod shutdown;
 pub mod silence;
 pub mod sliding_window;
 pub mod staged_check;
