Tests: orders that wait or are refused late in a planned stop, stagers on their own

Orders of planned_stops no longer look like generations to the stand-in, which had answered them at once.

The test of odd entries has a second stager, which reaches no gateway and reads the store itself; it follows the version as well.

--- a/crates/lab/tests/gateway/odd_entries.rs
+++ b/crates/lab/tests/gateway/odd_entries.rs
@@ -122,11 +122,14 @@
 async fn odd_entries_neither_end_a_process_nor_stop_it_from_following_the_registry() {
     let mut site = TestSite::start().await;
     let model_engine = site.start_engine(model_engine_options("e1", 2, 5)).await;
+    let other_engine = site.start_engine(model_engine_options("e2", 2, 5)).await;
     let order_desk = site.start_engine(plain_engine_options("d1")).await;
     put_odd_entries(&site, &order_desk.registry_entry("ready"));
     let first = site.start_gateway("g1", &[]);
     let second = site.start_gateway("g2", &[first]);
     site.start_stager("s1", &model_engine, &[first, second]);
+    // This stager reaches no gateway, so it reads the store itself.
+    site.start_stager("s2", &other_engine, &[]);
     first.wait_until_ready().await;
     second.wait_until_ready().await;
 
@@ -140,8 +143,8 @@
     let later = site.start_engine(plain_engine_options("d2")).await;
     actix_rt::time::sleep(FOLLOW_TIME).await;
     site.publish_version(2);
-    wait_until("the engine to serve the version", async || {
-        model_engine.version() == Some(2)
+    wait_until("the engines to serve the version", async || {
+        model_engine.version() == Some(2) && other_engine.version() == Some(2)
     })
     .await;
 
@@ -150,7 +153,7 @@
     }
     assert_eq!(order_desk.arrival_count(), 0);
     assert_eq!(later.runs().len(), 12);
-    assert_running(&mut site, &["g1", "g2", "g3", "s1"]);
+    assert_running(&mut site, &["g1", "g2", "g3", "s1", "s2"]);
 }
 
 /// Keys with characters that need an escape in a query.
--- a/crates/lab/tests/gateway/planned_stops.rs
+++ b/crates/lab/tests/gateway/planned_stops.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use balsamjunction_lab::standin::platform::Engine;
+use balsamjunction_lab::standin::platform::{Engine, Script};
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::{
@@ -68,18 +68,26 @@
 }
 
 /// Sends a request with a long deadline; absent if the connection ends without a response.
-async fn call(gateway: Gateway, path: &str, id: &str) -> Option<CallerResponse> {
+async fn call(gateway: Gateway, path: &str, id: &str, generation: bool) -> Option<CallerResponse> {
     let key = format!("Bearer {API_KEY}");
     let deadline = CALLER_DEADLINE_MS.to_string();
-    let headers = [
+    let mut headers = vec![
         ("authorization", key.as_str()),
         ("balsamjunction-deadline-ms", deadline.as_str()),
-        ("balsamjunction-model", "m1"),
-        ("balsamjunction-token-usage", "100,500"),
     ];
+    if generation {
+        headers.push(("balsamjunction-model", "m1"));
+        headers.push(("balsamjunction-token-usage", "100,500"));
+    }
     gateway.try_call_with("POST", path, id, &headers).await.ok()
 }
 
+/// Sends an order with a long deadline, and returns the status.
+async fn send_order(gateway: Gateway, id: &'static str) -> Option<u16> {
+    let response = call(gateway, "/order/new", id, false).await;
+    response.map(|response| response.status)
+}
+
 /// The head of a request for an order whose body has ten bytes.
 fn order_head(id: &str) -> String {
     format!(
@@ -132,6 +140,63 @@
     assert!(stopping.engine.runs().is_empty());
 }
 
+// Guards against an order that waits for a free slot and is passed on late in the grace period.
+#[actix_rt::test]
+async fn an_order_that_waits_into_the_grace_period_is_refused_and_does_not_run() {
+    let mut stopping = StoppingSite::start_without_signal(4_500).await;
+    let mut entry = stopping.engine.registry_entry("ready");
+    entry["slots"] = json!(1);
+    stopping.site.store.put("servers/d1", &entry);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let first = actix_rt::spawn(send_order(stopping.gateway, "first"));
+    wait_until("the first order to run", async || {
+        stopping.engine.runs().len() == 1
+    })
+    .await;
+
+    stopping.signal();
+    stopping.wait_until(1_000).await;
+    let second = send_order(stopping.gateway, "second").await;
+    let first = first.await.expect("the call does not panic");
+
+    assert_eq!(first, Some(200));
+    assert_eq!(second, Some(503));
+    assert_eq!(stopping.engine.runs().len(), 1);
+}
+
+// Guards against an order that is passed on to another upstream late in the grace period, after the first one refused it.
+#[actix_rt::test]
+async fn an_order_that_an_upstream_refuses_late_in_the_grace_period_is_passed_on_to_no_other() {
+    let mut stopping = StoppingSite::start_without_signal(5_000).await;
+    stopping.site.store.delete("servers/d1");
+    let refusal =
+        "HTTP/1.1 503 Full\r\nBalsamjunction-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    let late_refusal = Script {
+        filler: refusal.into(),
+        pause: Duration::from_millis(3_000),
+        ..Script::default()
+    };
+    let options = plain_engine_options("d0");
+    let refusing = stopping.site.start_scripted_server(options, late_refusal);
+    let refusing = refusing.await;
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+
+    stopping.signal();
+    stopping.wait_until(1_000).await;
+    let gateway = stopping.gateway;
+    let order = actix_rt::spawn(send_order(gateway, "a1"));
+    wait_until("the first upstream to have the order", async || {
+        refusing.requests() == 1
+    })
+    .await;
+    stopping.site.register(&stopping.engine, "ready");
+    let status = order.await.expect("the call does not panic");
+
+    assert_eq!(status, Some(503));
+    assert!(stopping.signalled_at.elapsed() < Duration::from_millis(4_500));
+    assert!(stopping.engine.runs().is_empty());
+}
+
 // Guards against a stream that must not be resumed, may outlast the grace period, and is cut when the process exits.
 #[actix_rt::test]
 async fn a_stream_that_cannot_be_resumed_and_may_outlast_the_grace_period_is_refused() {
@@ -142,7 +207,7 @@
     let engine = engine.await;
     stopping.wait_until(1_000).await;
 
-    let refused = call(stopping.gateway, "/once/now", "a1").await;
+    let refused = call(stopping.gateway, "/once/now", "a1", true).await;
     let response = refused.expect("the gateway responds");
 
     assert_eq!(response.status, 503);
@@ -156,9 +221,9 @@
     let stopping = StoppingSite::start(20).await;
     stopping.wait_until(1_500).await;
 
-    let served = call(stopping.gateway, "/order/new", "a1").await;
+    let status = send_order(stopping.gateway, "a1").await;
 
-    assert_eq!(served.map(|response| response.status), Some(200));
+    assert_eq!(status, Some(200));
 }
 
 // Guards against a second request on a kept connection that is passed on, or gets no response, late in the grace period.
