A newer record does not cut short the cold time of a sound earlier one

As a precaution the later of both ends counts again, as before, but what an earlier record said holds for at most the service's cold start time after a newer one.

--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -120,8 +120,11 @@
         service: &Service,
         status: Option<&EngineStatus>,
     ) {
-        // What an earlier record said must not outlast it: that may have been another writer's.
-        self.cold_until = received_at + Moment::from_millis(record.cold_remaining_ms);
+        // What an earlier record said must not outlast it for long: that may have been another writer's.
+        let cold_start = Moment::from_millis(service.cold_start_ms);
+        let earlier = self.cold_until.min(received_at + cold_start);
+        let cold = Moment::from_millis(record.cold_remaining_ms);
+        self.cold_until = earlier.max(received_at + cold);
         self.cold_per_s = service.cold_requests_per_s;
         if record.slots != self.record.slots {
             self.other_requests = 0.0;
