--- a/crates/lab/tests/gateway/planned_stops.rs
+++ b/crates/lab/tests/gateway/planned_stops.rs
@@ -97,7 +97,7 @@
     )
 }
 
-/// Reads one response, up to the end of its body of `body_bytes`; empty if the connection ends without one.
+/// Reads one response, up to the end of its body, in lower case; empty if the connection ends without one.
 async fn read_response(tcp: &mut TcpStream) -> String {
     let mut buf = Vec::new();
     let mut part = [0; 1_024];
