--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -122,6 +122,9 @@
         /// Id of the upstream that would have been selected if its limit allowed another request.
         #[serde(skip_serializing_if = "Option::is_none")]
         instead_of: Option<SmolStr>,
+        /// How the request came to be sent, if its service is contended.
+        #[serde(flatten)]
+        queueing: Option<QueueingFields>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -276,6 +279,21 @@
     },
 }
 
+/// How a request to a contended service came to be sent.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct QueueingFields {
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
+    /// How long it waited for its turn, in milliseconds.
+    pub queued_ms: u64,
+    /// Requests for the service that still waited.
+    pub waiting: usize,
+    /// Requests of the gateway that were in flight at the service, this one included.
+    pub in_flight: usize,
+    /// The largest number of them at present.
+    pub window: u64,
+}
+
 impl Event {
     /// The id of the request by which this line is sampled; `None` if it is always written.
     ///
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -153,9 +153,11 @@
     let path_and_query = path_and_query.map_or_else(|| "/".to_owned(), ToString::to_string);
     let caller = api_key_owner.as_ref().map_or("", |h| h.workspace.as_str());
     let fingerprint = caller_request::compute_fingerprint(caller, &path_and_query, &body);
+    let api_key = caller_request::parse_api_key(req).filter(|_| api_key_owner.is_some());
     Ok(CallerRequest {
         id,
         service: choose_service(&route),
+        api_key: api_key.map(SmolStr::new),
         api_key_owner,
         method,
         headers: caller_request::copy_forwarded_headers(req),
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -414,6 +414,16 @@
             .assign_upstream(self.requirements.clone())
             .await;
         let mut in_flight = assigned.map_err(|refusal| self.refusal_failure(&refusal))?;
+        if in_flight
+            .queueing()
+            .is_some_and(|queueing| queueing.queued_ms > 0)
+        {
+            // The key may have been revoked while the request waited, or one of its parts found to crash upstreams.
+            self.check_may_run()?;
+            if !self.context.accepts_key(self.request.api_key.as_deref()) {
+                return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
+            }
+        }
         let Some(upstream) = in_flight.upstream_record() else {
             self.record_tried(&in_flight);
             return Ok(None);
@@ -523,6 +533,7 @@
             begin_within_ms: start_deadline
                 .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
             instead_of: in_flight.instead_of(),
+            queueing: in_flight.queueing(),
             once: self.request.runs_at_most_once(),
         });
     }
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -35,6 +35,8 @@
     pub route: Arc<Route>,
     /// The owner of the request's API key; absent if a public route was called without a known key.
     pub api_key_owner: Option<Arc<ApiKeyOwner>>,
+    /// The API key, if it has an owner.
+    pub api_key: Option<SmolStr>,
     /// The service whose upstreams may serve the request.
     pub service: SmolStr,
     /// The HTTP method.
@@ -132,6 +134,13 @@
         since + Duration::from_millis(self.route.target_latency_ms)
     }
 
+    /// Returns the time by which the caller leaves if it has received nothing.
+    fn caller_leaves_at(&self) -> Moment {
+        let patience = self.route.caller_patience_ms.map(Duration::from_millis);
+        let leaves_at = patience.map(|patience| self.arrived_at + patience);
+        leaves_at.map_or(self.deadline(), |at| at.min(self.deadline()))
+    }
+
     /// Returns the dispatcher's description of the request.
     pub fn requirements(&self) -> RequestRequirements {
         let header = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
@@ -147,6 +156,8 @@
             route_regions: self.route.allowed_regions.clone(),
             workspace_regions: owner.map(|h| h.allowed_regions.clone()).unwrap_or_default(),
             first_event_deadline: self.first_event_deadline(self.arrived_at),
+            target_latency: Duration::from_millis(self.route.target_latency_ms),
+            caller_leaves_at: self.caller_leaves_at(),
             tried: Vec::new(),
         }
     }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -27,6 +27,7 @@
 
 use super::lifecycle::StopSignal;
 use crate::{
+    events::QueueingFields,
     mesh::ClusterView,
     metrics::{Metrics, RefreshGauges, ServiceLabels, StateLabels},
     process::Lifecycle,
@@ -123,6 +124,13 @@
         self.facts_fresher_than(KEY_MAX_AGE_FRACTION)
     }
 
+    /// Whether an API key that a request was accepted with still has an owner.
+    pub fn accepts_key(&self, key: Option<&str>) -> bool {
+        let directory = self.cluster_view.directory();
+        let table = directory.route_table.as_ref();
+        key.is_none_or(|key| table.is_some_and(|table| table.api_key_owner(key).is_some()))
+    }
+
     fn facts_fresher_than(&self, fraction: f64) -> bool {
         let Some(age) = self.cluster_view.facts_age() else {
             return false;
@@ -447,6 +455,17 @@
         Some(view.record)
     }
 
+    /// Returns how the request came to be sent, if its service is contended.
+    pub fn queueing(&self) -> Option<QueueingFields> {
+        self.selected.queueing.map(|queueing| QueueingFields {
+            rank: queueing.rank,
+            queued_ms: queueing.waited.as_millis() as u64,
+            waiting: queueing.waiting,
+            in_flight: queueing.in_flight,
+            window: queueing.window as u64,
+        })
+    }
+
     /// Returns the id of the upstream that would have been selected if its limit allowed another request.
     pub fn instead_of(&self) -> Option<SmolStr> {
         self.context.upstream_id(self.selected.instead_of?)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,11 +23,11 @@
 };
 use balsamjunction_platform::Store;
 use balsamjunction_policy::{
-    dispatch::{DispatchSettings, Dispatcher},
+    dispatch::{contention::ContentionMode, DispatchSettings, Dispatcher},
     retry_window::RetryWindowSettings,
 };
 use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
-use balsamjunction_settings::{read_gateway, GatewaySettings};
+use balsamjunction_settings::{read_gateway, ContentionSetting, GatewaySettings};
 use smol_str::SmolStr;
 
 use self::context::GatewayContext;
@@ -200,5 +200,10 @@
         old_version_start_window: settings.version_within.mul_f64(OLD_VERSION_START_FRACTION),
         started: clock.started_at(),
         startup_start_window: settings.contact_after.mul_f64(STARTUP_START_FRACTION),
+        contention: match settings.contention {
+            ContentionSetting::Auto => ContentionMode::Auto,
+            ContentionSetting::On => ContentionMode::On,
+            ContentionSetting::Off => ContentionMode::Off,
+        },
     })
 }
--- a/crates/directory/src/declaration.rs
+++ b/crates/directory/src/declaration.rs
@@ -73,6 +73,10 @@
     /// Regions that may serve the requests; empty for all.
     #[serde(rename = "homes")]
     pub allowed_regions: Vec<SmolStr>,
+    /// Time after which callers leave if they have received nothing, in milliseconds; absent if they wait until
+    /// their deadline.
+    #[serde(default)]
+    pub caller_patience_ms: Option<u64>,
 }
 
 impl Route {
--- a/crates/directory/tests/replica.rs
+++ b/crates/directory/tests/replica.rs
@@ -208,6 +208,7 @@
         public: false,
         resumable: false,
         allowed_regions: Vec::new(),
+        caller_patience_ms: None,
     }
 }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! cold. See docs/ROUTING.md.
 
 mod availability;
+pub mod contention;
 mod pool;
 mod rate_limit;
 mod shares;
@@ -16,13 +17,18 @@
     net::SocketAddr,
 };
 
-use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
+use balsamjunction_directory::{Declaration, Directory, UpstreamRecord, UpstreamState};
 use balsamjunction_protocol::mesh::EngineStatus;
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
 pub use self::shares::{Entries, SharingEntry};
-use self::{pool::Pool, upstream::Upstream, versions::PublishedVersions};
+use self::{
+    contention::{Contention, ContentionMode, FirstEventObservation, QueuePosition},
+    pool::{Candidate, Pool},
+    upstream::Upstream,
+    versions::PublishedVersions,
+};
 use crate::{
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
@@ -52,6 +58,10 @@
     pub workspace_regions: Vec<SmolStr>,
     /// The time by which the caller should receive the first event.
     pub first_event_deadline: Moment,
+    /// The target latency from which that time follows.
+    pub target_latency: Moment,
+    /// The time by which the caller leaves if it has received nothing.
+    pub caller_leaves_at: Moment,
     /// Upstreams to which it was already sent, and which are excluded.
     pub tried: Vec<UpstreamKey>,
 }
@@ -87,6 +97,27 @@
     pub assigned_at: Moment,
     /// The upstream that would have been selected if its limit allowed another request.
     pub instead_of: Option<UpstreamKey>,
+    /// The part of `expected_ms` that observations add to the estimate from the load, at a contended service.
+    pub unseen_wait_ms: f64,
+    /// The target latency of the request.
+    pub target_latency: Moment,
+    /// How the request came to be sent, if its service is contended.
+    pub queueing: Option<Queueing>,
+}
+
+/// How a request to a contended service came to be sent, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Queueing {
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
+    /// How long it waited in the queue.
+    pub waited: Moment,
+    /// Requests that still waited when it was sent.
+    pub waiting: usize,
+    /// Requests that this entry had in flight at the service.
+    pub in_flight: usize,
+    /// The largest number of them.
+    pub window: f64,
 }
 
 /// Why a request is refused, and when the caller should retry.
@@ -148,6 +179,8 @@
     /// How long after the start of this process requests may start on engines with versions older than
     /// the one that the first read of the facts finds.
     pub startup_start_window: Moment,
+    /// Whether services are treated as contended.
+    pub contention: ContentionMode,
 }
 
 /// Whether an upstream receives requests, for status pages.
@@ -207,6 +240,8 @@
     /// Upstreams that are missing from the registry, those missing longest first.
     missing: VecDeque<(UpstreamId, UpstreamKey)>,
     pools: HashMap<SmolStr, Pool>,
+    /// The state of contended services, by name.
+    contended: HashMap<SmolStr, Contention>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
     entries: Entries,
@@ -225,6 +260,9 @@
 const MAX_WAIT: Moment = Moment::from_millis(45);
 /// Shortest time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Moment = Moment::from_millis(150);
+/// Longest time after which a refused caller is asked to retry, at a contended service. Callers return only within
+/// their deadline, and a later return would leave no time to serve them.
+const MAX_RETRY_AFTER: Moment = Moment::from_millis(1_500);
 /// Longest backoff that is granted to an upstream: a day. A longer one is more likely a fault of the
 /// upstream than its intention.
 const MAX_BACKOFF: Moment = Moment::from_secs(24 * 3_600);
@@ -239,6 +277,56 @@
 /// Retry-After of a refusal without any upstream: about the time in which one is registered again.
 const NO_UPSTREAM_RETRY_AFTER: Moment = Moment::from_millis(700);
 
+/// The refusal of a request that no upstream may serve.
+const NO_UPSTREAM: DispatchRefusal = DispatchRefusal {
+    reason: RefusalReason::NoUpstream,
+    retry_after: NO_UPSTREAM_RETRY_AFTER,
+    limited: None,
+};
+
+/// The refusal of a request that would wait for `wait`, longer than its caller.
+fn overload(wait: Moment) -> DispatchRefusal {
+    DispatchRefusal {
+        reason: RefusalReason::Overload,
+        retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        limited: None,
+    }
+}
+
+impl RequestRequirements {
+    /// Its position in the queue of a contended service, if first events arrive `first_event_time` after a request
+    /// is sent.
+    fn queue_position(
+        &self,
+        now: Moment,
+        since: Moment,
+        first_event_time: Moment,
+    ) -> QueuePosition {
+        QueuePosition {
+            first_attempt: self.tried.is_empty(),
+            rank: self.priority,
+            late: now + first_event_time > self.first_event_deadline,
+            deadline: self.first_event_deadline,
+            since,
+        }
+    }
+}
+
+impl SelectedUpstream {
+    fn new(now: Moment, request: &RequestRequirements, best: &Candidate) -> Self {
+        Self {
+            upstream: best.upstream,
+            expected_ms: best.expected_ms,
+            nominal_ms: best.nominal_ms,
+            assigned_at: now,
+            instead_of: best.instead_of,
+            unseen_wait_ms: best.unseen_wait_ms,
+            target_latency: request.target_latency,
+            queueing: None,
+        }
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without upstreams.
     pub fn new(settings: DispatchSettings) -> Self {
@@ -248,6 +336,7 @@
             by_id: HashMap::new(),
             missing: VecDeque::new(),
             pools: HashMap::new(),
+            contended: HashMap::new(),
             waiting: SlotMap::with_key(),
             published: PublishedVersions::default(),
             entries: Entries::default(),
@@ -328,9 +417,35 @@
                 (service.name.clone(), pool)
             })
             .collect();
+        self.configure_contention(&table.declaration);
         times_changed
     }
 
+    /// Keeps a state for each contended service, with the even share of this entry in its slots.
+    fn configure_contention(&mut self, declaration: &Declaration) {
+        let mut contended = HashMap::new();
+        for service in &declaration.services {
+            let is_contended = match self.settings.contention {
+                ContentionMode::Auto => contention::has_ranks(declaration, service),
+                ContentionMode::On => service.engine.is_some(),
+                ContentionMode::Off => false,
+            };
+            let Some(pool) = self.pools.get(&service.name).filter(|_| is_contended) else {
+                continue;
+            };
+            let usable = pool.members().iter();
+            let usable = usable.filter_map(|key| self.upstreams.get(*key));
+            let usable = usable.filter(|upstream| upstream.has_slots_in_use());
+            let slots: u32 = usable.map(|upstream| upstream.record.slots).sum();
+            let fair_share = f64::from(slots) / self.entries.count() as f64;
+            let existing = self.contended.remove(&service.name);
+            let mut state = existing.unwrap_or_else(|| Contention::new(fair_share));
+            state.set_fair_share(fair_share);
+            contended.insert(service.name.clone(), state);
+        }
+        self.contended = contended;
+    }
+
     /// The members of a pool that this entry prefers.
     fn subset_of(&self, members: &[UpstreamKey]) -> Vec<UpstreamKey> {
         let existing = members
@@ -415,6 +530,7 @@
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            unseen_wait_ms: None,
         };
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
     }
@@ -448,6 +564,9 @@
 
     /// Decides about a request that has just arrived or is to be retried.
     pub fn submit(&mut self, now: Moment, request: RequestRequirements) -> DispatchDecision {
+        if self.contended.contains_key(&request.service) {
+            return self.submit_contended(now, request);
+        }
         match self.evaluate(now, &request, now) {
             Evaluation::Send(selected) => {
                 self.record_send(now, &request, &selected);
@@ -474,13 +593,15 @@
     /// Returns the decisions about requests that need not wait any longer. Call it after every change, and
     /// every few milliseconds while any request waits.
     pub fn poll(&mut self, now: Moment) -> Vec<(WaitKey, DispatchDecision)> {
+        let mut decisions = self.poll_contended(now);
+        let contended = &self.contended;
         let mut order: Vec<(u8, Moment, WaitKey)> = self
             .waiting
             .iter()
+            .filter(|(_, w)| !contended.contains_key(&w.request.service))
             .map(|(key, w)| (w.request.priority, w.since, key))
             .collect();
         order.sort();
-        let mut decisions = Vec::new();
         for (_, since, key) in order {
             let Some(waiting) = self.waiting.get(key) else {
                 continue;
@@ -500,52 +621,214 @@
         decisions
     }
 
-    fn evaluate(
+    /// Decides about a request to a contended service that has just arrived or is to be retried.
+    fn submit_contended(&mut self, now: Moment, request: RequestRequirements) -> DispatchDecision {
+        let Some(state) = self.contended.get_mut(&request.service) else {
+            return DispatchDecision::Refuse(NO_UPSTREAM);
+        };
+        if request.tried.is_empty() {
+            state.record_arrival(now, request.priority);
+        }
+        let first_event_time = state.first_event_time(now);
+        let position = request.queue_position(now, now, first_event_time);
+        let queue = self.waiting.values();
+        let queue = queue.filter(|w| w.request.service == request.service);
+        let (mut ahead, mut waiting) = (0, 0);
+        for other in queue {
+            waiting += 1;
+            let other = &other.request;
+            ahead += usize::from(other.queue_position(now, now, first_event_time) <= position);
+        }
+        let in_flight = self.in_flight(&request.service);
+        let admits = self
+            .contended
+            .get(&request.service)
+            .is_some_and(|state| state.admits(now, request.priority, in_flight));
+        if !position.first_attempt || (ahead == 0 && admits) {
+            match self.select(now, &request) {
+                Err(refusal) => return DispatchDecision::Refuse(refusal),
+                Ok(best) if best.may_receive => {
+                    let selected = self.send_contended(now, &request, &best, Moment::ZERO, waiting);
+                    return DispatchDecision::Send(selected);
+                }
+                Ok(_) => {}
+            }
+        }
+        let wait = self
+            .contended
+            .get(&request.service)
+            .map_or(Moment::ZERO, |state| {
+                state.expected_wait(now, request.priority, ahead)
+            });
+        let begins_in_time = now + wait + first_event_time <= request.caller_leaves_at;
+        if waiting >= contention::MAX_WAITING || !begins_in_time {
+            return DispatchDecision::Refuse(overload(wait));
+        }
+        let since = now;
+        DispatchDecision::Wait(self.waiting.insert(WaitingRequest { request, since }))
+    }
+
+    /// Decides about the requests that wait for contended services.
+    fn poll_contended(&mut self, now: Moment) -> Vec<(WaitKey, DispatchDecision)> {
+        let mut decisions = Vec::new();
+        let services: Vec<SmolStr> = self.contended.keys().cloned().collect();
+        for service in services {
+            self.poll_service(now, &service, &mut decisions);
+        }
+        decisions
+    }
+
+    fn poll_service(
         &mut self,
         now: Moment,
-        request: &RequestRequirements,
-        since: Moment,
-    ) -> Evaluation {
-        let no_upstream = DispatchRefusal {
-            reason: RefusalReason::NoUpstream,
-            retry_after: NO_UPSTREAM_RETRY_AFTER,
-            limited: None,
+        service: &SmolStr,
+        decisions: &mut Vec<(WaitKey, DispatchDecision)>,
+    ) {
+        let Some(state) = self.contended.get(service) else {
+            return;
         };
+        let first_event_time = state.first_event_time(now);
+        let waiting = self.waiting.iter();
+        let mut queue: Vec<(QueuePosition, WaitKey)> = waiting
+            .filter(|(_, w)| w.request.service == *service)
+            .map(|(key, w)| {
+                (
+                    w.request.queue_position(now, w.since, first_event_time),
+                    key,
+                )
+            })
+            .collect();
+        contention::order_queue(&mut queue, state.owes_less_urgent());
+        let mut in_flight = self.in_flight(service);
+        let mut blocked = false;
+        let mut remaining = queue.len();
+        for (position, key) in queue {
+            let Some(waiting) = self.waiting.get(key) else {
+                continue;
+            };
+            let Some(state) = self.contended.get(service) else {
+                return;
+            };
+            let decision = if now + first_event_time > waiting.request.caller_leaves_at {
+                let wait = state.expected_wait(now, position.rank, remaining);
+                DispatchDecision::Refuse(overload(wait))
+            } else if blocked || !state.admits(now, position.rank, in_flight) {
+                blocked = true;
+                continue;
+            } else {
+                let request = waiting.request.clone();
+                let waited = now.saturating_sub(waiting.since);
+                match self.select(now, &request) {
+                    Err(refusal) => DispatchDecision::Refuse(refusal),
+                    Ok(best) if best.may_receive => {
+                        in_flight += 1;
+                        let others = remaining - 1;
+                        let selected = self.send_contended(now, &request, &best, waited, others);
+                        DispatchDecision::Send(selected)
+                    }
+                    Ok(_) => {
+                        blocked = true;
+                        continue;
+                    }
+                }
+            };
+            remaining -= 1;
+            self.waiting.remove(key);
+            decisions.push((key, decision));
+        }
+    }
+
+    /// Counts a request to a contended service as sent.
+    fn send_contended(
+        &mut self,
+        now: Moment,
+        request: &RequestRequirements,
+        best: &Candidate,
+        waited: Moment,
+        waiting: usize,
+    ) -> SelectedUpstream {
+        let rank = request.priority;
+        let others = self.waiting.values().map(|w| &w.request);
+        let others = others.filter(|other| other.service == request.service);
+        let (mut overtakes, mut overtaken) = (false, false);
+        for other in others {
+            overtakes |= other.priority > rank;
+            overtaken |= other.priority < rank;
+        }
+        let in_flight = self.in_flight(&request.service) + 1;
+        let mut selected = SelectedUpstream::new(now, request, best);
+        if let Some(state) = self.contended.get_mut(&request.service) {
+            state.record_departure(now, overtakes, overtaken);
+            let window = state.window();
+            selected.queueing = Some(Queueing {
+                rank,
+                waited,
+                waiting,
+                in_flight,
+                window,
+            });
+        }
+        self.record_send(now, request, &selected);
+        selected
+    }
+
+    /// Requests of this entry that run or wait at the upstreams of a service.
+    fn in_flight(&self, service: &SmolStr) -> usize {
+        let members = self.pools.get(service).map_or(&[][..], Pool::members);
+        let upstreams = members.iter().filter_map(|key| self.upstreams.get(*key));
+        upstreams.map(|upstream| upstream.own_requests).sum()
+    }
+
+    /// Selects the upstream for a request, or tells why none may serve it now.
+    fn select(
+        &mut self,
+        now: Moment,
+        request: &RequestRequirements,
+    ) -> Result<Candidate, DispatchRefusal> {
         let Some(pool) = self.pools.get(&request.service) else {
-            return Evaluation::Refuse(no_upstream);
+            return Err(NO_UPSTREAM);
         };
+        let contention = self.contended.get(&request.service);
         let cx = pool::SelectionContext {
             now,
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            unseen_wait_ms: contention.map(|state| state.unseen_wait_ms(now)),
         };
-        let Some(best) = pool.select(&cx, &mut self.upstreams, request) else {
-            let first = pool.earliest_return(&cx, &self.upstreams, request);
-            return Evaluation::Refuse(first.map_or(no_upstream, |first| DispatchRefusal {
-                reason: match first.limited {
-                    Some(_) => RefusalReason::Limited,
-                    None => RefusalReason::BackingOff,
-                },
-                retry_after: first.at.saturating_sub(now),
-                limited: first.limited,
-            }));
+        pool.select(&cx, &mut self.upstreams, request)
+            .ok_or_else(|| {
+                let first = pool.earliest_return(&cx, &self.upstreams, request);
+                first.map_or(NO_UPSTREAM, |first| DispatchRefusal {
+                    reason: match first.limited {
+                        Some(_) => RefusalReason::Limited,
+                        None => RefusalReason::BackingOff,
+                    },
+                    retry_after: first.at.saturating_sub(now),
+                    limited: first.limited,
+                })
+            })
+    }
+
+    fn evaluate(
+        &mut self,
+        now: Moment,
+        request: &RequestRequirements,
+        since: Moment,
+    ) -> Evaluation {
+        let best = match self.select(now, request) {
+            Ok(best) => best,
+            Err(refusal) => return Evaluation::Refuse(refusal),
         };
         if best.fits {
-            return Evaluation::Send(SelectedUpstream {
-                upstream: best.upstream,
-                expected_ms: best.expected_ms,
-                nominal_ms: best.nominal_ms,
-                assigned_at: now,
-                instead_of: best.instead_of,
-            });
+            return Evaluation::Send(SelectedUpstream::new(now, request, &best));
         }
         let waited = now.saturating_sub(since);
         if waited < MAX_WAIT {
             return Evaluation::Wait;
         }
         let excess = Moment::from_secs_f64(best.excess_ms.max(0.0) / 1e3);
-        let first = pool.earliest_return(&cx, &self.upstreams, request);
+        let first = self.earliest_return(now, request);
         let until_capacity = first.map_or(excess, |first| excess.min(first.at.saturating_sub(now)));
         Evaluation::Refuse(DispatchRefusal {
             reason: RefusalReason::Overload,
@@ -554,6 +837,19 @@
         })
     }
 
+    /// The earliest time at which a backoff or a limit lets an upstream serve a request.
+    fn earliest_return(&self, now: Moment, request: &RequestRequirements) -> Option<pool::Return> {
+        let pool = self.pools.get(&request.service)?;
+        let cx = pool::SelectionContext {
+            now,
+            settings: &self.settings,
+            published: &self.published,
+            entry_count: self.entries.count(),
+            unseen_wait_ms: None,
+        };
+        pool.earliest_return(&cx, &self.upstreams, request)
+    }
+
     fn record_send(
         &mut self,
         now: Moment,
@@ -581,9 +877,20 @@
         prompt_tokens: f64,
         took_ms: f64,
     ) {
-        if let Some(upstream) = self.upstreams.get_mut(selected.upstream) {
-            upstream.record_prompt_read(prompt_tokens);
-            upstream.calibrate(now, took_ms, selected.nominal_ms);
+        let Some(upstream) = self.upstreams.get_mut(selected.upstream) else {
+            return;
+        };
+        upstream.record_prompt_read(prompt_tokens);
+        upstream.calibrate(now, took_ms, selected.nominal_ms);
+        let service = upstream.record.service.clone();
+        let observed = FirstEventObservation {
+            took_ms,
+            estimated_ms: selected.expected_ms - selected.unseen_wait_ms,
+            target_ms: selected.target_latency.as_secs_f64() * 1e3,
+            in_flight: self.in_flight(&service),
+        };
+        if let Some(state) = self.contended.get_mut(&service) {
+            state.record_first_event(now, observed);
         }
     }
 
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -49,6 +49,9 @@
     pub published: &'a PublishedVersions,
     /// Number of entries that share the limits of each upstream.
     pub entry_count: usize,
+    /// At a contended service, the time to the first event beyond the estimate from the load that this entry sees,
+    /// in milliseconds.
+    pub unseen_wait_ms: Option<f64>,
 }
 
 /// An upstream as evaluated for a request.
@@ -62,6 +65,10 @@
     pub nominal_ms: f64,
     /// Whether the request should be sent there now.
     pub fits: bool,
+    /// Whether the connections and the cold rate of the upstream allow another request.
+    pub may_receive: bool,
+    /// The part of `expected_ms` that observations add to the estimate from the load.
+    pub unseen_wait_ms: f64,
     /// Expected time of the first event after its deadline, in milliseconds; negative if before it.
     pub excess_ms: f64,
     /// The upstream that would have been selected if its limit allowed another request.
@@ -102,6 +109,9 @@
     ) -> Option<Candidate> {
         let mut best: Option<(f64, Candidate)> = None;
         let mut best_limited: Option<(f64, UpstreamKey)> = None;
+        let usual_load = cx
+            .unseen_wait_ms
+            .and_then(|_| self.reported_load(cx, upstreams));
         for key in &self.members {
             let Some(upstream) = upstreams.get_mut(*key) else {
                 continue;
@@ -109,7 +119,7 @@
             if request.tried.contains(key) || !self.may_serve(cx, upstream, request) {
                 continue;
             }
-            let candidate = self.evaluate(cx, *key, upstream, request);
+            let candidate = self.evaluate(cx, *key, upstream, request, usual_load);
             if !starts_in_time(cx, upstream, request, candidate.expected_ms) {
                 continue;
             }
@@ -129,7 +139,11 @@
             if upstream.is_ejected(cx.now) {
                 cost += LAST_RESORT_PENALTY_MS;
             }
-            if !candidate.fits {
+            let last_resort = match cx.unseen_wait_ms {
+                Some(_) => !candidate.may_receive,
+                None => !candidate.fits,
+            };
+            if last_resort {
                 cost += LAST_RESORT_PENALTY_MS;
             }
             if upstream
@@ -151,6 +165,18 @@
         Some(candidate)
     }
 
+    /// Mean number of requests per slot at the members that reported their load recently.
+    fn reported_load(
+        &self,
+        cx: &SelectionContext<'_>,
+        upstreams: &SlotMap<UpstreamKey, Upstream>,
+    ) -> Option<f64> {
+        let members = self.members.iter().filter_map(|key| upstreams.get(*key));
+        let loads = members.filter_map(|upstream| upstream.reported_load(cx.now));
+        let (count, sum) = loads.fold((0.0, 0.0), |(count, sum), load| (count + 1.0, sum + load));
+        (count > 0.0).then(|| sum / count)
+    }
+
     /// Assumed load by other entries, not reported yet, at an engine outside the subset of this entry: the
     /// time to read one typical prompt, in milliseconds.
     fn unreported_load_ms(&self) -> f64 {
@@ -201,16 +227,19 @@
         key: UpstreamKey,
         upstream: &mut Upstream,
         request: &RequestRequirements,
+        usual_load: Option<f64>,
     ) -> Candidate {
-        let occupancy = upstream.occupancy(cx.now);
+        let occupancy = upstream.occupancy(cx.now, usual_load);
         let slots = f64::from(upstream.record.slots.max(1));
-        let expected_ms = match &self.model {
-            Some(model) => estimate::first_event_ms(model, &occupancy, request.prompt_tokens),
-            None => {
-                let excess = (occupancy.requests - slots + 1.0).max(0.0);
-                occupancy.slowdown * PLAIN_SERVICE_MS * (1.0 + excess / slots)
-            }
-        };
+        let unseen_wait_ms = cx.unseen_wait_ms.unwrap_or_default();
+        let expected_ms = unseen_wait_ms
+            + match &self.model {
+                Some(model) => estimate::first_event_ms(model, &occupancy, request.prompt_tokens),
+                None => {
+                    let excess = (occupancy.requests - slots + 1.0).max(0.0);
+                    occupancy.slowdown * PLAIN_SERVICE_MS * (1.0 + excess / slots)
+                }
+            };
         let remaining_ms = request
             .first_event_deadline
             .saturating_sub(cx.now)
@@ -230,6 +259,8 @@
             expected_ms,
             nominal_ms: expected_ms / occupancy.slowdown.max(0.1),
             fits: has_capacity && allowed,
+            may_receive: allowed,
+            unseen_wait_ms,
             excess_ms: expected_ms + CALLER_ROUND_TRIP_MS - remaining_ms,
             instead_of: None,
         }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -258,10 +258,18 @@
     }
 
     /// Estimated load: own requests plus the decayed load by other entries.
-    pub fn occupancy(&self, now: Moment) -> Occupancy {
+    ///
+    /// At a contended service, the load by other entries decays to the `usual_load` of its upstreams, in requests per
+    /// slot, instead of zero. With many entries a report is often older than a second, and an upstream without a
+    /// recent one would seem idle to all of them.
+    pub fn occupancy(&self, now: Moment, usual_load: Option<f64>) -> Occupancy {
         let age = now.saturating_sub(self.other_requests_at).as_secs_f64();
         let half_lives = (age - OTHER_LOAD_HOLD_S).max(0.0) / OTHER_LOAD_HALF_LIFE_S;
-        let other_requests = self.other_requests * 0.5_f64.powf(half_lives);
+        let remaining = 0.5_f64.powf(half_lives);
+        let usual = usual_load.map_or(0.0, |load| {
+            (load * f64::from(self.record.slots) - self.own_requests as f64).max(0.0)
+        });
+        let other_requests = self.other_requests * remaining + usual * (1.0 - remaining);
         Occupancy {
             requests: self.own_requests as f64 + other_requests,
             pending_prompt_tokens: self.own_pending_prompt_tokens,
@@ -269,6 +277,19 @@
         }
     }
 
+    /// The load that it reported recently, in requests per slot.
+    pub fn reported_load(&self, now: Moment) -> Option<f64> {
+        let age = now.saturating_sub(self.other_requests_at).as_secs_f64();
+        let requests = self.own_requests as f64 + self.other_requests;
+        let slots = f64::from(self.record.slots.max(1));
+        (self.other_requests_at > Moment::ZERO && age < OTHER_LOAD_HOLD_S).then(|| requests / slots)
+    }
+
+    /// Whether its slots can be used at present: it accepts new work and does not switch its weights.
+    pub fn has_slots_in_use(&self) -> bool {
+        self.availability.listed && !self.availability.restarted && !self.switching
+    }
+
     fn decayed_slowdown(&self, now: Moment) -> f64 {
         let age = now.saturating_sub(self.slowdown_observed_at).as_secs_f64();
         1.0 + (self.observed_slowdown - 1.0) * 0.5_f64.powf(age / SLOWDOWN_HALF_LIFE_S)
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -21,8 +21,9 @@
 };
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, RefusalReason,
-        RequestRequirements, SelectedUpstream, SharingEntry, UpstreamCondition, UpstreamKey,
+        contention::ContentionMode, AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher,
+        Entries, RefusalReason, RequestRequirements, SelectedUpstream, SharingEntry,
+        UpstreamCondition, UpstreamKey,
     },
     Moment,
 };
@@ -82,6 +83,7 @@
             old_version_start_window: OLD_VERSION_START_WINDOW,
             started,
             startup_start_window: STARTUP_START_WINDOW,
+            contention: ContentionMode::Auto,
         };
         let mut cluster = Self {
             replica: Replica::default(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -20,7 +20,9 @@
         ValueSource,
     },
     fleet_reader::read_fleet,
-    mesh::{read_gateway, read_stager, GatewaySettings, MeshSettings, StagerSettings},
+    mesh::{
+        read_gateway, read_stager, ContentionSetting, GatewaySettings, MeshSettings, StagerSettings,
+    },
     process::{read_entry, read_sidecar, EntrySettings, LinkRates, PeerSettings, SidecarSettings},
     report::{Fault, FaultReport, Position},
     value::{ValueKey, ValueUnit, Values},
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -4,6 +4,7 @@
 
 use jsonc_parser::{ast::Value, common::Ranged};
 use smol_str::SmolStr;
+use strum::EnumString;
 
 use crate::{
     process::read_settings,
@@ -70,6 +71,21 @@
     /// Time for which a process must have been running and connected before bounds such as
     /// `version_within` apply to it.
     pub contact_after: Duration,
+    /// Whether services are treated as contended; see docs/ROUTING.md, "Contended services".
+    pub contention: ContentionSetting,
+}
+
+/// Whether services are treated as contended.
+#[derive(Clone, Copy, Debug, Default, EnumString, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ContentionSetting {
+    /// Those whose routes have different ranks, or whose upstreams state a relative service time.
+    #[default]
+    Auto,
+    /// All services of engines.
+    On,
+    /// None.
+    Off,
 }
 
 /// Settings of `balsamjunctiond stager`.
@@ -132,6 +148,9 @@
             retry_window: read_seconds(fields, "retry_window_s", 10.0),
             version_within: read_millis(fields, "version_within_ms", 8_000),
             contact_after: read_millis(fields, "contact_after_ms", 3_000),
+            contention: fields
+                .parsed("contention", "auto, on or off")
+                .unwrap_or_default(),
         })
     })
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    str::FromStr,
 };
 
 use jsonc_parser::{
@@ -246,6 +247,24 @@
         }
     }
 
+    /// Reads an optional string that names a value of `T`; `expected` describes these names.
+    pub fn parsed<T: FromStr>(&self, name: &'static str, expected: &'static str) -> Option<T> {
+        let value = self.string(name)?;
+        let parsed = value.parse().ok();
+        if parsed.is_none() {
+            let kind = FaultKind::InvalidFormat {
+                field: name.to_owned(),
+                value: value.to_string(),
+                expected,
+            };
+            let offset = self
+                .property(name)
+                .map_or(self.offset(), |prop| prop.value.start());
+            self.faults.add(offset, kind);
+        }
+        parsed
+    }
+
     /// Reads a required string; returns an empty one after a fault.
     pub fn required_string(&self, name: &'static str) -> SmolStr {
         if !self.contains(name) {
