--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -468,7 +468,8 @@
         self.reached_upstream = true;
         self.retry_reserved = false;
         self.run_count += 1;
-        let req = self.build_request(&upstream, resume_after);
+        let rank = in_flight.queueing().map(|queueing| queueing.rank);
+        let req = self.build_request(&upstream, resume_after, rank);
         Ok(Some(PendingAttempt {
             upstream,
             sent_at: self.context.now(),
@@ -678,6 +679,7 @@
         &self,
         upstream: &UpstreamRecord,
         resume_after: Option<&SmolStr>,
+        rank: Option<u8>,
     ) -> Request<Full<Bytes>> {
         let request = &self.request;
         let mut req = Request::new(Full::new(request.body.clone()));
@@ -708,7 +710,7 @@
             set(headers::WORKSPACE, &owner.workspace);
         }
         if request.route.kind == RouteKind::Streaming {
-            let priority = self.requirements.priority.min(9);
+            let priority = rank.unwrap_or(self.requirements.priority).min(9);
             set(headers::PRIORITY, &priority.to_string());
         }
         if let Some(id) = resume_after {
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -5,7 +5,11 @@
 use actix_web::HttpRequest;
 use balsamjunction_directory::{ApiKeyOwner, Route, RouteKind};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::{dispatch::RequestRequirements, shutdown::Interruptible, Moment};
+use balsamjunction_policy::{
+    dispatch::{contention, RequestRequirements},
+    shutdown::Interruptible,
+    Moment,
+};
 use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use hyper::{
@@ -153,6 +157,7 @@
             priority: owner
                 .and_then(|owner| owner.priority)
                 .unwrap_or(self.route.priority),
+            rank: contention::rank(owner.and_then(|owner| owner.priority), self.route.priority),
             route_regions: self.route.allowed_regions.clone(),
             workspace_regions: owner.map(|h| h.allowed_regions.clone()).unwrap_or_default(),
             first_event_deadline: self.first_event_deadline(self.arrived_at),
--- a/crates/policy/src/dispatch/contention.rs
+++ b/crates/policy/src/dispatch/contention.rs
@@ -48,8 +48,6 @@
 const LESS_URGENT_FRACTION: f64 = 0.1;
 /// Largest number of requests that less urgent ranks may be owed.
 const MAX_OWED: f64 = 3.0;
-/// Fraction of the rate of departures that is assumed for a rank, even if more urgent ones arrive as fast.
-const MIN_RATE_FRACTION: f64 = 0.1;
 /// Requests that wait for one service at most. A caller leaves within seconds, and a fleet serves some hundred
 /// requests per second, so no request further back would be served.
 pub const MAX_WAITING: usize = 2_000;
@@ -67,6 +65,22 @@
     Off,
 }
 
+/// Priorities of routes that are distinguished within one priority of workspaces.
+const ROUTE_PRIORITIES: u8 = 3;
+
+/// The rank of a request at a contended service, as an upstream accepts it; zero is the most urgent.
+///
+/// The priority of its workspace goes first, if it has one, and the priority of its route orders the requests of
+/// workspaces of one priority.
+pub fn rank(workspace: Option<u8>, route: u8) -> u8 {
+    let route = route.min(ROUTE_PRIORITIES - 1);
+    let workspace = workspace.unwrap_or(route);
+    let rank = workspace
+        .saturating_mul(ROUTE_PRIORITIES)
+        .saturating_add(route);
+    rank.min(RANKS as u8 - 1)
+}
+
 /// Whether the routes to a service of engines have different ranks.
 pub fn has_ranks(declaration: &Declaration, service: &Service) -> bool {
     if service.engine.is_none() {
@@ -216,12 +230,20 @@
         Moment::from_secs_f64(self.first_event.at(now) / 1e3)
     }
 
-    /// Expected time in the queue of a request of a rank with `ahead` others before it.
-    pub fn expected_wait(&self, now: Moment, rank: u8, ahead: usize) -> Moment {
+    /// Expected time in the queue of a request of a rank with `ahead` others before it, of which
+    /// `same_rank_ahead` are not more urgent.
+    pub fn expected_wait(
+        &self,
+        now: Moment,
+        rank: u8,
+        ahead: usize,
+        same_rank_ahead: usize,
+    ) -> Moment {
         let departures = self.departures.per_s(now).max(1.0);
-        let available = departures - self.more_urgent_per_s(now, rank);
-        let available = available.max(departures * MIN_RATE_FRACTION);
-        Moment::from_secs_f64((ahead as f64 + 1.0) / available)
+        let available = (departures - self.more_urgent_per_s(now, rank)).max(0.0);
+        let by_rank = (ahead as f64 + 1.0) / available.max(departures * LESS_URGENT_FRACTION);
+        let owed = (same_rank_ahead as f64 + 1.0) / (departures * LESS_URGENT_FRACTION);
+        Moment::from_secs_f64(by_rank.min(owed))
     }
 
     fn more_urgent_per_s(&self, now: Moment, rank: u8) -> f64 {
@@ -234,16 +256,15 @@
     usize::from(rank).min(RANKS - 1)
 }
 
-/// Orders the waiting requests of one service. If less urgent requests are owed, the first of them leads.
-pub fn order_queue<K: Copy>(queue: &mut [(QueuePosition, K)], owes_less_urgent: bool) {
+/// Orders the waiting requests of one service. If less urgent requests are owed, the first of them leads, and is
+/// returned.
+pub fn order_queue<K: Copy>(queue: &mut [(QueuePosition, K)], owes_less_urgent: bool) -> Option<K> {
     queue.sort_by_key(|(position, _)| *position);
-    let Some(most_urgent) = queue.first().map(|(position, _)| position.rank) else {
-        return;
-    };
+    let most_urgent = queue.first()?.0.rank;
     let less_urgent = queue.iter().position(|(p, _)| p.rank > most_urgent);
-    if let (true, Some(index)) = (owes_less_urgent, less_urgent) {
-        queue[..=index].rotate_right(1);
-    }
+    let index = less_urgent.filter(|_| owes_less_urgent)?;
+    queue[..=index].rotate_right(1);
+    Some(queue[0].1)
 }
 
 /// The rate of events, as a count that decays exponentially.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -52,6 +52,8 @@
     pub prompt_tokens: f64,
     /// Zero is the most urgent.
     pub priority: u8,
+    /// Its rank at a contended service; zero is the most urgent. See [`contention::rank`].
+    pub rank: u8,
     /// Regions that its route allows; empty for all.
     pub route_regions: Vec<SmolStr>,
     /// Regions that its workspace allows; empty for all.
@@ -304,7 +306,7 @@
     ) -> QueuePosition {
         QueuePosition {
             first_attempt: self.tried.is_empty(),
-            rank: self.priority,
+            rank: self.rank,
             late: now + first_event_time > self.first_event_deadline,
             deadline: self.first_event_deadline,
             since,
@@ -627,23 +629,25 @@
             return DispatchDecision::Refuse(NO_UPSTREAM);
         };
         if request.tried.is_empty() {
-            state.record_arrival(now, request.priority);
+            state.record_arrival(now, request.rank);
         }
         let first_event_time = state.first_event_time(now);
         let position = request.queue_position(now, now, first_event_time);
         let queue = self.waiting.values();
         let queue = queue.filter(|w| w.request.service == request.service);
-        let (mut ahead, mut waiting) = (0, 0);
+        let (mut ahead, mut same_rank_ahead, mut waiting) = (0, 0, 0);
         for other in queue {
+            let other = other.request.queue_position(now, now, first_event_time);
+            let is_ahead = other <= position;
             waiting += 1;
-            let other = &other.request;
-            ahead += usize::from(other.queue_position(now, now, first_event_time) <= position);
+            ahead += usize::from(is_ahead);
+            same_rank_ahead += usize::from(is_ahead && other.rank == position.rank);
         }
         let in_flight = self.in_flight(&request.service);
         let admits = self
             .contended
             .get(&request.service)
-            .is_some_and(|state| state.admits(now, request.priority, in_flight));
+            .is_some_and(|state| state.admits(now, request.rank, in_flight));
         if !position.first_attempt || (ahead == 0 && admits) {
             match self.select(now, &request) {
                 Err(refusal) => return DispatchDecision::Refuse(refusal),
@@ -658,7 +662,7 @@
             .contended
             .get(&request.service)
             .map_or(Moment::ZERO, |state| {
-                state.expected_wait(now, request.priority, ahead)
+                state.expected_wait(now, request.rank, ahead, same_rank_ahead)
             });
         let begins_in_time = now + wait + first_event_time <= request.caller_leaves_at;
         if waiting >= contention::MAX_WAITING || !begins_in_time {
@@ -698,7 +702,7 @@
                 )
             })
             .collect();
-        contention::order_queue(&mut queue, state.owes_less_urgent());
+        let owed = contention::order_queue(&mut queue, state.owes_less_urgent());
         let mut in_flight = self.in_flight(service);
         let mut blocked = false;
         let mut remaining = queue.len();
@@ -709,10 +713,12 @@
             let Some(state) = self.contended.get(service) else {
                 return;
             };
+            // Nothing is reserved for others where a request is owed its turn.
+            let bound_rank = if owed == Some(key) { 0 } else { position.rank };
             let decision = if now + first_event_time > waiting.request.caller_leaves_at {
-                let wait = state.expected_wait(now, position.rank, remaining);
+                let wait = state.expected_wait(now, position.rank, remaining, remaining);
                 DispatchDecision::Refuse(overload(wait))
-            } else if blocked || !state.admits(now, position.rank, in_flight) {
+            } else if blocked || !state.admits(now, bound_rank, in_flight) {
                 blocked = true;
                 continue;
             } else {
@@ -747,13 +753,13 @@
         waited: Moment,
         waiting: usize,
     ) -> SelectedUpstream {
-        let rank = request.priority;
+        let rank = request.rank;
         let others = self.waiting.values().map(|w| &w.request);
         let others = others.filter(|other| other.service == request.service);
         let (mut overtakes, mut overtaken) = (false, false);
         for other in others {
-            overtakes |= other.priority > rank;
-            overtaken |= other.priority < rank;
+            overtakes |= other.rank > rank;
+            overtaken |= other.rank < rank;
         }
         let in_flight = self.in_flight(&request.service) + 1;
         let mut selected = SelectedUpstream::new(now, request, best);
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher: which upstream it selects, and which requests wait or are refused.
 
 mod cold_upstreams;
+mod contended_services;
 mod failing_upstreams;
 mod leaving_and_backoff;
 mod limited_fleet;
@@ -74,6 +75,15 @@
 
     /// The same with a dispatcher that started at `started`.
     fn started_at(started: Moment) -> Self {
+        Self::build(started, ContentionMode::Auto)
+    }
+
+    /// The same with a setting of which services are contended.
+    fn with_contention(contention: ContentionMode) -> Self {
+        Self::build(Moment::ZERO, contention)
+    }
+
+    fn build(started: Moment, contention: ContentionMode) -> Self {
         let regions = [("addis-a", "addis"), ("mekelle-a", "mekelle")];
         let regions = regions.map(|(dc, region)| (SmolStr::new(dc), SmolStr::new(region)));
         let settings = DispatchSettings {
@@ -83,7 +93,7 @@
             old_version_start_window: OLD_VERSION_START_WINDOW,
             started,
             startup_start_window: STARTUP_START_WINDOW,
-            contention: ContentionMode::Auto,
+            contention,
         };
         let mut cluster = Self {
             replica: Replica::default(),
