Upstreams may state the relative service time of their host in their load

The fourth field of Balsamjunction-Instance-Load feeds the slowdown of that upstream, decaying towards nominal with a time constant that is learned per service. Observed times correct false values. Nothing changes for upstreams that state none.

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -618,10 +618,8 @@
             );
             return AttemptResult::Unknown;
         }
-        if let Some((running, waiting, _)) =
-            response.header(headers::LOAD).and_then(headers::parse_load)
-        {
-            in_flight.record_load(running, waiting);
+        if let Some(load) = response.header(headers::LOAD).and_then(headers::parse_load) {
+            in_flight.record_load(&load);
         }
         let status = response.inner.status();
         let misdirected = status == hyper::StatusCode::MISDIRECTED_REQUEST;
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -10,10 +10,12 @@
 };
 
 use balsamjunction_directory::UpstreamRecord;
+use balsamjunction_platform::headers::InstanceLoad;
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, RequestRequirements,
-        SelectedUpstream, ServedVersion, UpstreamCondition, UpstreamKey, WaitKey,
+        AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, LoadReport,
+        RequestRequirements, SelectedUpstream, ServedVersion, UpstreamCondition, UpstreamKey,
+        WaitKey,
     },
     retry_window::{RetryWindowSettings, WindowedRetryBudget},
     silence::ResponseTimes,
@@ -521,12 +523,17 @@
     }
 
     /// Records the load that a response reports.
-    pub fn record_load(&self, running: u32, waiting: u32) {
+    pub fn record_load(&self, load: &InstanceLoad) {
         let now = self.context.now();
         let key = self.selected.upstream;
+        let report = LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            service_time_percent: load.service_time_percent,
+        };
         lock(&self.context.dispatch)
             .dispatcher
-            .record_load(now, key, running, waiting);
+            .record_load(now, key, report);
     }
 
     /// Records that the first event has arrived, in the dispatcher and in the metrics.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod availability;
 mod pool;
 mod rate_limit;
+mod service_time;
 mod shares;
 mod upstream;
 mod versions;
@@ -21,8 +22,13 @@
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
-pub use self::shares::{Entries, SharingEntry};
-use self::{pool::Pool, upstream::Upstream, versions::PublishedVersions};
+use self::{
+    pool::Pool, service_time::Persistence, upstream::Upstream, versions::PublishedVersions,
+};
+pub use self::{
+    service_time::LoadReport,
+    shares::{Entries, SharingEntry},
+};
 use crate::{
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
@@ -207,6 +213,8 @@
     /// Upstreams that are missing from the registry, those missing longest first.
     missing: VecDeque<(UpstreamId, UpstreamKey)>,
     pools: HashMap<SmolStr, Pool>,
+    /// Of the services whose upstreams have stated a relative service time.
+    persistence: HashMap<SmolStr, Persistence>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
     entries: Entries,
@@ -248,6 +256,7 @@
             by_id: HashMap::new(),
             missing: VecDeque::new(),
             pools: HashMap::new(),
+            persistence: HashMap::new(),
             waiting: SlotMap::with_key(),
             published: PublishedVersions::default(),
             entries: Entries::default(),
@@ -328,6 +337,9 @@
                 (service.name.clone(), pool)
             })
             .collect();
+        let pools = &self.pools;
+        self.persistence
+            .retain(|service, _| pools.contains_key(service));
         times_changed
     }
 
@@ -565,13 +577,32 @@
         }
     }
 
-    /// Records the load that a response reports: the requests that run and wait at the upstream.
-    pub fn record_load(&mut self, now: Moment, key: UpstreamKey, running: u32, waiting: u32) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.record_load(now, running + waiting);
+    /// Records the load that a response reports.
+    pub fn record_load(&mut self, now: Moment, key: UpstreamKey, report: LoadReport) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.record_load(now, report);
+        let Some(percent) = report.service_time_percent else {
+            return;
+        };
+        let service = upstream.record.service.clone();
+        let persistence = self.persistence.entry(service.clone()).or_default();
+        upstream.service_time.record(now, percent, persistence);
+        let time_constant = persistence.time_constant();
+        let members = self.pools.get(&service).map_or(&[][..], Pool::members);
+        for member in members {
+            if let Some(upstream) = self.upstreams.get_mut(*member) {
+                upstream.service_time.set_time_constant(time_constant);
+            }
         }
     }
 
+    /// Whether any upstream of a service has stated its relative service time since this process started.
+    pub fn reports_service_time(&self, service: &str) -> bool {
+        self.persistence.contains_key(service)
+    }
+
     /// Records that the first event of a request arrived `took_ms` after it was sent, so its prompt has
     /// been read.
     pub fn record_first_event(
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -7,6 +7,7 @@
 use super::{
     availability::{Availability, Unavailable},
     rate_limit::RateLimit,
+    service_time::{LoadReport, ServiceTime},
     AttemptOutcome, Entries, UpstreamCondition,
 };
 use crate::{
@@ -29,7 +30,7 @@
 /// Weight of the previous slowdown when a first event is added to it.
 const SLOWDOWN_DECAY: f64 = 0.9;
 /// Bounds of one observed slowdown, as a multiple of the declared service time.
-const SLOWDOWN_RANGE: (f64, f64) = (0.8, 8.0);
+pub const SLOWDOWN_RANGE: (f64, f64) = (0.8, 8.0);
 /// The observed slowdown decays with this half-life, so that an upstream that was slow is tried again.
 const SLOWDOWN_HALF_LIFE_S: f64 = 2.0;
 /// Shortest expected time from which a slowdown is derived, in milliseconds.
@@ -80,6 +81,8 @@
     observed_slowdown: f64,
     slowdown_observed_at: Moment,
     reported_slowdown: f64,
+    /// The relative service time that it states in responses.
+    pub service_time: ServiceTime,
     /// The model and version that the sidecar reports.
     reported_version: Option<(SmolStr, u64)>,
 }
@@ -108,6 +111,7 @@
             observed_slowdown: 1.0,
             slowdown_observed_at: Moment::ZERO,
             reported_slowdown: 1.0,
+            service_time: ServiceTime::default(),
             reported_version: None,
         }
     }
@@ -265,7 +269,10 @@
         Occupancy {
             requests: self.own_requests as f64 + other_requests,
             pending_prompt_tokens: self.own_pending_prompt_tokens,
-            slowdown: self.decayed_slowdown(now).max(self.reported_slowdown),
+            slowdown: self
+                .service_time
+                .apply(now, self.decayed_slowdown(now))
+                .max(self.reported_slowdown),
         }
     }
 
@@ -285,8 +292,8 @@
     }
 
     /// Records the number of requests of all entries that run and wait there.
-    pub fn record_load(&mut self, now: Moment, requests: u32) {
-        self.other_requests = (f64::from(requests) - self.own_requests as f64).max(0.0);
+    pub fn record_load(&mut self, now: Moment, report: LoadReport) {
+        self.other_requests = (f64::from(report.requests()) - self.own_requests as f64).max(0.0);
         self.other_requests_at = now;
     }
 
@@ -301,8 +308,7 @@
         if nominal_ms < MIN_CALIBRATION_MS || self.switching {
             return;
         }
-        let (min, max) = SLOWDOWN_RANGE;
-        let sample = (took_ms / nominal_ms).clamp(min, max);
+        let sample = self.service_time.unexplained(took_ms / nominal_ms);
         let previous = self.decayed_slowdown(now);
         self.observed_slowdown = SLOWDOWN_DECAY * previous + (1.0 - SLOWDOWN_DECAY) * sample;
         self.slowdown_observed_at = now;
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod limited_fleet;
 mod limits;
 mod overload;
+mod service_time;
 mod steady_load;
 mod subsets;
 mod versions;
@@ -21,8 +22,9 @@
 };
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, RefusalReason,
-        RequestRequirements, SelectedUpstream, SharingEntry, UpstreamCondition, UpstreamKey,
+        AttemptOutcome, DispatchDecision, DispatchSettings, Dispatcher, Entries, LoadReport,
+        RefusalReason, RequestRequirements, SelectedUpstream, SharingEntry, UpstreamCondition,
+        UpstreamKey,
     },
     Moment,
 };
@@ -241,6 +243,14 @@
     }
 }
 
+fn load_report(running: u32, waiting: u32, service_time_percent: Option<u32>) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        service_time_percent,
+    }
+}
+
 fn engine_request(now: Moment) -> RequestRequirements {
     RequestRequirements {
         service: "deck-model".into(),
--- a/crates/policy/tests/dispatch/overload.rs
+++ b/crates/policy/tests/dispatch/overload.rs
@@ -129,7 +129,7 @@
 
     cluster
         .dispatcher
-        .record_load(millis(50), selected.upstream, 16, 6);
+        .record_load(millis(50), selected.upstream, load_report(16, 6, None));
     cluster
         .dispatcher
         .record_outcome(millis(60), selected.upstream, 900.0, AttemptOutcome::Served);
