--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod availability;
 mod pool;
 mod rate_limit;
+mod second_copy;
 mod service_time;
 mod shares;
 mod upstream;
@@ -26,7 +27,8 @@
     pool::Pool, service_time::Persistence, upstream::Upstream, versions::PublishedVersions,
 };
 pub use self::{
-    service_time::LoadReport,
+    second_copy::{AwaitedResponse, SecondCopyDecision},
+    service_time::{LoadReport, StatedServiceTime},
     shares::{Entries, SharingEntry},
 };
 use crate::{
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -22,7 +22,7 @@
 /// Added cost of an upstream that must not be selected while any other can serve, in milliseconds.
 const LAST_RESORT_PENALTY_MS: f64 = 10_000.0;
 /// Round trip between an entry and a caller, by which the caller receives an event later, in milliseconds.
-const CALLER_ROUND_TRIP_MS: f64 = 10.0;
+pub const CALLER_ROUND_TRIP_MS: f64 = 10.0;
 /// A request that will miss its deadline is still sent to an engine with at least this fraction of its
 /// slots free.
 const FREE_FRACTION_FOR_LATE: f64 = 0.5;
--- a/crates/policy/src/dispatch/service_time.rs
+++ b/crates/policy/src/dispatch/service_time.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// A relative service time as an upstream stated it, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedServiceTime {
+    /// The value in percent of nominal, limited to what is applied.
+    pub percent: u32,
+    /// Time since it was seen.
+    pub age: Moment,
+}
+
 /// A relative service time and when it was seen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Stated {
@@ -88,6 +97,15 @@
         Some(1.0 + (stated.value - 1.0) * remaining)
     }
 
+    /// Returns the last stated value and its age.
+    pub fn stated(&self, now: Moment) -> Option<StatedServiceTime> {
+        let stated = self.stated?;
+        Some(StatedServiceTime {
+            percent: (stated.value * 100.0).round() as u32,
+            age: now.saturating_sub(stated.seen_at),
+        })
+    }
+
     /// Returns the observed slowdown with the stated service time applied; unchanged if none was ever stated.
     pub fn apply(&self, now: Moment, observed: f64) -> f64 {
         let (min, max) = SLOWDOWN_RANGE;
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod limited_fleet;
 mod limits;
 mod overload;
+mod second_copy;
 mod service_time;
 mod steady_load;
 mod subsets;
