--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod event_stream;
 mod identity;
 mod lifecycle;
+mod next_attempt;
 mod pending;
 mod reader;
 mod reported_state;
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -15,8 +15,9 @@
 
 use super::{
     admission::InProgress,
-    attempts::{RequestAttempts, SilenceDecision, NEXT_ATTEMPT_INTERVAL},
+    attempts::RequestAttempts,
     context::{GatewayContext, InFlightRequest},
+    next_attempt::{SilenceDecision, NEXT_ATTEMPT_INTERVAL},
     reader::{Interruption, InterruptionCause, Received, ResponseReader},
     send::UpstreamResponse,
 };
