--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -8,6 +8,8 @@
 pub mod contention;
 mod pool;
 mod rate_limit;
+mod second_copy;
+mod service_time;
 mod shares;
 mod upstream;
 mod versions;
@@ -22,13 +24,18 @@
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
-pub use self::shares::{Entries, SharingEntry};
 use self::{
     contention::{Contention, ContentionMode, FirstEventObservation, QueuePosition},
     pool::{Candidate, Pool},
+    service_time::Persistence,
     upstream::Upstream,
     versions::PublishedVersions,
 };
+pub use self::{
+    second_copy::{AwaitedResponse, SecondCopyDecision},
+    service_time::{LoadReport, StatedServiceTime},
+    shares::{Entries, SharingEntry},
+};
 use crate::{
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
@@ -244,6 +251,8 @@
     pools: HashMap<SmolStr, Pool>,
     /// The state of contended services, by name.
     contended: HashMap<SmolStr, Contention>,
+    /// Of the services whose upstreams have stated a relative service time.
+    persistence: HashMap<SmolStr, Persistence>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
     entries: Entries,
@@ -339,6 +348,7 @@
             missing: VecDeque::new(),
             pools: HashMap::new(),
             contended: HashMap::new(),
+            persistence: HashMap::new(),
             waiting: SlotMap::with_key(),
             published: PublishedVersions::default(),
             entries: Entries::default(),
@@ -420,6 +430,9 @@
             })
             .collect();
         self.configure_contention(&table.declaration);
+        let pools = &self.pools;
+        self.persistence
+            .retain(|service, _| pools.contains_key(service));
         times_changed
     }
 
@@ -428,7 +441,10 @@
         let mut contended = HashMap::new();
         for service in &declaration.services {
             let is_contended = match self.settings.contention {
-                ContentionMode::Auto => contention::has_ranks(declaration, service),
+                ContentionMode::Auto => {
+                    contention::has_ranks(declaration, service)
+                        || (service.engine.is_some() && self.reports_service_time(&service.name))
+                }
                 ContentionMode::On => service.engine.is_some(),
                 ContentionMode::Off => false,
             };
@@ -706,6 +722,7 @@
         let mut in_flight = self.in_flight(service);
         let mut blocked = false;
         let mut remaining = queue.len();
+        let (mut ahead, mut same_rank_ahead, mut last_rank) = (0, 0, None);
         for (position, key) in queue {
             let Some(waiting) = self.waiting.get(key) else {
                 continue;
@@ -715,11 +732,20 @@
             };
             // Nothing is reserved for others where a request is owed its turn.
             let bound_rank = if owed == Some(key) { 0 } else { position.rank };
-            let decision = if now + first_event_time > waiting.request.caller_leaves_at {
-                let wait = state.expected_wait(now, position.rank, remaining, remaining);
+            blocked |= !state.admits(now, bound_rank, in_flight);
+            if last_rank.replace(position.rank) != Some(position.rank) {
+                same_rank_ahead = 0;
+            }
+            let wait = match blocked {
+                true => state.expected_wait(now, position.rank, ahead, same_rank_ahead),
+                false => Moment::ZERO,
+            };
+            let decision = if now + wait + first_event_time > waiting.request.caller_leaves_at {
+                // Those before it have taken longer than expected when it arrived.
                 DispatchDecision::Refuse(overload(wait))
-            } else if blocked || !state.admits(now, bound_rank, in_flight) {
-                blocked = true;
+            } else if blocked {
+                ahead += 1;
+                same_rank_ahead += 1;
                 continue;
             } else {
                 let request = waiting.request.clone();
@@ -867,13 +893,32 @@
         }
     }
 
-    /// Records the load that a response reports: the requests that run and wait at the upstream.
-    pub fn record_load(&mut self, now: Moment, key: UpstreamKey, running: u32, waiting: u32) {
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.record_load(now, running + waiting);
+    /// Records the load that a response reports.
+    pub fn record_load(&mut self, now: Moment, key: UpstreamKey, report: LoadReport) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.record_load(now, report);
+        let Some(percent) = report.service_time_percent else {
+            return;
+        };
+        let service = upstream.record.service.clone();
+        let persistence = self.persistence.entry(service.clone()).or_default();
+        upstream.service_time.record(now, percent, persistence);
+        let time_constant = persistence.time_constant();
+        let members = self.pools.get(&service).map_or(&[][..], Pool::members);
+        for member in members {
+            if let Some(upstream) = self.upstreams.get_mut(*member) {
+                upstream.service_time.set_time_constant(time_constant);
+            }
         }
     }
 
+    /// Whether any upstream of a service has stated its relative service time since this process started.
+    pub fn reports_service_time(&self, service: &str) -> bool {
+        self.persistence.contains_key(service)
+    }
+
     /// Records that the first event of a request arrived `took_ms` after it was sent, so its prompt has
     /// been read.
     pub fn record_first_event(
