Weights: a chunk's lost owner is replaced in an order that all hosts derive identically

An owner that is gone, silent, avoided or reports that it does not fetch its chunk is replaced by the next of at most seven substitutes, 250 ms apart. Before, the first-ranked host often had no reason of its own to replace the owner, so that nobody did before 2 s without any progress, when the fetch counted as stalled. Owners are computed only when the set of live hosts changes.

--- a/crates/daemon/src/sidecar/weights/events.rs
+++ b/crates/daemon/src/sidecar/weights/events.rs
@@ -178,7 +178,7 @@
             Some(ReceivedChunk { buf, sender_chunks }) => {
                 if let (Source::Peer { host, .. }, Some(chunks)) = (&fetched.source, sender_chunks)
                 {
-                    plan.record_peer_state(host, chunks);
+                    plan.record_peer_state(now, host, chunks);
                 }
                 let bytes = buf.len() as u64;
                 context.record_fetched_bytes(&fetched.source, bytes);
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -253,7 +253,7 @@
             chunk_map,
         } => {
             if let (Some(chunk_map), Source::Peer { host, .. }) = (chunk_map, &source) {
-                plan.record_peer_state(host, chunk_map);
+                plan.record_peer_state(now, host, chunk_map);
             }
             match buf {
                 Ok(buf) => {
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -8,7 +8,7 @@
 mod source_selection;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -51,14 +51,25 @@
 const BUSY_BACKOFF: Moment = Moment::from_millis(100);
 /// Time for which a source that sent a corrupt chunk is not used.
 const CORRUPT_BACKOFF: Moment = Moment::from_secs(60);
-/// Time after which another host than the owner fetches a chunk that no host is known to store. The owner
-/// may be live but busy with something else.
+/// Time after which a host fetches a chunk that is stored only in other data centres although another host of its own
+/// one owns it there.
 const HEDGE_DELAY: Moment = Moment::from_millis(1_200);
+/// Time after the start in which an owner that reports that it is not fetching its chunk is not replaced. It may learn
+/// of the version up to 450 ms later than this host, and has to fetch the manifest.
+const START_GRACE: Moment = Moment::from_millis(700);
+/// Time by which each further host waits before it replaces the ones that precede it. Within it, they report that they
+/// do so themselves: reports are requested every 100 ms.
+const TAKEOVER_STEP: Moment = Moment::from_millis(250);
+/// Time without a report after which an owner counts as lost.
+const UNKNOWN_TIMEOUT: Moment = Moment::from_millis(1_000);
 /// Age up to which an owner's report that it is not fetching a chunk counts; an older one may be outdated.
 const OWNER_REPORT_LIFETIME: Moment = Moment::from_millis(400);
-/// Time for which chunks are left to an owner that reports that it is fetching them. A copy of 2 MB takes
-/// 1.7 s on an origin's link of 10 Mbit/s.
+/// Time for which a chunk is left to a host that reports that it is fetching it, while other chunks arrive. A copy of
+/// 2 MB takes 1.7 s on an origin's link of 10 Mbit/s.
 const MAX_OWNER_FETCH_TIME: Moment = Moment::from_millis(3_000);
+/// The same while nothing arrives, since the origin is likely unreachable for all: more requests would only be
+/// duplicates once it is back.
+const MAX_IDLE_FETCH_TIME: Moment = Moment::from_millis(8_000);
 /// Time without progress after which the next host in rank fetches an owner's chunk.
 const OWNER_TIMEOUT: Moment = Moment::from_secs(2);
 
@@ -139,6 +150,8 @@
     probed_at: Option<Moment>,
     responded_at: Option<Moment>,
     probing: bool,
+    /// Since when the peer reports that it fetches chunks from the origin.
+    origin_fetches_since: Option<Moment>,
     /// Chunks that this host is fetching from the peer.
     active_fetches: usize,
     avoid_until: Moment,
@@ -156,6 +169,14 @@
     peers: HashMap<SmolStr, (SocketAddr, SmolStr)>,
     views: HashMap<SmolStr, PeerView>,
     owners: Owners,
+    /// The live hosts for which `owners` was computed, with their data centres.
+    assigned_to: Vec<(SmolStr, SmolStr)>,
+    /// Number of times that `owners` was computed.
+    assignments: u64,
+    /// Since when all hosts that precede this one at a chunk are lost.
+    lost_since: HashMap<usize, Moment>,
+    /// Chunks that this host fetches from the origin in place of their owners.
+    replacing: HashSet<usize>,
     /// The chunks in the order in which they are fetched.
     order: Vec<usize>,
     stored: Vec<bool>,
@@ -190,6 +211,10 @@
             peers: HashMap::new(),
             views: HashMap::new(),
             owners: Owners::default(),
+            assigned_to: Vec::new(),
+            assignments: 0,
+            lost_since: HashMap::new(),
+            replacing: HashSet::new(),
             order,
             stored: vec![false; chunks],
             missing: chunks,
@@ -222,6 +247,11 @@
         &self.version
     }
 
+    /// Number of times that owners were computed: once, and once for each change of the live hosts.
+    pub fn assignment_count(&self) -> u64 {
+        self.assignments
+    }
+
     /// Number of chunks that are not stored yet.
     pub fn missing_count(&self) -> usize {
         self.missing
@@ -242,10 +272,15 @@
         owned.map(|(chunk, _)| chunk)
     }
 
-    /// The chunks that this host is to fetch from the origin for the fleet and does not store yet.
+    /// The chunks that this host is to fetch from the origin for the fleet, as their owner or in place of one, and does
+    /// not store yet.
     pub fn missing_owned(&self) -> ChunkMap {
         let mut map = ChunkMap::empty(self.stored.len());
-        self.missing_owned_chunks().for_each(|chunk| map.set(chunk));
+        let replacing = self.replacing.iter().copied();
+        let replacing = replacing.filter(|chunk| !self.stored[*chunk]);
+        self.missing_owned_chunks()
+            .chain(replacing)
+            .for_each(|chunk| map.set(chunk));
         map
     }
 
@@ -302,6 +337,16 @@
                 Some((m.host.clone(), (address, m.data_centre.clone())))
             })
             .collect();
+        let assigned_to = self.assigned_to.iter();
+        let is_assigned = assigned_to
+            .map(|(host, dc)| (host, dc))
+            .eq(live.iter().map(|m| (&m.host, &m.data_centre)));
+        if is_assigned {
+            return;
+        }
+        let live_hosts = live.iter().map(|m| (m.host.clone(), m.data_centre.clone()));
+        self.assigned_to = live_hosts.collect();
+        self.assignments += 1;
         let fresh = Owners::assign(&self.version, self.stored.len(), &self.data_centre, &live);
         let names: HashSet<&SmolStr> = live.iter().map(|m| &m.host).collect();
         self.owners.replace_missing(fresh, &names);
@@ -328,6 +373,7 @@
     pub fn next_actions(&mut self, now: Moment) -> Vec<FetchAction> {
         let mut actions = Vec::new();
         let mut blocked = Vec::new();
+        self.replace_lost_owners(now);
         let nearby = self.stored_nearby(now);
         for n in 0..self.order.len() {
             if self.fetch_limit_reached() {
@@ -346,6 +392,7 @@
                 None => blocked.push(chunk),
             }
         }
+        self.probe_predecessors(now, &mut actions);
         if !self.fetch_limit_reached() {
             self.probe(now, &blocked, &mut actions);
         }
@@ -390,25 +437,63 @@
         targets.sort_unstable();
         targets.shuffle(&mut self.rng);
         for host in targets {
-            if self.active_probes >= MAX_PROBES {
+            if !self.start_probe(now, &host, MAX_PROBES, actions) {
                 return;
             }
-            let Some((address, _)) = self.peers.get(&host) else {
-                continue;
-            };
-            let view = self.views.entry(host.clone()).or_default();
-            let due = view
-                .probed_at
-                .is_none_or(|at| now.saturating_sub(at) >= PROBE_INTERVAL);
-            if view.probing || !due || now < view.avoid_until {
-                continue;
+        }
+    }
+
+    /// Probes the hosts that precede this one at missing chunks: whether it replaces them depends on their reports, also
+    /// while it fetches as many chunks as it may.
+    fn probe_predecessors(&mut self, now: Moment, actions: &mut Vec<FetchAction>) {
+        if self.distribution != Distribution::Owners {
+            return;
+        }
+        let mut hosts: BTreeSet<SmolStr> = BTreeSet::new();
+        for chunk in (0..self.stored.len()).filter(|chunk| !self.stored[*chunk]) {
+            for host in self.predecessors(chunk).into_iter().flatten() {
+                hosts.insert(host.clone());
+                // As long as this one is not lost, the state of the further ones does not matter.
+                if !self.is_lost(now, host, chunk) {
+                    break;
+                }
             }
+        }
+        for host in hosts {
+            if !self.start_probe(now, &host, 2 * MAX_PROBES, actions) {
+                return;
+            }
+        }
+    }
+
+    /// Probes a host if that is due; returns whether fewer than `max_probes` run.
+    fn start_probe(
+        &mut self,
+        now: Moment,
+        host: &SmolStr,
+        max_probes: usize,
+        actions: &mut Vec<FetchAction>,
+    ) -> bool {
+        if self.active_probes >= max_probes {
+            return false;
+        }
+        let Some((address, _)) = self.peers.get(host) else {
+            return true;
+        };
+        let view = self.views.entry(host.clone()).or_default();
+        let due = view
+            .probed_at
+            .is_none_or(|at| now.saturating_sub(at) >= PROBE_INTERVAL);
+        if !view.probing && due && now >= view.avoid_until {
             view.probing = true;
             view.probed_at = Some(now);
             self.active_probes += 1;
-            let address = *address;
-            actions.push(FetchAction::Probe { host, address });
+            actions.push(FetchAction::Probe {
+                host: host.clone(),
+                address: *address,
+            });
         }
+        true
     }
 
     /// Records the response to a probe, or `None` if the peer did not respond.
@@ -423,16 +508,21 @@
         view.probing = false;
         match response {
             Some(response) => {
-                view.responded_at = Some(now);
-                self.record_peer_state(host, response);
+                self.record_peer_state(now, host, response);
             }
             None => view.avoid_until = now + FAILED_BACKOFF,
         }
     }
 
     /// Records what a peer stores and sends, as it also reports with every chunk.
-    pub fn record_peer_state(&mut self, host: &SmolStr, report: ChunkMapResponse) {
+    pub fn record_peer_state(&mut self, now: Moment, host: &SmolStr, report: ChunkMapResponse) {
         let view = self.views.entry(host.clone()).or_default();
+        let is_fetching = (0..self.stored.len()).any(|n| report.fetching_from_origin.has(n));
+        view.responded_at = Some(now);
+        view.origin_fetches_since = match is_fetching {
+            true => view.origin_fetches_since.or(Some(now)),
+            false => None,
+        };
         view.stored = report.map;
         view.origin_fetches = report.fetching_from_origin;
         view.uploads = report.uploads;
--- a/crates/policy/src/fetch/owners.rs
+++ b/crates/policy/src/fetch/owners.rs
@@ -7,11 +7,17 @@
 
 use crate::rendezvous;
 
+/// Hosts per chunk that fetch it from the origin in turn if its owner does not. A host restarts within seconds, so
+/// that more than this number of them are rarely lost at the same time.
+pub const MAX_SUBSTITUTES: usize = 7;
+
 /// The owners of every chunk, by chunk number.
 #[derive(Clone, Debug, Default)]
 pub struct Owners {
     /// The host that fetches the chunk from the origin.
     pub fleet: Vec<SmolStr>,
+    /// The hosts that fetch the chunk from the origin in place of its owner, in the order in which they do.
+    pub substitutes: Vec<Vec<SmolStr>>,
     /// The host that fetches the chunk first in the data centre of this host.
     pub local: Vec<SmolStr>,
 }
@@ -26,6 +32,19 @@
             *self = fresh;
             return;
         }
+        // The substitutes of a lost owner have begun to replace it before it left the list of members, so the first of
+        // them is its successor.
+        let fleet = self.fleet.iter_mut().zip(&fresh.fleet);
+        for (n, (old, new)) in fleet.enumerate() {
+            if !live.contains(old) {
+                let mut successors = self.substitutes[n].iter();
+                *old = successors.find(|s| live.contains(s)).unwrap_or(new).clone();
+            }
+        }
+        self.substitutes = fresh.substitutes;
+        for (owner, substitutes) in self.fleet.iter().zip(&mut self.substitutes) {
+            substitutes.retain(|host| host != owner);
+        }
         let replace = |old: &mut Vec<SmolStr>, new: Vec<SmolStr>| {
             for (old, new) in old.iter_mut().zip(new) {
                 if !live.contains(old) {
@@ -33,7 +52,6 @@
                 }
             }
         };
-        replace(&mut self.fleet, fresh.fleet);
         replace(&mut self.local, fresh.local);
     }
 
@@ -59,11 +77,24 @@
             .filter(|chunk| live[fleet[*chunk]].data_centre != data_centre)
             .collect();
         let local_owners = rendezvous::balanced_owners(&scope, owned_elsewhere.len(), &local_names);
+        let substitutes = (0..fleet.len()).map(|chunk| {
+            let key = format!("{version}/{chunk}/next");
+            // One more, since the owner may be among them.
+            let first = rendezvous::first(key.as_bytes(), &names, MAX_SUBSTITUTES + 1);
+            let mut hosts: Vec<SmolStr> = first.into_iter().map(SmolStr::new).collect();
+            hosts.retain(|host| *host != live[fleet[chunk]].host);
+            hosts
+        });
+        let substitutes = substitutes.collect();
         let fleet: Vec<SmolStr> = fleet.iter().map(|n| live[*n].host.clone()).collect();
         let mut local = fleet.clone();
         for (chunk, owner) in owned_elsewhere.into_iter().zip(local_owners) {
             local[chunk] = SmolStr::new(local_names[owner]);
         }
-        Self { fleet, local }
+        Self {
+            fleet,
+            substitutes,
+            local,
+        }
     }
 }
--- a/crates/policy/src/fetch/source_selection.rs
+++ b/crates/policy/src/fetch/source_selection.rs
@@ -5,7 +5,8 @@
 
 use super::{
     Distribution, FetchPlan, Source, HEDGE_DELAY, MAX_DIRECT_FETCHES, MAX_FETCHES_PER_PEER,
-    MAX_ORIGIN_FETCHES, MAX_OWNER_FETCH_TIME, OWNER_REPORT_LIFETIME, OWNER_TIMEOUT, SURVEY_TIMEOUT,
+    MAX_IDLE_FETCH_TIME, MAX_ORIGIN_FETCHES, MAX_OWNER_FETCH_TIME, OWNER_REPORT_LIFETIME,
+    OWNER_TIMEOUT, START_GRACE, SURVEY_TIMEOUT, TAKEOVER_STEP, UNKNOWN_TIMEOUT,
 };
 use crate::{rendezvous, Moment};
 
@@ -45,9 +46,12 @@
         if self.owners.local[chunk] == self.host && self.can_send(now, expected, chunk) {
             return self.peer(expected);
         }
-        if self.may_bypass(now, expected) {
+        if self.replacing.contains(&chunk) {
             let holder = self.any_holder(now, chunk, draw);
-            return holder.or_else(|| self.origin_as_substitute(now, chunk));
+            return holder.or_else(|| self.origin(now));
+        }
+        if self.may_bypass(now, expected) {
+            return self.any_holder(now, chunk, draw);
         }
         match self.may_hedge(now) {
             true => self.hedge(now, chunk, draw),
@@ -55,42 +59,91 @@
         }
     }
 
-    /// Whether owners have had enough time to fetch their chunks.
-    pub(super) fn may_hedge(&self, now: Moment) -> bool {
-        now.saturating_sub(self.started) > HEDGE_DELAY
+    /// The hosts that fetch a chunk from the origin before this one does; `None` if this host is not to fetch it.
+    pub(super) fn predecessors(&self, chunk: usize) -> Option<impl Iterator<Item = &SmolStr>> {
+        let substitutes = &self.owners.substitutes[chunk];
+        let rank = substitutes.iter().position(|host| *host == self.host)?;
+        let owner = std::iter::once(&self.owners.fleet[chunk]);
+        Some(owner.chain(&substitutes[..rank]))
     }
 
-    /// The source of a chunk that this host fetches in place of its owner, if it ranks first to do so: for
-    /// the data centre if a peer is known to store the chunk, or for the fleet if no peer is.
-    fn hedge(&self, now: Moment, chunk: usize, draw: u64) -> Option<Source> {
-        let stored_by_peer = self.views.values().any(|view| view.stored.has(chunk));
-        if !stored_by_peer {
-            if !self.is_abandoned(now, chunk) {
-                // A second request would only add load to a busy origin.
+    /// Determines the chunks that this host is to fetch from the origin in place of their owners, because all hosts
+    /// that precede it are lost. Every host derives the same order, so that few hosts request a chunk.
+    pub(super) fn replace_lost_owners(&mut self, now: Moment) {
+        self.replacing.clear();
+        if self.distribution != Distribution::Owners {
+            return;
+        }
+        for chunk in 0..self.stored.len() {
+            if self.stored[chunk] {
+                continue;
+            }
+            let Some(wait) = self.takeover_wait(now, chunk) else {
+                self.lost_since.remove(&chunk);
+                continue;
+            };
+            let since = *self.lost_since.entry(chunk).or_insert(now);
+            if now.saturating_sub(since) >= wait {
+                self.replacing.insert(chunk);
+            }
+        }
+    }
+
+    /// How long the hosts that precede this one at a chunk have to be lost before it replaces them; `None` if one of
+    /// them is not, or if it is not to replace them.
+    fn takeover_wait(&self, now: Moment, chunk: usize) -> Option<Moment> {
+        let mut further = 0;
+        for host in self.predecessors(chunk)? {
+            if !self.is_lost(now, host, chunk) {
                 return None;
             }
-            let first = self.ranks_first(now, chunk, |_| true);
-            return first.then(|| self.origin(now)).flatten();
+            further += 1;
         }
-        let first = self.ranks_first(now, chunk, |dc| *dc == self.data_centre);
-        first.then(|| self.any_holder(now, chunk, draw)).flatten()
+        Some(TAKEOVER_STEP * (further - 1))
     }
 
-    /// Whether the owner of a chunk is certainly not fetching it: it does not respond, or it reported so
-    /// recently.
-    fn is_abandoned(&self, now: Moment, chunk: usize) -> bool {
-        let owner = &self.owners.fleet[chunk];
-        let late = now.saturating_sub(self.started) >= MAX_OWNER_FETCH_TIME;
-        if late || !self.peers.contains_key(owner) {
+    /// Whether a host cannot be relied on for a chunk: it is gone or avoided, its state is unknown for too long, or it
+    /// neither stores the chunk nor fetches it.
+    pub(super) fn is_lost(&self, now: Moment, host: &SmolStr, chunk: usize) -> bool {
+        if !self.peers.contains_key(host) {
             return true;
         }
-        let Some(view) = self.views.get(owner) else {
-            return false;
+        let Some(view) = self.views.get(host) else {
+            return now.saturating_sub(self.started) >= UNKNOWN_TIMEOUT;
         };
-        let fresh = view
-            .responded_at
-            .is_some_and(|at| now.saturating_sub(at) < OWNER_REPORT_LIFETIME);
-        now < view.avoid_until || (fresh && !view.origin_fetches.has(chunk))
+        if now < view.avoid_until {
+            return true;
+        }
+        let known_at = view.responded_at.unwrap_or(self.started);
+        if now.saturating_sub(known_at) >= UNKNOWN_TIMEOUT {
+            return true;
+        }
+        if view.stored.has(chunk) {
+            return false;
+        }
+        if view.origin_fetches.has(chunk) {
+            let since = view.origin_fetches_since.unwrap_or(now);
+            let is_idle = now.saturating_sub(self.last_progress) >= UNKNOWN_TIMEOUT;
+            let limit = match is_idle {
+                true => MAX_IDLE_FETCH_TIME,
+                false => MAX_OWNER_FETCH_TIME,
+            };
+            return now.saturating_sub(since) >= limit;
+        }
+        let is_fresh = now.saturating_sub(known_at) < OWNER_REPORT_LIFETIME;
+        is_fresh && now.saturating_sub(self.started) >= START_GRACE
+    }
+
+    /// Whether owners have had enough time to fetch their chunks.
+    pub(super) fn may_hedge(&self, now: Moment) -> bool {
+        now.saturating_sub(self.started) > HEDGE_DELAY
+    }
+
+    /// A holder in another data centre, if this host ranks first in its own one to fetch the chunk in place of the
+    /// owner there.
+    fn hedge(&self, now: Moment, chunk: usize, draw: u64) -> Option<Source> {
+        let first = self.ranks_first(now, chunk, |dc| *dc == self.data_centre);
+        first.then(|| self.any_holder(now, chunk, draw)).flatten()
     }
 
     /// Whether this host ranks first among the hosts of the selected data centres that are known to be
@@ -228,20 +281,4 @@
             });
         self.peer(best?.1)
     }
-
-    /// The origin, if this host ranks first among the hosts that can fetch the chunk in place of its owner.
-    fn origin_as_substitute(&self, now: Moment, chunk: usize) -> Option<Source> {
-        let key = format!("{}/{chunk}/next", self.version);
-        let usable = |host: &&SmolStr| {
-            let view = self.views.get(*host);
-            view.is_none_or(|view| now >= view.avoid_until)
-        };
-        let hosts = self.peers.keys().filter(usable).map(SmolStr::as_str);
-        let candidates = hosts.chain([self.host.as_str()]);
-        let first = rendezvous::owner(key.as_bytes(), candidates)?;
-        if first == self.host.as_str() {
-            return self.origin(now);
-        }
-        None
-    }
 }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -28,6 +28,17 @@
     nodes
 }
 
+/// Returns the first `count` of `nodes` by descending weight for `key`; see [`rank`].
+pub fn first<'a>(key: &[u8], nodes: &[&'a str], count: usize) -> Vec<&'a str> {
+    let mut weighted: Vec<(u64, &str)> = nodes.iter().map(|n| (weight(key, n), *n)).collect();
+    if count < weighted.len() {
+        weighted.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        weighted.truncate(count);
+    }
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.into_iter().map(|(_, node)| node).collect()
+}
+
 /// Assigns an owner to each of `keys` keys, which are numbered from zero within `scope`, as
 /// [`balanced_owners_of`] does.
 pub fn balanced_owners(scope: &str, keys: usize, nodes: &[&str]) -> Vec<usize> {
