Weights: owners that moved on fetch their chunks of older versions; a fetch without progress yields

A stager fetches what it owns of an older version while peers ask for it, also if it has restarted and knows only the newer version. A fetch past the finish threshold yields to a newer version after 300 ms without a chunk.

--- a/crates/daemon/src/sidecar/weights/events.rs
+++ b/crates/daemon/src/sidecar/weights/events.rs
@@ -140,7 +140,7 @@
             rng,
         );
         for chunk in (0..chunks).filter(|chunk| stored.has(*chunk)) {
-            plan.record_arrival(now, chunk, &Source::Origin);
+            plan.record_stored(chunk);
         }
         let complete = plan.missing_count() == 0;
         self.plan = Some(plan);
--- a/crates/daemon/src/stager/chunk_cache.rs
+++ b/crates/daemon/src/stager/chunk_cache.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, sync::Mutex};
 
 use balsamjunction_platform::Manifest;
+use balsamjunction_policy::{fetch::OriginState, Moment};
 use balsamjunction_protocol::ChunkMap;
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
@@ -13,6 +14,9 @@
 /// Most versions in the cache: the one in service, the next one, and one that supersedes it.
 const MAX_VERSIONS: usize = 3;
 
+/// Time for which a version counts as wanted by a peer that asked for its chunks. Peers ask every 100 ms.
+const DEMAND_LIFETIME: Moment = Moment::from_millis(1_000);
+
 /// Identifies a version of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct VersionId {
@@ -29,10 +33,18 @@
     fetching_from_origin: ChunkMap,
 }
 
+/// A version of which a peer asks for chunks.
+struct Demand {
+    id: VersionId,
+    at: Moment,
+}
+
 /// Verified chunks, shared with the server threads.
 #[derive(Default)]
 pub struct ChunkCache {
     versions: Mutex<VecDeque<CachedVersion>>,
+    demands: Mutex<VecDeque<Demand>>,
+    origin: Mutex<OriginState>,
 }
 
 /// Whether the SHA-256 digest of a chunk is the one in the manifest.
@@ -65,6 +77,46 @@
         }
     }
 
+    /// Records that a peer asks for chunks of a version.
+    pub fn record_demand(&self, now: Moment, id: VersionId) {
+        let mut demands = lock(&self.demands);
+        demands.retain(|demand| demand.id != id);
+        demands.push_back(Demand { id, at: now });
+        if demands.len() > MAX_VERSIONS {
+            demands.pop_front();
+        }
+    }
+
+    /// The versions of which peers asked for chunks lately.
+    pub fn demanded_versions(&self, now: Moment) -> Vec<VersionId> {
+        let demands = lock(&self.demands);
+        let recent = demands
+            .iter()
+            .filter(|demand| now.saturating_sub(demand.at) < DEMAND_LIFETIME);
+        recent.map(|demand| demand.id.clone()).collect()
+    }
+
+    /// Whether a version is cached or can be added without being evicted at once.
+    pub fn has_room_for(&self, id: &VersionId) -> bool {
+        let versions = lock(&self.versions);
+        let higher = versions
+            .iter()
+            .filter(|cached| cached.id.version > id.version);
+        higher.count() < MAX_VERSIONS
+    }
+
+    /// What this host knows of the origin.
+    pub fn origin_state(&self) -> OriginState {
+        *lock(&self.origin)
+    }
+
+    /// Adds what a fetch has learned of the origin.
+    pub fn update_origin_state(&self, state: OriginState) {
+        let mut known = lock(&self.origin);
+        known.failed_at = known.failed_at.max(state.failed_at);
+        known.responded_at = known.responded_at.max(state.responded_at);
+    }
+
     /// Removes a version with its chunks, because its manifest is no longer trusted.
     pub fn remove_version(&self, id: &VersionId) {
         lock(&self.versions).retain(|cached| cached.id != *id);
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -10,6 +10,7 @@
         Source,
     },
     version_queue::VersionQueue,
+    Moment,
 };
 use balsamjunction_protocol::{header, paths, ChunkMap, ChunkMapResponse};
 use bytes::Bytes;
@@ -132,34 +133,51 @@
 /// Fetches all chunks of a version until they are cached, the fetch stalls, or another version goes first.
 pub async fn fetch_all(
     stager: &Rc<Stager>,
-    queue: &VersionQueue<VersionId>,
+    queue: &mut VersionQueue<VersionId>,
     id: &VersionId,
     manifest: &Manifest,
 ) -> FetchOutcome {
     let chunks = manifest.digests.len();
-    let is_superseded =
-        |cached| queue.should_yield(stager.now(), id, &stager.missing_versions(), cached, chunks);
+    let is_superseded = |cached, idle| {
+        let missing = stager.missing_versions();
+        record_stored_counts(stager, queue, &missing);
+        queue.should_yield(stager.now(), id, &missing, (cached, chunks), idle)
+    };
     fetch_by_plan(stager, id, manifest, Distribution::Owners, is_superseded).await
 }
 
-/// Fetches the chunks of a version that this host owns, until it fetches all chunks of that version.
+/// Records how many chunks of each missing version are cached.
+pub fn record_stored_counts(
+    stager: &Stager,
+    queue: &mut VersionQueue<VersionId>,
+    missing: &[VersionId],
+) {
+    for id in missing {
+        if let Some((cached, _)) = stager.chunk_cache.chunk_counts(id) {
+            queue.record_stored(id, cached);
+        }
+    }
+}
+
+/// Fetches the chunks of a version that this host owns, until it fetches all chunks of that version or no host needs
+/// these chunks.
 pub async fn fetch_owned_chunks(
     stager: &Rc<Stager>,
     id: &VersionId,
     manifest: &Manifest,
 ) -> FetchOutcome {
-    let is_superseded = |_| stager.is_fetching(id) || stager.missing_versions().first() != Some(id);
+    let is_superseded = |_, _| stager.is_fetching(id) || !stager.versions_for_others().contains(id);
     fetch_by_plan(stager, id, manifest, Distribution::OwnChunks, is_superseded).await
 }
 
 /// Fetches chunks by a new plan until it is complete, stalls, or is superseded. `is_superseded` is called
-/// with the number of cached chunks.
+/// with the number of cached chunks and the time since the last one arrived.
 async fn fetch_by_plan(
     stager: &Rc<Stager>,
     id: &VersionId,
     manifest: &Manifest,
     distribution: Distribution,
-    is_superseded: impl Fn(usize) -> bool,
+    is_superseded: impl FnMut(usize, Moment) -> bool,
 ) -> FetchOutcome {
     let chunks = manifest.digests.len();
     let mut plan = FetchPlan::new(
@@ -170,10 +188,11 @@
         list_participants(stager),
         Pcg64Mcg::from_rng(&mut rand::rng()),
     )
-    .with_origin_rate(manifest.chunk_bytes as usize, stager.origin_kbit_s());
+    .with_origin_rate(manifest.chunk_bytes as usize, stager.origin_kbit_s())
+    .with_origin_state(stager.chunk_cache.origin_state());
     let cached = stager.chunk_cache.chunk_map(id);
     for chunk in (0..chunks).filter(|chunk| cached.has(*chunk)) {
-        plan.record_arrival(stager.now(), chunk, &Source::Origin);
+        plan.record_stored(chunk);
     }
     let outcome = execute_plan(stager, id, &mut plan, is_superseded).await;
     stager
@@ -187,14 +206,15 @@
     stager: &Rc<Stager>,
     id: &VersionId,
     plan: &mut FetchPlan,
-    is_superseded: impl Fn(usize) -> bool,
+    mut is_superseded: impl FnMut(usize, Moment) -> bool,
 ) -> FetchOutcome {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let mut last_missing = plan.missing_count();
     let mut last_progress = stager.now();
     let corrupt_before = stager.metrics.corrupt_chunks.get();
     while plan.outstanding_count() > 0 {
-        if is_superseded(plan.stored_count()) {
+        let idle = stager.now().saturating_sub(last_progress);
+        if is_superseded(plan.stored_count(), idle) {
             return FetchOutcome::Superseded;
         }
         if plan.missing_count() < last_missing {
@@ -230,6 +250,7 @@
             record_outcome(stager, id, plan, received);
             outcome = rx.try_recv().ok();
         }
+        stager.chunk_cache.update_origin_state(plan.origin_state());
     }
     FetchOutcome::Complete
 }
--- a/crates/daemon/src/stager/http.rs
+++ b/crates/daemon/src/stager/http.rs
@@ -136,6 +136,7 @@
         fetching_from_origin: chunk_cache.fetching_from_origin(id),
         serving: false,
         uploads: uploads.count() as u32,
+        origin_age_ms: chunk_cache.origin_state().age_ms(uploads.clock.now()),
     }
 }
 
@@ -156,11 +157,10 @@
     path: Path<(SmolStr, u64)>,
 ) -> Result<HttpResponse, InnerError> {
     let (model, version) = path.into_inner();
-    message_response(&build_chunk_map_response(
-        &chunk_cache,
-        &uploads,
-        &VersionId { model, version },
-    ))
+    let id = VersionId { model, version };
+    let response = build_chunk_map_response(&chunk_cache, &uploads, &id);
+    chunk_cache.record_demand(uploads.clock.now(), id);
+    message_response(&response)
 }
 
 async fn get_manifest(chunk_cache: Data<ChunkCache>, path: Path<(SmolStr, u64)>) -> HttpResponse {
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -179,6 +179,23 @@
         })
     }
 
+    /// Versions of which other hosts may need the chunks that this host owns: the newest one, and older ones that a peer
+    /// asked for lately. A host that has restarted does not know those from an update.
+    pub fn versions_for_others(&self) -> Vec<VersionId> {
+        let mut versions: Vec<VersionId> = self.missing_versions().into_iter().take(1).collect();
+        let newest = self.targets.borrow().last().map(|(id, _)| id.clone());
+        for id in self.chunk_cache.demanded_versions(self.now()) {
+            let is_older = newest
+                .as_ref()
+                .is_some_and(|newest| newest.model == id.model && newest.version > id.version);
+            if is_older && self.chunk_cache.has_room_for(&id) && !self.chunk_cache.is_complete(&id)
+            {
+                versions.push(id);
+            }
+        }
+        versions
+    }
+
     /// Whether a version is being fetched.
     pub fn is_fetching(&self, id: &VersionId) -> bool {
         self.fetching.borrow().as_ref() == Some(id)
--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -3,7 +3,11 @@
 //! Chunks are fetched while the engine waits for its scheduled switch, so that a version that supersedes
 //! another one is not delayed. See docs/WEIGHTS.md, "Stagers".
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderOutcome, PlatformError, SwitchMode};
 use balsamjunction_policy::{
@@ -19,6 +23,8 @@
 };
 use crate::events::Event;
 
+/// Versions that are remembered as having all own chunks; more than are cached at a time.
+const MAX_COMPLETED: usize = 8;
 /// Polling interval of the loops.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after a failed switch.
@@ -48,6 +54,8 @@
     let mut last_staged_check = None;
     loop {
         let missing = stager.missing_versions();
+        queue.retain(&missing);
+        fetch::record_stored_counts(&stager, &mut queue, &missing);
         let Some(id) = queue.next_version(stager.now(), &missing).cloned() else {
             actix_rt::time::sleep(POLL_INTERVAL).await;
             continue;
@@ -70,7 +78,7 @@
             last_staged_check = Some((id.clone(), started_at_ms));
         }
         *stager.fetching.borrow_mut() = Some(id.clone());
-        let outcome = fetch::fetch_all(&stager, &queue, &id, &manifest).await;
+        let outcome = fetch::fetch_all(&stager, &mut queue, &id, &manifest).await;
         *stager.fetching.borrow_mut() = None;
         match outcome {
             FetchOutcome::Complete => log_step(&stager, &id, "fetched", String::new()),
@@ -84,30 +92,38 @@
     }
 }
 
-/// Fetches the chunks of the newest version that this host owns while it still fetches an older version.
+/// Fetches the chunks that this host owns of versions that it does not fetch itself right now: of the newest one while it
+/// still fetches an older one, and of older ones that other hosts still fetch.
 ///
 /// The origin may be unreachable by the time the older version is complete.
 pub async fn fetch_owned_chunks_loop(stager: Rc<Stager>) {
-    let mut completed = None;
-    let mut manifest_attempts = 0;
+    let mut completed: VecDeque<VersionId> = VecDeque::new();
+    let mut manifest_attempts: HashMap<VersionId, u32> = HashMap::new();
     loop {
         actix_rt::time::sleep(POLL_INTERVAL).await;
-        let Some(id) = stager.missing_versions().first().cloned() else {
-            continue;
-        };
-        let fetches_other_version = stager.fetching.borrow().is_some() && !stager.is_fetching(&id);
-        if completed.as_ref() == Some(&id) || !fetches_other_version {
-            continue;
-        }
-        let Some(manifest) = fetch::get_or_fetch_manifest(&stager, &id, manifest_attempts).await
-        else {
-            manifest_attempts += 1;
-            continue;
-        };
-        if fetch::fetch_owned_chunks(&stager, &id, &manifest).await == FetchOutcome::Complete {
-            log_step(&stager, &id, "own-chunks", String::new());
-            completed = Some(id);
-            manifest_attempts = 0;
+        let versions = stager.versions_for_others();
+        manifest_attempts.retain(|id, _| versions.contains(id));
+        for id in versions {
+            let fetches_another = stager.fetching.borrow().is_some() && !stager.is_fetching(&id);
+            let is_newest = stager.missing_versions().first() == Some(&id);
+            // The newest version is about to be fetched completely, if none is now.
+            if completed.contains(&id) || stager.is_fetching(&id) || (is_newest && !fetches_another)
+            {
+                continue;
+            }
+            let attempts = manifest_attempts.entry(id.clone()).or_default();
+            *attempts += 1;
+            let manifest = fetch::get_or_fetch_manifest(&stager, &id, *attempts - 1).await;
+            let Some(manifest) = manifest else {
+                continue;
+            };
+            if fetch::fetch_owned_chunks(&stager, &id, &manifest).await == FetchOutcome::Complete {
+                log_step(&stager, &id, "own-chunks", String::new());
+                completed.push_back(id);
+                if completed.len() > MAX_COMPLETED {
+                    completed.pop_front();
+                }
+            }
         }
     }
 }
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -4,6 +4,7 @@
 //! the only host that fetches it from the origin. See docs/DESIGN.md, "Weights".
 
 mod manifest;
+mod origin;
 mod owners;
 mod source_selection;
 
@@ -17,8 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use smol_str::SmolStr;
 
-pub use self::manifest::choose_manifest_source;
-use self::owners::Owners;
+pub use self::{manifest::choose_manifest_source, origin::OriginState};
+use self::{
+    origin::{Schedule, ORIGIN_PROBES, RETRY_INTERVAL},
+    owners::Owners,
+};
 use crate::Moment;
 
 /// Chunks that one host fetches from peers in parallel.
@@ -186,6 +190,8 @@
     active_probes: usize,
     origin_avoid_until: Moment,
     origin_spacing: Moment,
+    origin: OriginState,
+    schedule: Schedule,
     started: Moment,
     last_progress: Moment,
     rng: Pcg64Mcg,
@@ -223,6 +229,8 @@
             active_probes: 0,
             origin_avoid_until: Moment::ZERO,
             origin_spacing: DEFAULT_ORIGIN_SPACING,
+            origin: OriginState::default(),
+            schedule: Schedule::new(now, chunks),
             started: now,
             last_progress: now,
             rng,
@@ -242,6 +250,17 @@
         self
     }
 
+    /// Starts with what the host knows of the origin from earlier fetches.
+    pub fn with_origin_state(mut self, state: OriginState) -> Self {
+        self.origin = state;
+        self
+    }
+
+    /// What the host knows of the origin.
+    pub fn origin_state(&self) -> OriginState {
+        self.origin
+    }
+
     /// The version that the plan fetches.
     pub fn version(&self) -> &SmolStr {
         &self.version
@@ -516,6 +535,10 @@
 
     /// Records what a peer stores and sends, as it also reports with every chunk.
     pub fn record_peer_state(&mut self, now: Moment, host: &SmolStr, report: ChunkMapResponse) {
+        if let Some(age_ms) = report.origin_age_ms {
+            let age = Moment::from_millis(age_ms.into());
+            self.record_origin_response(now, now.saturating_sub(age));
+        }
         let view = self.views.entry(host.clone()).or_default();
         let is_fetching = (0..self.stored.len()).any(|n| report.fetching_from_origin.has(n));
         view.responded_at = Some(now);
@@ -528,13 +551,52 @@
         view.uploads = report.uploads;
     }
 
-    /// Records a chunk that arrived and matches its hash.
-    pub fn record_arrival(&mut self, now: Moment, chunk: usize, source: &Source) {
-        self.record_end(chunk, source);
+    /// Records a chunk that is stored already.
+    pub fn record_stored(&mut self, chunk: usize) {
         if !std::mem::replace(&mut self.stored[chunk], true) {
             self.missing -= 1;
         }
+    }
+
+    /// Records a chunk that arrived and matches its hash.
+    pub fn record_arrival(&mut self, now: Moment, chunk: usize, source: &Source) {
+        self.record_end(chunk, source);
+        self.record_stored(chunk);
         self.last_progress = now;
+        if *source == Source::Origin {
+            self.record_origin_response(now, now);
+        }
+    }
+
+    /// Records that a chunk arrived from the origin at `at`. If it did not respond before, the missing chunks are
+    /// scheduled anew from now on.
+    fn record_origin_response(&mut self, now: Moment, at: Moment) {
+        let was_down = self.origin.is_down();
+        self.origin.record_response(at);
+        if was_down && !self.origin.is_down() {
+            let known = self.known_chunks();
+            self.schedule.restart(now, |chunk| !known.has(chunk));
+            self.origin_avoid_until = now;
+        }
+    }
+
+    /// The chunks that are stored, here or at a peer.
+    fn known_chunks(&self) -> ChunkMap {
+        let mut known = self.stored_map();
+        self.views
+            .values()
+            .for_each(|view| known.merge(&view.stored));
+        known
+    }
+
+    /// Whether this host is one of those that find out when the origin is back: it fetches one of the first chunks that
+    /// no host is known to store.
+    fn probes_origin(&self) -> bool {
+        let known = self.known_chunks();
+        let missing = (0..self.stored.len()).filter(|chunk| !known.has(*chunk));
+        missing
+            .take(ORIGIN_PROBES)
+            .any(|chunk| self.owners.fleet[chunk] == self.host || self.replacing.contains(&chunk))
     }
 
     /// Records a failed fetch, and avoids its source for some time.
@@ -554,8 +616,13 @@
         match source {
             Source::Origin => {
                 // The origin has no substitute, so fetches from it are only delayed briefly.
-                let delay = Moment::from_millis(self.rng.random_range(50..250));
+                let delay = Moment::from_millis(self.rng.random_range(50..150));
                 self.origin_avoid_until = now + delay;
+                self.origin.failed_at = Some(now);
+                if !self.probes_origin() {
+                    let delay = RETRY_INTERVAL.mul_f64(self.rng.random_range(0.5..1.5));
+                    self.origin_avoid_until = now + delay;
+                }
             }
             Source::Peer { host, .. } => {
                 let view = self.views.entry(host.clone()).or_default();
--- a/crates/policy/src/fetch/source_selection.rs
+++ b/crates/policy/src/fetch/source_selection.rs
@@ -35,21 +35,15 @@
         if !self.survey_complete(now) {
             return None;
         }
-        if self.owners.fleet[chunk] == self.host {
-            let holder = || self.any_holder(now, chunk, draw);
-            if now < self.started + self.origin_spacing * chunk as u32 {
-                return holder();
-            }
-            return self.origin(now).or_else(holder);
+        if self.owners.fleet[chunk] == self.host || self.replacing.contains(&chunk) {
+            // Another host may have replaced this one while it was lost.
+            let holder = self.any_holder(now, chunk, draw);
+            return holder.or_else(|| self.scheduled_origin(now, chunk));
         }
         let expected = self.expected_holder(chunk);
         if self.owners.local[chunk] == self.host && self.can_send(now, expected, chunk) {
             return self.peer(expected);
         }
-        if self.replacing.contains(&chunk) {
-            let holder = self.any_holder(now, chunk, draw);
-            return holder.or_else(|| self.origin(now));
-        }
         if self.may_bypass(now, expected) {
             return self.any_holder(now, chunk, draw);
         }
@@ -211,6 +205,12 @@
         available.then_some(Source::Origin)
     }
 
+    /// The origin, if it is available and the turn of the chunk has come.
+    fn scheduled_origin(&self, now: Moment, chunk: usize) -> Option<Source> {
+        let due = self.schedule.due(chunk, self.origin_spacing);
+        (now >= due).then(|| self.origin(now)).flatten()
+    }
+
     fn peer(&self, host: &SmolStr) -> Option<Source> {
         let (address, _) = self.peers.get(host)?;
         Some(Source::Peer {
--- a/crates/policy/src/version_queue.rs
+++ b/crates/policy/src/version_queue.rs
@@ -13,6 +13,10 @@
 /// time for both in sequence, and the newer version may never arrive.
 const FINISH_THRESHOLD: f64 = 0.2;
 
+/// Time without a chunk after which a fetch past [`FINISH_THRESHOLD`] yields to that of a newer version after all. Its
+/// missing chunks may have no source, while the newer version has one.
+const MAX_IDLE_TIME: Moment = Moment::from_millis(300);
+
 /// The order of fetches when a version is superseded before it is complete.
 ///
 /// The newest version has priority. A fetch that has passed [`FINISH_THRESHOLD`] is still finished, and an
@@ -23,6 +27,8 @@
     stalled_until: HashMap<V, Moment>,
     /// When a manifest was first found missing, by version.
     manifest_missing_since: HashMap<V, Moment>,
+    /// Number of stored chunks of each version, as last recorded.
+    stored: HashMap<V, usize>,
 }
 
 impl<V> Default for VersionQueue<V> {
@@ -30,6 +36,7 @@
         Self {
             stalled_until: HashMap::new(),
             manifest_missing_since: HashMap::new(),
+            stored: HashMap::new(),
         }
     }
 }
@@ -41,6 +48,22 @@
             .insert(version.clone(), now + STALLED_BACKOFF);
     }
 
+    /// Records the number of stored chunks of a version. A stalled one that has more than before can be fetched again.
+    pub fn record_stored(&mut self, version: &V, stored: usize) {
+        let before = self.stored.insert(version.clone(), stored).unwrap_or(0);
+        if stored > before {
+            self.stalled_until.remove(version);
+        }
+    }
+
+    /// Forgets all versions that are not `missing`.
+    pub fn retain(&mut self, missing: &[V]) {
+        self.stalled_until.retain(|v, _| missing.contains(v));
+        self.manifest_missing_since
+            .retain(|v, _| missing.contains(v));
+        self.stored.retain(|v, _| missing.contains(v));
+    }
+
     /// Records that the manifest of a version was requested and not received.
     pub fn record_missing_manifest(&mut self, now: Moment, version: &V) {
         let since = *self
@@ -66,16 +89,16 @@
     }
 
     /// Whether the fetch of a version, of which `stored` of `total` chunks are stored, should yield to that
-    /// of another `missing` version.
+    /// of another `missing` version. The last chunk arrived `idle` ago.
     pub fn should_yield(
         &self,
         now: Moment,
         version: &V,
         missing: &[V],
-        stored: usize,
-        total: usize,
+        (stored, total): (usize, usize),
+        idle: Moment,
     ) -> bool {
-        let finish = stored as f64 >= FINISH_THRESHOLD * total as f64;
+        let finish = stored as f64 >= FINISH_THRESHOLD * total as f64 && idle < MAX_IDLE_TIME;
         !finish
             && self
                 .next_version(now, missing)
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -14,15 +14,36 @@
     let queue = VersionQueue::default();
 
     assert_eq!(queue.next_version(millis(0), &[3, 2]), Some(&3));
-    assert!(queue.should_yield(millis(0), &2, &[3, 2], 10, 64));
+    assert!(queue.should_yield(millis(0), &2, &[3, 2], (10, 64), millis(0)));
 }
 
 #[test]
 fn a_fetch_past_the_finish_threshold_is_finished_first() {
     let queue = VersionQueue::default();
 
-    assert!(!queue.should_yield(millis(0), &2, &[3, 2], 32, 64));
-    assert!(!queue.should_yield(millis(0), &2, &[3, 2], 13, 64));
+    assert!(!queue.should_yield(millis(0), &2, &[3, 2], (32, 64), millis(0)));
+    assert!(!queue.should_yield(millis(0), &2, &[3, 2], (13, 64), millis(0)));
+}
+
+// Guards against a fetch that lacks two chunks whose owners moved on, and holds up a newer version whose chunks all arrived:
+// the first engine got that one 3.5 s after its last chunk had been fetched from the origin.
+#[test]
+fn a_fetch_without_progress_yields_to_a_newer_version() {
+    let queue = VersionQueue::default();
+
+    assert!(queue.should_yield(millis(0), &2, &[3, 2], (46, 48), millis(300)));
+}
+
+#[test]
+fn a_fetch_without_progress_goes_on_while_the_newer_version_is_stalled() {
+    let mut queue = VersionQueue::default();
+    queue.mark_stalled(millis(0), &3);
+
+    let before = queue.should_yield(millis(100), &2, &[3, 2], (46, 48), millis(300));
+    queue.record_stored(&3, 1);
+
+    assert!(!before);
+    assert!(queue.should_yield(millis(100), &2, &[3, 2], (46, 48), millis(300)));
 }
 
 #[test]
@@ -72,7 +93,7 @@
             .next_version(millis(200), &missing)
             .expect("versions are missing");
 
-        assert!(!queue.should_yield(millis(200), next, &missing, 0, 64));
+        assert!(!queue.should_yield(millis(200), next, &missing, (0, 64), millis(0)));
     }
 }
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -168,6 +168,10 @@
     /// Chunks that the sidecar is fetching from the origin.
     #[serde(rename = "drawing", default)]
     pub fetching_from_origin: ChunkMap,
+    /// Time since a chunk arrived from the origin last, at the sidecar or at one that told it, in milliseconds; absent
+    /// if that is not known.
+    #[serde(default)]
+    pub origin_age_ms: Option<u32>,
 }
 
 /// Asks an earlier owner of an idempotency key to release it.
