--- a/crates/daemon/src/sidecar/weights/events.rs
+++ b/crates/daemon/src/sidecar/weights/events.rs
@@ -140,7 +140,7 @@
             rng,
         );
         for chunk in (0..chunks).filter(|chunk| stored.has(*chunk)) {
-            plan.record_arrival(now, chunk, &Source::Origin);
+            plan.record_stored(chunk);
         }
         let complete = plan.missing_count() == 0;
         self.plan = Some(plan);
@@ -178,7 +178,7 @@
             Some(ReceivedChunk { buf, sender_chunks }) => {
                 if let (Source::Peer { host, .. }, Some(chunks)) = (&fetched.source, sender_chunks)
                 {
-                    plan.record_peer_state(host, chunks);
+                    plan.record_peer_state(now, host, chunks);
                 }
                 let bytes = buf.len() as u64;
                 context.record_fetched_bytes(&fetched.source, bytes);
