--- a/crates/policy/src/dispatch/contention.rs
+++ b/crates/policy/src/dispatch/contention.rs
@@ -35,9 +35,9 @@
 /// Relative reduction of the window for each late first event. With [`GROWTH`], one in three may be late: some are late
 /// for another reason than load, since hosts differ in speed and change it.
 const REDUCTION: f64 = 0.02;
-/// Smallest window as a fraction of the even share of the slots; slots are not left idle by entries that
-/// observe late first events for another reason than load.
-const MIN_WINDOW_FRACTION: f64 = 0.8;
+/// Smallest window as a multiple of the even share of the slots. With fewer requests than slots and some that wait
+/// there, upstreams would idle between the end of a request and the arrival of the next one.
+const MIN_WINDOW_FACTOR: f64 = 1.25;
 /// Largest window as a multiple of the even share, since callers are distributed unevenly to entries.
 const MAX_WINDOW_FACTOR: f64 = 4.0;
 /// The window counts as used up from this fraction of it on.
@@ -49,6 +49,9 @@
 const LESS_URGENT_FRACTION: f64 = 0.1;
 /// Largest number of requests that less urgent ranks may be owed.
 const MAX_OWED: f64 = 3.0;
+/// Fraction of the rate of departures that is assumed for a rank, even if more urgent requests arrive as fast: some of
+/// these are refused, and a burst of them ends while the request waits.
+const MIN_RATE_FRACTION: f64 = 0.3;
 /// Requests that wait for one service at most. A caller leaves within seconds, and a fleet serves some hundred
 /// requests per second, so no request further back would be served.
 pub const MAX_WAITING: usize = 2_000;
@@ -146,7 +149,7 @@
         let fair_share = fair_share.max(1.0);
         Self {
             fair_share,
-            window: fair_share,
+            window: fair_share * MIN_WINDOW_FACTOR,
             unseen_wait: Average::default(),
             first_event: Average::default(),
             arrivals: [Rate::default(); RANKS],
@@ -215,7 +218,7 @@
             took_ms if took_ms < limit_ms * FAST_FRACTION => 1.0 + FAST_GROWTH,
             _ => 1.0 + GROWTH,
         };
-        let least = (self.fair_share * MIN_WINDOW_FRACTION).max(1.0);
+        let least = self.fair_share * MIN_WINDOW_FACTOR;
         let most = self.fair_share * MAX_WINDOW_FACTOR;
         self.window = (self.window * factor).clamp(least, most);
     }
@@ -242,7 +245,7 @@
     ) -> Moment {
         let departures = self.departures.per_s(now).max(1.0);
         let available = (departures - self.more_urgent_per_s(now, rank)).max(0.0);
-        let by_rank = (ahead as f64 + 1.0) / available.max(departures * LESS_URGENT_FRACTION);
+        let by_rank = (ahead as f64 + 1.0) / available.max(departures * MIN_RATE_FRACTION);
         let owed = (same_rank_ahead as f64 + 1.0) / (departures * LESS_URGENT_FRACTION);
         Moment::from_secs_f64(by_rank.min(owed))
     }
