--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod second_copy;
 mod service_time;
+mod slow_fleet;
 mod steady_load;
 mod subsets;
 mod versions;
