--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -122,6 +122,12 @@
         /// Id of the upstream that would have been selected if its limit allowed another request.
         #[serde(skip_serializing_if = "Option::is_none")]
         instead_of: Option<SmolStr>,
+        /// The relative service time that the upstream stated last, in percent.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        service_time_percent: Option<u32>,
+        /// Time in milliseconds since it was stated.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        service_time_age_ms: Option<u64>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -153,6 +159,23 @@
         /// What follows: `tries-another`, or why nothing does: `no-attempt` or `no-retry`.
         decision: &'static str,
     },
+    /// A second copy of a request was due, since its upstream is slow.
+    SecondCopy {
+        /// Id of the request.
+        id: SmolStr,
+        /// Id of the slow upstream.
+        upstream: SmolStr,
+        /// Time in milliseconds since the request was sent there.
+        waited_ms: u64,
+        /// The relative service time that the upstream stated last, in percent.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        service_time_percent: Option<u32>,
+        /// Time in milliseconds since it was stated.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        service_time_age_ms: Option<u64>,
+        /// What follows: `sent`, or why nothing does: `no-retry`.
+        decision: &'static str,
+    },
     /// The connection to an upstream broke under a request, as it does if the upstream crashes.
     UpstreamBroke {
         /// Id of the request.
@@ -288,7 +311,8 @@
             | Self::Answered { id, once, .. } => (!once).then_some(id),
             Self::UpstreamBackoff { id, .. }
             | Self::UpstreamBroke { id, .. }
-            | Self::UpstreamSilent { id, .. } => Some(id),
+            | Self::UpstreamSilent { id, .. }
+            | Self::SecondCopy { id, .. } => Some(id),
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::PromptPart { .. }
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -27,7 +27,7 @@
     caller_request::CallerRequest,
     context::{GatewayContext, InFlightRequest},
     crash_evidence::BrokenAttempt,
-    next_attempt::{NextAttempt, NEXT_ATTEMPT_INTERVAL},
+    next_attempt::{NextAttempt, SecondCopy},
     pending::{self, PendingAttempt, PendingResult},
     response::{self, FinalResponse, ResponseReason, ResponseRelay},
     send::{self, SendError, UpstreamResponse},
@@ -59,6 +59,8 @@
     Started(Result<Option<PendingAttempt>, Failure>),
     /// Every upstream that has the request has been silent for too long.
     Silent,
+    /// A second copy may be due.
+    Assess,
 }
 
 /// One request and its attempts at upstreams.
@@ -76,6 +78,10 @@
     reached_upstream: bool,
     /// Whether a retry was taken from the budget and not yet used to send the request to an upstream.
     retry_reserved: bool,
+    /// The copy that is sent because the first upstream is slow.
+    pub second_copy: SecondCopy,
+    /// Whether another upstream was selected before the request was sent, because the first one was slow.
+    pub reselected: bool,
 }
 
 /// Serves an admitted request.
@@ -147,6 +153,8 @@
             run_count: 0,
             reached_upstream: false,
             retry_reserved: false,
+            second_copy: SecondCopy::None,
+            reselected: false,
         }
     }
 
@@ -188,8 +196,10 @@
             };
             next = match step {
                 Step::Ended(attempt, result) => {
+                    let second_copy = attempt.second_copy;
                     let result = self.conclude(attempt, result);
                     if let Some(response) = self.select_response(result, &pending)? {
+                        self.record_first_response(second_copy, &pending);
                         return Ok(response);
                     }
                     self.next_after_silence(&pending)
@@ -204,10 +214,9 @@
                 }
                 Step::Started(Ok(None)) => NextAttempt::Never,
                 Step::Started(Err(failure)) if pending.is_empty() => return Err(failure),
-                Step::Started(Err(_)) => {
-                    NextAttempt::AfterSilence(self.context.now() + NEXT_ATTEMPT_INTERVAL)
-                }
+                Step::Started(Err(_)) => self.next_after_refusal(&pending),
                 Step::Silent => self.replace_silent(&mut pending),
+                Step::Assess => self.next_after_silence(&pending),
             };
         }
     }
@@ -219,6 +228,10 @@
                 actix_rt::time::sleep(at.saturating_sub(self.context.now())).await;
                 Step::Silent
             }
+            NextAttempt::AssessAt(at) => {
+                actix_rt::time::sleep(at.saturating_sub(self.context.now())).await;
+                Step::Assess
+            }
             NextAttempt::Never => future::pending().await,
         }
     }
@@ -347,6 +360,9 @@
             self.log_failed_attempt(&upstream, "not-sent", detail);
             return Ok(None);
         }
+        if self.reselects(&in_flight, &upstream) {
+            return Ok(None);
+        }
         if !in_flight.may_be_sent(&self.requirements) {
             let detail =
                 "the upstream became unavailable or limited while the connection was opened"
@@ -370,6 +386,7 @@
             upstream,
             sent_at: self.context.now(),
             silent: false,
+            second_copy: self.take_second_copy(),
             in_flight,
             served,
             response: send::send(tcp, req).boxed_local(),
@@ -421,6 +438,11 @@
     ) {
         let start_deadline = served.and_then(|(_, served)| served.start_deadline);
         let now = self.context.now();
+        let stated = in_flight.stated_service_time();
+        if let Some(stated) = stated {
+            let age = &self.context.metrics.mesh.service_time_age;
+            age.observe(stated.age.as_secs_f64());
+        }
         self.context.cluster_view.events.emit(&Event::Sent {
             id: self.request.id.clone(),
             upstream: upstream.id.clone(),
@@ -430,6 +452,8 @@
             begin_within_ms: start_deadline
                 .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
             instead_of: in_flight.instead_of(),
+            service_time_percent: stated.map(|stated| stated.percent),
+            service_time_age_ms: stated.map(|stated| stated.age.as_millis() as u64),
             once: self.request.runs_at_most_once(),
         });
     }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -13,9 +13,9 @@
 use balsamjunction_platform::headers::InstanceLoad;
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, LoadReport,
-        RequestRequirements, SelectedUpstream, ServedVersion, UpstreamCondition, UpstreamKey,
-        WaitKey,
+        AttemptOutcome, AwaitedResponse, DispatchDecision, DispatchRefusal, Dispatcher, LoadReport,
+        RequestRequirements, SecondCopyDecision, SelectedUpstream, ServedVersion,
+        StatedServiceTime, UpstreamCondition, UpstreamKey, WaitKey,
     },
     retry_window::{RetryWindowSettings, WindowedRetryBudget},
     silence::ResponseTimes,
@@ -463,6 +463,45 @@
             && dispatcher.confirm_send(now, &self.selected)
     }
 
+    /// Decides whether a second copy of the request is sent, which was sent at `sent_at`; upstreams of the service
+    /// respond within `usual` at present.
+    pub fn decide_second_copy(
+        &self,
+        sent_at: Moment,
+        usual: Duration,
+        requirements: &RequestRequirements,
+    ) -> SecondCopyDecision {
+        let now = self.context.now();
+        let awaited = AwaitedResponse {
+            selected: &self.selected,
+            sent_at,
+            usual,
+        };
+        lock(&self.context.dispatch)
+            .dispatcher
+            .decide_second_copy(now, &awaited, requirements)
+    }
+
+    /// Returns the value by which the upstream stated since it was selected that it is slow, if another one is not.
+    pub fn find_slow_since_selection(
+        &self,
+        requirements: &RequestRequirements,
+    ) -> Option<StatedServiceTime> {
+        let now = self.context.now();
+        lock(&self.context.dispatch)
+            .dispatcher
+            .find_slow_since_selection(now, &self.selected, requirements)
+    }
+
+    /// Returns the relative service time that the upstream stated last.
+    pub fn stated_service_time(&self) -> Option<StatedServiceTime> {
+        let now = self.context.now();
+        let dispatch = lock(&self.context.dispatch);
+        dispatch
+            .dispatcher
+            .stated_service_time(now, self.selected.upstream)
+    }
+
     /// Returns the version of a model that the upstream serves, if it is known.
     pub fn served_version(&self, model: &str) -> Option<ServedVersion> {
         let dispatch = lock(&self.context.dispatch);
--- a/crates/daemon/src/gateway/pending.rs
+++ b/crates/daemon/src/gateway/pending.rs
@@ -34,6 +34,8 @@
     pub sent_at: Moment,
     /// Whether the upstream has been silent for too long.
     pub silent: bool,
+    /// Whether it was sent because the upstream of the first copy is slow.
+    pub second_copy: bool,
     /// Counts the request at the upstream.
     pub in_flight: InFlightRequest,
     /// The requested model and the version that the upstream served when the request was sent.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -87,6 +87,12 @@
     pub limit_detours: Counter,
     /// Upstreams that were silent for too long under a request, by what was done.
     pub silences: Family<StateLabels, Counter>,
+    /// Age of the relative service time of the selected upstream, in seconds, if it states one.
+    pub service_time_age: Histogram,
+    /// Second copies of requests whose first upstream was slow, by what became of them.
+    pub second_copies: Family<StateLabels, Counter>,
+    /// Requests for which another upstream was selected before they were sent, since the first one was slow.
+    pub reselections: Counter,
     /// Interruptions of streams, by cause and by what became of the stream.
     pub stream_interruptions: Family<StateLabels, Counter>,
 }
@@ -116,6 +122,9 @@
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
             silences: Family::default(),
+            service_time_age: times(),
+            second_copies: Family::default(),
+            reselections: Counter::default(),
             stream_interruptions: Family::default(),
         };
         let m = &metrics;
@@ -129,7 +138,10 @@
         let left = "Retries left in the window";
         r.register("retries_left", left, m.retries_left.clone());
         let age = "Age of the facts";
-        r.register_with_unit("facts_age", age, seconds, m.facts_age.clone());
+        r.register_with_unit("facts_age", age, seconds.clone(), m.facts_age.clone());
+        let age = "Age of the relative service time of the selected upstream";
+        let ages = m.service_time_age.clone();
+        r.register_with_unit("service_time_age", age, seconds, ages);
         let up = "Processes believed to be up, by role";
         r.register("members", up, m.members.clone());
         r.register("upstreams", "Upstreams by state", m.upstreams.clone());
@@ -158,6 +170,11 @@
         r.register("limit_detours", detours, m.limit_detours.clone());
         let silences = "Silent upstreams by what was done";
         r.register("silences", silences, m.silences.clone());
+        let copies = "Second copies of requests at slow upstreams by what became of them";
+        r.register("second_copies", copies, m.second_copies.clone());
+        let reselected =
+            "Requests sent to another upstream than the one selected, since it was slow";
+        r.register("reselections", reselected, m.reselections.clone());
         let interrupted = "Interruptions of streams by cause";
         let interruptions = m.stream_interruptions.clone();
         r.register("stream_interruptions", interrupted, interruptions);
