--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -113,6 +113,7 @@
     leaving: bool,
     retry_after: Option<SmolStr>,
     limit: Option<SmolStr>,
+    service_time_percent: Option<u32>,
     deadly_parts: Vec<SmolStr>,
     crash_times: Vec<Instant>,
     arrival_times: Vec<Instant>,
@@ -151,6 +152,8 @@
 
 /// The first start time that every engine reports, in milliseconds since the Unix epoch.
 const FIRST_START_MS: u64 = 1_700_000_000_000;
+/// Longest part of a request's work that is done at one speed.
+const WORK_STEP: Duration = Duration::from_millis(5);
 /// The name of the model that engines serve.
 const MODEL: &str = "m1";
 
@@ -216,6 +219,12 @@
         self.state().limit = limit.map(SmolStr::new);
     }
 
+    /// Sets the relative service time that responses state from now on, also of requests in progress, and at which
+    /// responses that are not streamed are produced. They state none if absent, at nominal speed.
+    pub fn set_service_time(&self, percent: Option<u32>) {
+        self.state().service_time_percent = percent;
+    }
+
     /// Makes the engine crash, which breaks all its streams, when it begins a stream whose prompt contains one of the
     /// parts `ids`, unless that is the last part. It is back at once with a later start time.
     pub fn set_deadly_parts(&self, ids: &[&str]) {
@@ -493,7 +502,7 @@
             Response::new(stream.into_body())
         }
         _ => {
-            actix_rt::time::sleep(options.pause).await;
+            work(state, options.pause).await;
             lock(state).runs[run].finished = true;
             Response::new(full_body("done"))
         }
@@ -503,7 +512,11 @@
         _ => id.as_str(),
     };
     set_header(&mut response, "balsamjunction-attempt-id", attempt_id);
-    set_header(&mut response, "balsamjunction-instance-load", "1,0,4");
+    let load = match lock(state).service_time_percent {
+        Some(percent) => format!("1,0,4,{percent}"),
+        None => "1,0,4".to_owned(),
+    };
+    set_header(&mut response, "balsamjunction-instance-load", &load);
     if fault != EngineFault::MissingSignature {
         set_header(
             &mut response,
@@ -546,6 +559,17 @@
     }
 }
 
+/// Takes `nominal` at the nominal speed, and more or less as the relative service time changes meanwhile.
+async fn work(state: &Mutex<State>, nominal: Duration) {
+    let mut remaining = nominal;
+    while !remaining.is_zero() {
+        let percent = lock(state).service_time_percent.unwrap_or(100);
+        let step = remaining.min(WORK_STEP);
+        actix_rt::time::sleep(step * percent / 100).await;
+        remaining -= step;
+    }
+}
+
 /// Records that execution of a request starts now; returns the index of the run.
 fn record_start(state: &Mutex<State>, run: Run) -> usize {
     let mut state = lock(state);
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod planned_stops;
 mod requests;
 mod restored_store;
+mod service_time;
 mod silence;
 mod soak;
 mod streams;
