--- a/crates/policy/tests/dispatch/service_time.rs
+++ b/crates/policy/tests/dispatch/service_time.rs
@@ -1,5 +1,7 @@
 //! Upstreams that state how long work takes on their host at the moment.
 
+use proptest::prelude::*;
+
 use super::*;
 
 /// A cluster with plain upstreams `p0` and `p1`, and their keys.
@@ -179,3 +181,34 @@
     assert!((400..2_500).contains(&avoided[1]), "{avoided:?}");
     assert!(avoided[2] > 2_500, "{avoided:?}");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: prop::test_runner::RngSeed::Fixed(35),
+        ..ProptestConfig::default()
+    })]
+
+    /// Any history of stated and observed times keeps the estimate within the bounds of a slowdown, and the upstream in
+    /// use.
+    #[test]
+    fn any_history_keeps_the_estimate_within_its_bounds(
+        events in prop::collection::vec((0u64..3_000, any::<u32>(), 0.0..1e6f64), 1..60),
+    ) {
+        let mut cluster = TestCluster::new();
+        cluster.register(millis(0), plain_record("p0"));
+        let key = key_of(&mut cluster, "order-desk", "p0");
+        let mut now = millis(1);
+        for (wait_ms, percent, took_ms) in events {
+            now += millis(wait_ms);
+            let selected = cluster.try_send(now, plain_request(now));
+            prop_assert!(selected.is_some());
+            state(&mut cluster, now, key, percent);
+            for selected in selected {
+                prop_assert!((0.8 * 20.0..=8.0 * 20.0).contains(&selected.expected_ms));
+                let dispatcher = &mut cluster.dispatcher;
+                dispatcher.record_first_event(now, &selected, 0.0, took_ms);
+                dispatcher.record_outcome(now, key, 0.0, AttemptOutcome::Served);
+            }
+        }
+    }
+}
