--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -261,6 +261,13 @@
         times.silence_limit(now, floor)
     }
 
+    /// Returns the time within which upstreams of a service usually begin their responses; zero if that is unknown.
+    pub fn usual_response_time(&self, service: &SmolStr) -> Duration {
+        let response_times = lock(&self.response_times);
+        let usual = response_times.get(service).and_then(ResponseTimes::usual);
+        usual.unwrap_or_default()
+    }
+
     /// Records the limit that a response of an upstream states, or that it states none, for a request sent
     /// at `sent_at`; returns whether the limit changed.
     pub fn record_limit(
@@ -464,7 +471,7 @@
     }
 
     /// Decides whether a second copy of the request is sent, which was sent at `sent_at`; upstreams of the service
-    /// respond within `usual` at present.
+    /// usually respond within `usual`.
     pub fn decide_second_copy(
         &self,
         sent_at: Moment,
--- a/crates/daemon/src/gateway/next_attempt.rs
+++ b/crates/daemon/src/gateway/next_attempt.rs
@@ -113,7 +113,7 @@
             return SecondCopyDecision::Never;
         }
         let service = &self.request.service;
-        let usual = self.context.silence_limit(service, Duration::ZERO);
+        let usual = self.context.usual_response_time(service);
         first
             .in_flight
             .decide_second_copy(first.sent_at, usual, &self.requirements)
--- a/crates/policy/src/dispatch/second_copy.rs
+++ b/crates/policy/src/dispatch/second_copy.rs
@@ -27,7 +27,7 @@
     pub selected: &'a SelectedUpstream,
     /// When the request was sent.
     pub sent_at: Moment,
-    /// Time within which upstreams of the service respond at present; zero if that is unknown.
+    /// Time within which upstreams of the service usually respond; zero if that is unknown.
     pub usual: Moment,
 }
 
@@ -71,7 +71,9 @@
             return SecondCopyDecision::Never;
         }
         let slow_from = SLOW_FACTOR * other_slowdown;
-        let overdue_after = from_ms(slow_from * awaited.selected.nominal_ms).max(awaited.usual);
+        // What is expected of a plain service is a guess, so a request is overdue only if it also takes longer than usual.
+        let expected = from_ms(slow_from * awaited.selected.nominal_ms);
+        let overdue_after = expected.max(awaited.usual.mul_f64(SLOW_FACTOR));
         let stated_slow = self.slowdown(now, key) >= slow_from;
         let overdue = now.saturating_sub(awaited.sent_at) >= overdue_after;
         match other.fits && (stated_slow || overdue) {
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -15,10 +15,16 @@
 /// Age of the last sample above which the samples say nothing about the present.
 const MAX_SAMPLE_AGE: Moment = Moment::from_secs(3);
 
+/// Fraction of the responses that take at most the usual time.
+const USUAL_QUANTILE: f64 = 0.75;
+/// Largest relative step of the usual time at one sample. A single long response raises it by 15%.
+const USUAL_GAIN: f64 = 0.2;
+
 /// The times that the upstreams of one service took to begin their responses, smoothed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ResponseTimes {
     smoothed: Option<Smoothed>,
+    usual_s: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +56,19 @@
             },
         };
         self.smoothed = Some(smoothed);
+        let usual_s = self.usual_s.unwrap_or(took_s);
+        // Stochastic approximation of a quantile: the steps balance where the fraction of longer samples is one minus it.
+        let step = match took_s > usual_s {
+            true => USUAL_QUANTILE,
+            false => USUAL_QUANTILE - 1.0,
+        };
+        self.usual_s = Some(usual_s * (1.0 + USUAL_GAIN * step));
+    }
+
+    /// Returns the time within which three of four responses begin, as far as it is known. Unlike
+    /// [`Self::silence_limit`], it hardly depends on how long the longest ones take.
+    pub fn usual(&self) -> Option<Moment> {
+        self.usual_s.map(Moment::from_secs_f64)
     }
 
     /// Returns the silence after which a request is also sent to another upstream: `floor`, or longer while the
--- a/crates/policy/tests/dispatch/slow_fleet.rs
+++ b/crates/policy/tests/dispatch/slow_fleet.rs
@@ -259,6 +259,7 @@
             with.at_slow < without.at_slow * most && with.refused == 0,
             "{entries}: {with:?} against {without:?}"
         );
+        assert!(with.mean_ms < without.mean_ms * 1.03, "{entries}");
     }
 }
 
--- a/crates/policy/tests/silence.rs
+++ b/crates/policy/tests/silence.rs
@@ -88,3 +88,26 @@
 
     assert_eq!(times.silence_limit(ms(5_000), FLOOR), FLOOR);
 }
+
+// Guards against a few long responses after which every other one counts as usual.
+#[test]
+fn the_usual_time_follows_most_responses_and_not_the_longest() {
+    let mut times = ResponseTimes::default();
+    let usual = |times: &ResponseTimes| times.usual().expect("there are samples");
+    assert_eq!(times.usual(), None);
+
+    for n in 0..200 {
+        let took = match n % 10 {
+            9 => ms(1_000),
+            _ => ms(20),
+        };
+        times.record(ms(n * 20), took);
+    }
+    let with_outliers = usual(&times);
+    for n in 200..300 {
+        times.record(ms(n * 20), ms(100));
+    }
+
+    assert!((ms(15)..=ms(30)).contains(&with_outliers));
+    assert!((ms(85)..=ms(120)).contains(&usual(&times)));
+}
