Account of the memory and descriptors that callers hold

Decides which bodies are admitted, which connection is closed when connections run short, and when connections without progress end. Not used yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! typed actions or decisions. Sockets, clocks and global random sources stay outside, so that tests
 //! exercise the same code that the daemon runs. See docs/DESIGN.md, "Decisions".
 
+pub mod caller_account;
 pub mod crash;
 pub mod crash_suspects;
 pub mod declaration;
