Gateways bound what callers hold

Callers' connections are charged to the account. One request head at a time is passed on to the HTTP server, which parses all that it has read; nothing is read while a request waits or its response is unread.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -102,6 +102,15 @@
         /// The revision up to which the facts of this process were complete in the era before.
         previous_revision: u64,
     },
+    /// Connections or bodies of callers were ended, since they held resources without progress.
+    CallersClosed {
+        /// Why, such as `slow-head`.
+        reason: &'static str,
+        /// Their number since the last such line, which is at least 100 ms ago.
+        connections: u64,
+        /// Memory that all callers held before, in bytes.
+        held_bytes: u64,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// Id of the request.
@@ -298,6 +307,7 @@
             | Self::VersionPublished { .. }
             | Self::Dependency { .. }
             | Self::StreamBroken { .. }
+            | Self::CallersClosed { .. }
             | Self::Weights { .. } => None,
         }
     }
--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -1,19 +1,23 @@
 //! Admits a caller's request: checks its size, finds its route and verifies its API key.
 
 use std::{
+    future::poll_fn,
+    pin::Pin,
     sync::{atomic::Ordering, Arc},
+    task::Poll,
     time::Duration,
 };
 
 use actix_web::{
+    error::PayloadError,
     http::StatusCode,
     web::{Data, Payload},
-    HttpRequest, HttpResponse,
+    HttpMessage, HttpRequest, HttpResponse,
 };
 use balsamjunction_directory::{ApiKeyOwner, Route, RouteTable};
 use balsamjunction_policy::Moment;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::Stream;
 use hyper::Method;
 use rand::Rng;
 use smol_str::SmolStr;
@@ -21,6 +25,7 @@
 use super::{
     attempts::{self, STOPPING_RETRY_AFTER},
     caller_request::{self, CallerRequest},
+    callers::CallerConnection,
     context::GatewayContext,
     response::{self, FinalResponse, ResponseReason},
 };
@@ -29,22 +34,39 @@
 const MIN_TIMEOUT: Duration = Duration::from_millis(1);
 /// A process without a configuration usually receives one in about this time.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Capacity that is reserved with the first chunk of a body.
+/// Capacity for a chunked body at its start; it doubles when it is used up.
 const INITIAL_BODY_CAPACITY_BYTES: usize = 1_024;
+/// Memory for the parsed chunks of a chunked body, in bytes: a piece of 8 KiB holds up to 1,365 chunks of one byte,
+/// whose queue takes 32 bytes for each.
+const CHUNK_QUEUE_BYTES: u64 = 60 * 1_024;
+/// Time until bodies that make no progress have ended while memory is short.
+const MEMORY_FULL_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// A guard that counts a request as in progress until it is dropped.
-pub struct InProgress(Arc<GatewayContext>);
+pub struct InProgress {
+    context: Arc<GatewayContext>,
+    connection: Option<Arc<CallerConnection>>,
+}
 
 impl InProgress {
-    fn start(context: Arc<GatewayContext>) -> Self {
+    fn start(context: Arc<GatewayContext>, connection: Option<Arc<CallerConnection>>) -> Self {
         context.in_progress.fetch_add(1, Ordering::AcqRel);
-        Self(context)
+        if let Some(connection) = &connection {
+            connection.begin_request();
+        }
+        Self {
+            context,
+            connection,
+        }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+        self.context.in_progress.fetch_sub(1, Ordering::AcqRel);
+        if let Some(connection) = &self.connection {
+            connection.end_request();
+        }
     }
 }
 
@@ -83,7 +105,8 @@
     payload: Payload,
 ) -> HttpResponse {
     let context = context.into_inner();
-    let in_progress = InProgress::start(context.clone());
+    let connection = req.conn_data::<Arc<CallerConnection>>().cloned();
+    let in_progress = InProgress::start(context.clone(), connection);
     let arrived_at = context.now();
     let id = caller_request::parse_attempt_id(&req);
     let request = match admit(&req, &context, payload, arrived_at, id.clone()).await {
@@ -144,9 +167,11 @@
     let max_timeout = Duration::from_millis(route.timeout_ms).max(MIN_TIMEOUT);
     let timeout = requested_timeout.unwrap_or(max_timeout).min(max_timeout);
     let limit = table.declaration.limits.max_body_bytes;
-    let body = read_body(payload, limit, timeout)
-        .await
-        .map_err(rejection)?;
+    let caller = api_key_owner.as_ref().map(|owner| &owner.workspace);
+    let workspace = caller.cloned().unwrap_or_default();
+    let body = BodyReader::new(req, payload, workspace, limit);
+    let body = body.map_err(rejection)?.read(timeout).await;
+    let body = body.map_err(rejection)?;
     let method = Method::from_bytes(req.method().as_str().as_bytes())
         .map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, ResponseReason::Malformed))?;
     let path_and_query = req.uri().path_and_query();
@@ -226,40 +251,129 @@
     first.map(|t| t.service.clone()).unwrap_or_default()
 }
 
-/// Reads the complete body, so that it can be sent to another upstream on a retry.
-async fn read_body(
-    mut payload: Payload,
+/// Reads the complete body of a request, so that it can be sent to another upstream on a retry.
+struct BodyReader {
+    payload: Payload,
+    connection: Option<Arc<CallerConnection>>,
+    workspace: SmolStr,
     limit: u64,
-    timeout: Duration,
-) -> Result<Bytes, Rejection> {
-    let mut body = BytesMut::new();
-    let read = async {
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk
-                .map_err(|_| Rejection::new(StatusCode::BAD_REQUEST, ResponseReason::Malformed))?;
-            if (body.len() + chunk.len()) as u64 > limit {
-                return Err(Rejection::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    ResponseReason::BodyTooLong,
-                ));
-            }
-            body.reserve(
-                chunk
-                    .len()
-                    .max(INITIAL_BODY_CAPACITY_BYTES.min(limit as usize)),
-            );
-            body.extend_from_slice(&chunk);
+    body: BytesMut,
+}
+
+impl BodyReader {
+    /// Reserves memory for the declared length, before anything is read.
+    fn new(
+        req: &HttpRequest,
+        payload: Payload,
+        workspace: SmolStr,
+        limit: u64,
+    ) -> Result<Self, Rejection> {
+        let mut reader = Self {
+            payload,
+            connection: req.conn_data::<Arc<CallerConnection>>().cloned(),
+            workspace,
+            limit,
+            body: BytesMut::new(),
+        };
+        if req.chunked().unwrap_or(false) {
+            reader.reserve(CHUNK_QUEUE_BYTES)?;
+        } else if let Some(length) = parse_content_length(req) {
+            reader.grow(length)?;
         }
-        Ok(())
-    };
-    match actix_rt::time::timeout(timeout, read).await {
-        Ok(read) => read?,
-        Err(_) => {
+        Ok(reader)
+    }
+
+    fn reserve(&self, bytes: u64) -> Result<(), Rejection> {
+        let connection = self.connection.as_ref();
+        match connection.is_none_or(|connection| connection.reserve_body(&self.workspace, bytes)) {
+            true => Ok(()),
+            false => Err(Rejection::retryable(
+                ResponseReason::MemoryFull,
+                MEMORY_FULL_RETRY_AFTER,
+            )),
+        }
+    }
+
+    /// Makes room for a body of `length` bytes.
+    fn grow(&mut self, length: u64) -> Result<(), Rejection> {
+        if length > self.limit {
             return Err(Rejection::new(
-                StatusCode::REQUEST_TIMEOUT,
-                ResponseReason::BodyTooSlow,
-            ))
+                StatusCode::PAYLOAD_TOO_LARGE,
+                ResponseReason::BodyTooLong,
+            ));
         }
+        let capacity = self.body.capacity() as u64;
+        if length > capacity {
+            let doubled = (2 * capacity).max(INITIAL_BODY_CAPACITY_BYTES as u64);
+            let new_capacity = match capacity {
+                0 => length,
+                _ => length.max(doubled).min(self.limit),
+            };
+            self.reserve(new_capacity - capacity)?;
+            let additional = new_capacity as usize - self.body.len();
+            self.body.reserve(additional);
+        }
+        Ok(())
+    }
+
+    async fn read(mut self, timeout: Duration) -> Result<Bytes, Rejection> {
+        let too_slow = || Rejection::new(StatusCode::REQUEST_TIMEOUT, ResponseReason::BodyTooSlow);
+        let connection = self.connection.clone();
+        let read = async {
+            let mut waits = false;
+            while let Some(chunk) = self.next_chunk(&mut waits).await {
+                let chunk = chunk.map_err(|_| {
+                    Rejection::new(StatusCode::BAD_REQUEST, ResponseReason::Malformed)
+                })?;
+                let Some(chunk) = chunk else {
+                    return Err(too_slow());
+                };
+                self.grow((self.body.len() + chunk.len()) as u64)?;
+                self.body.extend_from_slice(&chunk);
+            }
+            Ok(self.body.freeze())
+        };
+        let body = match actix_rt::time::timeout(timeout, read).await {
+            Ok(body) => body?,
+            Err(_) => return Err(too_slow()),
+        };
+        if let Some(connection) = connection {
+            connection.end_body();
+        }
+        Ok(body)
+    }
+
+    /// Returns the next part of the body, or `Ok(None)` if there was no progress for too long. The end of the body
+    /// is `None`.
+    async fn next_chunk(
+        &mut self,
+        waits: &mut bool,
+    ) -> Option<Result<Option<Bytes>, PayloadError>> {
+        let mut progressed = true;
+        poll_fn(|cx| {
+            let poll = Pin::new(&mut self.payload).poll_next(cx);
+            if let Poll::Ready(chunk) = poll {
+                return Poll::Ready(chunk.map(|chunk| chunk.map(Some)));
+            }
+            let Some(connection) = &self.connection else {
+                return Poll::Pending;
+            };
+            if !std::mem::replace(waits, true) {
+                connection.begin_body();
+            } else if progressed {
+                connection.record_body_progress();
+            }
+            progressed = false;
+            match connection.body_expired() {
+                true => Poll::Ready(Some(Ok(None))),
+                false => Poll::Pending,
+            }
+        })
+        .await
     }
-    Ok(body.freeze())
+}
+
+fn parse_content_length(req: &HttpRequest) -> Option<u64> {
+    let value = req.headers().get("content-length")?;
+    value.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -25,7 +25,7 @@
 use strum::IntoEnumIterator;
 use tokio::sync::{oneshot, watch, Notify};
 
-use super::lifecycle::StopSignal;
+use super::{callers::Callers, lifecycle::StopSignal};
 use crate::{
     mesh::ClusterView,
     metrics::{Metrics, RefreshGauges, ServiceLabels, StateLabels},
@@ -52,6 +52,8 @@
     pub cluster_view: Arc<ClusterView>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// The connections of callers.
+    pub callers: Arc<Callers>,
     /// Whether the process has been asked to stop.
     pub lifecycle: Lifecycle,
     /// When the process was asked to stop.
@@ -90,8 +92,11 @@
             true => Moment::ZERO,
             false => cluster_view.clock.now() + retry_window.window,
         };
+        let clock = cluster_view.clock;
+        let callers = Callers::new(clock, settings.memory_mb, settings.descriptors);
         Self {
             host: settings.mesh.host.clone(),
+            callers: Arc::new(callers),
             cluster_view,
             metrics,
             lifecycle: Lifecycle::default(),
@@ -313,6 +318,7 @@
 impl RefreshGauges for GatewayContext {
     fn refresh(&self, metrics: &Metrics) {
         self.cluster_view.refresh(metrics);
+        self.callers.refresh(metrics);
         let now = self.now();
         let counts = lock(&self.dispatch).dispatcher.count_by_condition(now);
         for condition in UpstreamCondition::iter() {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod attempts;
 mod caller_request;
+mod callers;
 mod context;
 mod crash_evidence;
 mod event_stream;
@@ -15,9 +16,13 @@
 mod response;
 mod send;
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, future, net::TcpListener, sync::Arc, time::Duration};
 
+use actix_http::{error::DispatchError, HttpService, KeepAlive};
+use actix_server::Server;
+use actix_service::{fn_service, map_config, IntoServiceFactory, ServiceFactoryExt};
 use actix_web::{
+    dev::AppConfig,
     web::{self, Data},
     App, HttpResponse, HttpServer,
 };
@@ -29,15 +34,16 @@
 use balsamjunction_protocol::mesh::{MemberRecord, ProcessRole};
 use balsamjunction_settings::{read_gateway, GatewaySettings};
 use smol_str::SmolStr;
+use tokio::net::TcpStream;
 
-use self::context::GatewayContext;
+use self::{callers::CallerStream, context::GatewayContext};
 use crate::{
     clock::Clock,
     error::DaemonError,
     events::{Event, EventLog},
     mesh::{self, ClusterView},
     metrics::{Metrics, RefreshGauges},
-    process::{self, BACKLOG},
+    process,
     reload::{reload_loop, Seeds, SettingsFile},
 };
 
@@ -51,11 +57,14 @@
 /// which requests must have started on versions older than the one found at the start. The rest covers the
 /// first read of the facts.
 const STARTUP_START_FRACTION: f64 = 0.8;
+/// Time for which the rest of a rejected body is discarded before the connection closes, so that the caller
+/// reads the rejection.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Runs a gateway until it receives a stop signal and has drained.
 pub async fn serve(settings: GatewaySettings, file: SettingsFile) -> Result<(), DaemonError> {
     let clock = Clock::start();
-    let caller_listener = process::listen(settings.listen)?;
+    let caller_listener = callers::listen(settings.listen)?;
     let readiness_listener = process::listen(settings.readiness_listen)?;
     let inner_listener = process::listen(settings.mesh.inner_listen)?;
     let metrics_listener = settings
@@ -121,6 +130,7 @@
     actix_rt::spawn(context::follow_cluster_view(context.clone()));
     actix_rt::spawn(context::follow_limits(context.clone()));
     actix_rt::spawn(context::poll_waiting_loop(context.clone()));
+    actix_rt::spawn(callers::expire_loop(context.clone()));
 
     let gauges: Arc<dyn RefreshGauges> = context.clone();
     let inner_data = (
@@ -150,19 +160,7 @@
     .disable_signals()
     .listen(readiness_listener)?
     .run();
-    let caller_context = context.clone();
-    let caller_server = HttpServer::new(move || {
-        App::new()
-            .app_data(Data::from(caller_context.clone()))
-            .default_service(web::to(admission::handle))
-    })
-    .workers(1)
-    .backlog(BACKLOG as u32)
-    .disable_signals()
-    .keep_alive(balsamjunction_client::SERVER_IDLE_LIMIT)
-    .h1_allow_half_closed(false)
-    .listen(caller_listener)?
-    .run();
+    let caller_server = serve_callers(&context, caller_listener)?;
     for server in [inner_server, readiness_server, caller_server] {
         actix_rt::spawn(server);
     }
@@ -170,6 +168,46 @@
     lifecycle::run_until_stopped(&context, settings.grace).await
 }
 
+/// Serves callers; the time limits of their connections are the account's, see [`callers`].
+fn serve_callers(
+    context: &Arc<GatewayContext>,
+    listener: TcpListener,
+) -> Result<Server, DaemonError> {
+    let context = context.clone();
+    let max_connections = context.callers.max_connections();
+    let server = Server::build()
+        .workers(1)
+        .max_concurrent_connections(max_connections)
+        .disable_signals()
+        .listen("callers", listener, move || {
+            let app = App::new()
+                .app_data(Data::from(context.clone()))
+                .default_service(web::to(admission::handle));
+            let app = app
+                .into_factory()
+                .map_err(|e: actix_web::Error| e.error_response());
+            let http = HttpService::build()
+                .keep_alive(KeepAlive::Os)
+                .client_request_timeout(Duration::ZERO)
+                .client_disconnect_timeout(DISCARD_TIMEOUT)
+                .h1_allow_half_closed(false)
+                .on_connect_ext(|stream: &CallerStream, extensions| {
+                    if let Some(connection) = stream.connection() {
+                        extensions.insert(connection);
+                    }
+                })
+                .h1(map_config(app, |()| AppConfig::default()));
+            let callers = context.callers.clone();
+            fn_service(move |tcp: TcpStream| {
+                let peer = tcp.peer_addr().ok();
+                let stream = CallerStream::new(tcp, &callers);
+                future::ready(Ok::<_, DispatchError>((stream, peer)))
+            })
+            .and_then(http)
+        })?;
+    Ok(server.run())
+}
+
 async fn check_readiness(context: Data<GatewayContext>) -> HttpResponse {
     match context.is_ready() {
         true => HttpResponse::Ok().finish(),
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -67,6 +67,8 @@
     BodyTooLong,
     /// The request's body was not received in time.
     BodyTooSlow,
+    /// The bodies of all callers, or those of the workspace, use up their share of the memory.
+    MemoryFull,
     /// No upstream may serve the request.
     NoUpstream,
     /// Every upstream is overloaded.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -89,6 +89,12 @@
     pub silences: Family<StateLabels, Counter>,
     /// Interruptions of streams, by cause and by what became of the stream.
     pub stream_interruptions: Family<StateLabels, Counter>,
+    /// Connections of callers, by phase.
+    pub caller_connections: Family<StateLabels, Gauge>,
+    /// Memory that callers hold, by the phase of their connections, in bytes.
+    pub caller_memory: Family<StateLabels, Gauge>,
+    /// Connections and bodies of callers that were ended, by reason.
+    pub caller_closes: Family<StateLabels, Counter>,
 }
 
 impl MeshMetrics {
@@ -117,6 +123,9 @@
             limit_detours: Counter::default(),
             silences: Family::default(),
             stream_interruptions: Family::default(),
+            caller_connections: Family::default(),
+            caller_memory: Family::default(),
+            caller_closes: Family::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -161,6 +170,17 @@
         let interrupted = "Interruptions of streams by cause";
         let interruptions = m.stream_interruptions.clone();
         r.register("stream_interruptions", interrupted, interruptions);
+        let connections = "Connections of callers by phase";
+        r.register(
+            "caller_connections",
+            connections,
+            m.caller_connections.clone(),
+        );
+        let memory = "Memory that callers hold, by phase of their connections";
+        let bytes = Unit::Bytes;
+        r.register_with_unit("caller_memory", memory, bytes, m.caller_memory.clone());
+        let closes = "Connections and bodies of callers that were ended, by reason";
+        r.register("caller_closes", closes, m.caller_closes.clone());
         metrics
     }
 }
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -23,6 +23,11 @@
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
+/// Range of the memory of a host, in megabytes. Below it, a gateway's own memory leaves nothing for callers.
+const MEMORY_MB: (u64, u64) = (48, 1_048_576);
+/// Range of the descriptors of a host. Below it, those that are reserved leave few for callers.
+const DESCRIPTORS: (u64, u64) = (256, 1_048_576);
+
 /// How a gateway or stager identifies itself and finds the platform and its peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MeshSettings {
@@ -57,6 +62,10 @@
     /// Whether the whole system starts for the first time, so that no earlier process has used up any part
     /// of a shared budget.
     pub first_start: bool,
+    /// Memory that the host allows the process, in megabytes of 1,000,000 bytes; absent if it is not known.
+    pub memory_mb: Option<u64>,
+    /// File descriptors that the host allows the process; absent if the number is not known.
+    pub descriptors: Option<u64>,
     /// Longest time that a shutdown may take.
     pub grace: Duration,
     /// Retries to a service per request to it within `retry_window`.
@@ -124,6 +133,8 @@
             regions,
             revoke_within: strict.then_some(revoke),
             first_start: fields.boolean("first_start").unwrap_or(false),
+            memory_mb: fields.integer("memory_mb", MEMORY_MB, "megabytes"),
+            descriptors: fields.integer("descriptors", DESCRIPTORS, "descriptors"),
             grace: read_seconds(fields, "grace_s", 8.0),
             retry_ratio: fields
                 .float("retry_ratio", (0, 10), "per request")
