Rejected bodies are discarded for a while; tests of the limits on single callers

A caller that sends a body which is refused reads the refusal: up to 3 s of the rest are discarded. Before, the connection was reset once more than a head's length had arrived.

--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -10,7 +10,7 @@
 
 use actix_web::{
     error::PayloadError,
-    http::StatusCode,
+    http::{ConnectionType, StatusCode},
     web::{Data, Payload},
     HttpMessage, HttpRequest, HttpResponse,
 };
@@ -49,10 +49,11 @@
 }
 
 impl InProgress {
-    fn start(context: Arc<GatewayContext>, connection: Option<Arc<CallerConnection>>) -> Self {
+    fn start(context: Arc<GatewayContext>, req: &HttpRequest) -> Self {
         context.in_progress.fetch_add(1, Ordering::AcqRel);
+        let connection = req.conn_data::<Arc<CallerConnection>>().cloned();
         if let Some(connection) = &connection {
-            connection.begin_request();
+            connection.begin_request(has_body(req));
         }
         Self {
             context,
@@ -61,6 +62,14 @@
     }
 }
 
+impl InProgress {
+    /// Whether a part of the request's body was not received.
+    fn leaves_body(&self) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_some_and(|connection| connection.body_open())
+    }
+}
+
 impl Drop for InProgress {
     fn drop(&mut self) {
         self.context.in_progress.fetch_sub(1, Ordering::AcqRel);
@@ -105,8 +114,7 @@
     payload: Payload,
 ) -> HttpResponse {
     let context = context.into_inner();
-    let connection = req.conn_data::<Arc<CallerConnection>>().cloned();
-    let in_progress = InProgress::start(context.clone(), connection);
+    let in_progress = InProgress::start(context.clone(), &req);
     let arrived_at = context.now();
     let id = caller_request::parse_attempt_id(&req);
     let request = match admit(&req, &context, payload, arrived_at, id.clone()).await {
@@ -124,7 +132,14 @@
                 refused_part: None,
                 at_most_once: rejection.at_most_once,
             };
-            return response::build_local_response(&context, &response);
+            let mut response = response::build_local_response(&context, &response);
+            if in_progress.leaves_body() {
+                // The rest of the body is discarded for a short time only.
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
+            return response;
         }
     };
     attempts::serve(context, request, in_progress).await
@@ -373,6 +388,10 @@
     }
 }
 
+fn has_body(req: &HttpRequest) -> bool {
+    req.chunked().unwrap_or(false) || parse_content_length(req).is_some_and(|length| length > 0)
+}
+
 fn parse_content_length(req: &HttpRequest) -> Option<u64> {
     let value = req.headers().get("content-length")?;
     value.to_str().ok()?.trim().parse().ok()
--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -81,6 +81,8 @@
     key: ConnectionKey,
     /// Whether a request has no complete response.
     in_request: AtomicBool,
+    /// Whether the body of the last request has not been received completely.
+    body_open: AtomicBool,
     /// Whether the body of that request is being read.
     reads_body: AtomicBool,
     /// Whether the body made no progress for too long.
@@ -132,6 +134,7 @@
             callers: self.clone(),
             key,
             in_request: AtomicBool::new(false),
+            body_open: AtomicBool::new(false),
             reads_body: AtomicBool::new(false),
             body_expired: AtomicBool::new(false),
             held_back: AtomicBool::new(false),
@@ -177,6 +180,7 @@
             }
             CloseReason::SlowHead
             | CloseReason::UnreadResponse
+            | CloseReason::RejectedBody
             | CloseReason::TooManyConnections => {
                 connection.end.store(END_ABORT, Ordering::Release);
             }
@@ -199,8 +203,9 @@
     }
 
     /// Records that a request has begun: nothing more is read until it reads its body, or ends.
-    pub fn begin_request(&self) {
+    pub fn begin_request(&self, has_body: bool) {
         self.in_request.store(true, Ordering::Release);
+        self.body_open.store(has_body, Ordering::Release);
         self.enter(ConnectionPhase::Request);
     }
 
@@ -208,13 +213,26 @@
     pub fn end_request(&self) {
         self.in_request.store(false, Ordering::Release);
         self.reads_body.store(false, Ordering::Release);
+        let phase = self.phase_after_request();
         self.callers.with_account(|account, now| {
             account.release_body(self.key);
-            account.enter(now, self.key, ConnectionPhase::Idle);
+            account.enter(now, self.key, phase);
         });
         self.resume_reading();
     }
 
+    fn phase_after_request(&self) -> ConnectionPhase {
+        match self.body_open() {
+            true => ConnectionPhase::Discard,
+            false => ConnectionPhase::Idle,
+        }
+    }
+
+    /// Whether the body of the last request has not been received completely.
+    pub fn body_open(&self) -> bool {
+        self.body_open.load(Ordering::Acquire)
+    }
+
     fn resume_reading(&self) {
         if self.held_back.swap(false, Ordering::AcqRel) {
             self.task.wake();
@@ -236,6 +254,7 @@
 
     /// Records that the body is complete.
     pub fn end_body(&self) {
+        self.body_open.store(false, Ordering::Release);
         self.reads_body.store(false, Ordering::Release);
         self.enter(ConnectionPhase::Request);
     }
@@ -417,7 +436,8 @@
         match this.poll_bytes(cx, buf) {
             Poll::Ready(Ok(())) if buf.filled().len() > start => {
                 this.passed_on = true;
-                if !connection.reads_body.load(Ordering::Acquire) {
+                // Bytes of a body are not looked at, also if it is discarded.
+                if !connection.body_open() {
                     this.split_after_head(&connection, buf, start)?;
                 }
                 Poll::Ready(Ok(()))
@@ -451,7 +471,7 @@
                 this.blocked = false;
                 connection.enter(match connection.in_request.load(Ordering::Acquire) {
                     true => ConnectionPhase::Request,
-                    false => ConnectionPhase::Idle,
+                    false => connection.phase_after_request(),
                 });
                 // The server reads before it writes, and did not register for reading.
                 cx.waker().wake_by_ref();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -59,7 +59,7 @@
 const STARTUP_START_FRACTION: f64 = 0.8;
 /// Time for which the rest of a rejected body is discarded before the connection closes, so that the caller
 /// reads the rejection.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Runs a gateway until it receives a stop signal and has drained.
 pub async fn serve(settings: GatewaySettings, file: SettingsFile) -> Result<(), DaemonError> {
--- a/crates/lab/tests/callers/crowd.rs
+++ b/crates/lab/tests/callers/crowd.rs
@@ -39,8 +39,8 @@
 
 /// A gateway with one upstream.
 pub struct LoadedSite {
-    site: TestSite,
-    gateway: Gateway,
+    pub site: TestSite,
+    pub gateway: Gateway,
     _engine: Engine,
     process: Option<u32>,
     _exclusive: MutexGuard<'static, ()>,
@@ -53,7 +53,8 @@
     )
 }
 
-async fn connect(address: SocketAddr) -> TcpStream {
+/// Opens a connection of a client.
+pub async fn connect(address: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("create a socket");
     socket
         .set_send_buffer_size(SEND_BUFFER_BYTES)
@@ -81,8 +82,14 @@
 impl LoadedSite {
     /// Starts the site; waits until no other test of this binary runs.
     pub async fn start() -> Self {
+        Self::start_with(|_| {}).await
+    }
+
+    /// Starts the site after `change` was applied to it.
+    pub async fn start_with(change: impl FnOnce(&mut TestSite)) -> Self {
         let exclusive = EXCLUSIVE.lock().await;
         let mut site = TestSite::start().await;
+        change(&mut site);
         site.update_config(|config| config["limits"]["maxBodyBytes"] = json!(MAX_BODY_BYTES));
         let engine = site.start_engine(plain_engine_options("d1")).await;
         let gateway = site.start_gateway("g1", &[]);
--- a/crates/lab/tests/callers/exhaustion.rs
+++ b/crates/lab/tests/callers/exhaustion.rs
@@ -9,6 +9,8 @@
 const BODY_CLIENTS: usize = 150;
 /// One-byte chunks that a client sends; each takes six bytes on the wire.
 const SMALL_CHUNKS: usize = 262_144;
+/// More connections than the smallest host has descriptors.
+const IDLE_CONNECTIONS: usize = 2_700;
 const UNFINISHED_HEADS: usize = 1_000;
 /// Length of a head that does not end; the server's read buffer holds 128 KiB.
 const UNFINISHED_HEAD_BYTES: usize = 125_000;
@@ -62,6 +64,16 @@
     }
 }
 
+/// One request, after which the connection is idle.
+fn one_request(n: usize) -> Script {
+    Script {
+        opening: head("GET", n, "\r\n"),
+        repeated: Bytes::new(),
+        repetitions: 0,
+        closing: Bytes::new(),
+    }
+}
+
 fn unfinished_head(n: usize) -> Script {
     let line = format!("X-Filler: {}\r\n", "h".repeat(2_000));
     Script {
@@ -141,3 +153,14 @@
 
     site.assert_serves_within_its_host().await;
 }
+
+// Idle connections used up the descriptors, so that no new connection was accepted.
+#[actix_rt::test]
+async fn idle_connections_stay_within_the_descriptors() {
+    let mut site = LoadedSite::start().await;
+    let scripts: Vec<_> = (0..IDLE_CONNECTIONS).map(one_request).collect();
+
+    let _connections = site.send(&scripts).await;
+
+    site.assert_serves_within_its_host().await;
+}
--- a/crates/lab/tests/callers/main.rs
+++ b/crates/lab/tests/callers/main.rs
@@ -7,3 +7,4 @@
 mod common;
 mod crowd;
 mod exhaustion;
+mod limits;
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -31,6 +31,8 @@
     pub version_deadline: Duration,
     /// Time within which a revoked key must be refused everywhere (setting `revoke_within_ms`).
     pub revocation_deadline: Duration,
+    /// Memory that a gateway may use (setting `memory_mb`), if it is set.
+    pub memory_mb: Option<u64>,
     /// Delay before a process that exited is restarted. If absent, it is not restarted.
     pub restart_after: Option<Duration>,
     addresses: AddressBlock,
@@ -145,6 +147,7 @@
             retry_slack: 20.0,
             version_deadline: Duration::from_millis(3_000),
             revocation_deadline: Duration::from_millis(2_000),
+            memory_mb: None,
             restart_after: None,
             config: config(origin.address),
             origin,
@@ -230,7 +233,7 @@
             inner: SocketAddr::new(ip, 7000),
             metrics: SocketAddr::new(ip, 9464),
         };
-        let settings = json!({
+        let mut settings = json!({
             "host": name, "data_centre": "addis-a", "regions": {"addis-a": "addis"},
             "listen": gateway.callers.to_string(),
             "readiness_listen": gateway.readiness.to_string(),
@@ -240,6 +243,9 @@
             "version_within_ms": self.version_deadline.as_millis(), "retry_slack": self.retry_slack,
             "first_start": true,
         });
+        if let Some(memory_mb) = self.memory_mb {
+            settings["memory_mb"] = json!(memory_mb);
+        }
         self.launch(name, "gateway", &settings);
         gateway
     }
--- a/crates/policy/src/caller_account.rs
+++ b/crates/policy/src/caller_account.rs
@@ -41,6 +41,9 @@
 const BODY_STALL_LIMIT: Moment = Moment::from_millis(3_000);
 /// Time without progress after which an unread response ends. Longer than the loss of a path that recovers.
 const UNREAD_LIMIT: Moment = Moment::from_millis(10_000);
+/// Time for which the rest of a rejected body is discarded: the longest body at 1.4 MB a second. Bytes that are
+/// discarded hold no memory, so it does not shorten while memory is short.
+const DISCARD_LIMIT: Moment = Moment::from_millis(3_000);
 /// Time without progress after which heads, bodies and unread responses end while memory is short. Three times a
 /// retransmission on a path of 60 ms.
 const SCARCE_STALL_LIMIT: Moment = Moment::from_millis(500);
@@ -51,7 +54,7 @@
 pub enum ConnectionPhase {
     /// No request.
     Idle,
-    /// The head of a request has arrived in part, or the rest of a rejected body is discarded.
+    /// The head of a request has arrived in part.
     Head,
     /// The body of a request is being received.
     Body,
@@ -59,6 +62,8 @@
     Request,
     /// The caller does not read its response.
     Unread,
+    /// The rest of a rejected request's body is discarded, so that the caller reads the rejection.
+    Discard,
 }
 
 /// Why a connection or the request on it ends.
@@ -75,6 +80,8 @@
     SlowBody,
     /// The response was not read.
     UnreadResponse,
+    /// The caller went on with the body of a rejected request.
+    RejectedBody,
     /// No connection could be closed for a new one.
     TooManyConnections,
 }
@@ -135,7 +142,7 @@
 impl Connection {
     fn bytes(&self) -> u64 {
         let phase = match self.phase {
-            ConnectionPhase::Idle => 0,
+            ConnectionPhase::Idle | ConnectionPhase::Discard => 0,
             ConnectionPhase::Head | ConnectionPhase::Body | ConnectionPhase::Request => {
                 REQUEST_BYTES
             }
@@ -330,6 +337,7 @@
                     ConnectionPhase::Head => (stall(self.timeouts.head), CloseReason::SlowHead),
                     ConnectionPhase::Body => (stall(BODY_STALL_LIMIT), CloseReason::SlowBody),
                     ConnectionPhase::Unread => (stall(UNREAD_LIMIT), CloseReason::UnreadResponse),
+                    ConnectionPhase::Discard => (DISCARD_LIMIT, CloseReason::RejectedBody),
                     ConnectionPhase::Request => return None,
                 };
                 let expired = now.saturating_sub(connection.since) >= limit;
--- a/crates/policy/tests/caller_account.rs
+++ b/crates/policy/tests/caller_account.rs
@@ -49,7 +49,7 @@
     prop_oneof![
         3 => Just(Step::Connect),
         1 => any::<Index>().prop_map(Step::Disconnect),
-        3 => (any::<Index>(), 0..5_usize).prop_map(|(at, phase)| Step::Enter(at, phase)),
+        3 => (any::<Index>(), 0..6_usize).prop_map(|(at, phase)| Step::Enter(at, phase)),
         3 => (any::<Index>(), 0..3_u8, 1..400_000_u64).prop_map(|(at, w, n)| Step::Reserve(at, w, n)),
         1 => any::<Index>().prop_map(Step::Release),
         2 => (1..4_000_u64).prop_map(Step::Wait),
@@ -81,7 +81,7 @@
                     account.disconnect(open.swap_remove(at.index(open.len())));
                 }
                 Step::Enter(at, phase) if !open.is_empty() => {
-                    let phase = ConnectionPhase::iter().nth(phase).expect("five phases");
+                    let phase = ConnectionPhase::iter().nth(phase).expect("six phases");
                     account.enter(now, open[at.index(open.len())], phase);
                 }
                 Step::Reserve(at, workspace, length) if !open.is_empty() => {
