--- a/crates/daemon/src/gateway/callers.rs
+++ b/crates/daemon/src/gateway/callers.rs
@@ -6,6 +6,7 @@
 //! not read it. What is not passed on stays in the socket's buffer, so that the caller's sending stops.
 
 use std::{
+    collections::HashMap,
     io,
     net::{SocketAddr, TcpListener},
     pin::Pin,
@@ -71,6 +72,8 @@
 struct State {
     account: CallerAccount,
     connections: SecondaryMap<ConnectionKey, Arc<CallerConnection>>,
+    /// Connections and bodies that were ended and are not in the log yet.
+    ended: HashMap<CloseReason, u64>,
     max_head_bytes: u64,
 }
 
@@ -112,6 +115,7 @@
             state: Mutex::new(State {
                 account: CallerAccount::new(limits, timeouts(&defaults)),
                 connections: SecondaryMap::new(),
+                ended: HashMap::new(),
                 max_head_bytes: defaults.max_header_bytes,
             }),
         }
@@ -129,7 +133,13 @@
         if let Some(evicted) = admission.evicted {
             state.end(evicted, CloseReason::IdleEvicted);
         }
-        let key = admission.connection?;
+        let Some(key) = admission.connection else {
+            *state
+                .ended
+                .entry(CloseReason::TooManyConnections)
+                .or_default() += 1;
+            return None;
+        };
         let connection = Arc::new(CallerConnection {
             callers: self.clone(),
             key,
@@ -173,6 +183,7 @@
         let Some(connection) = self.connections.get(key) else {
             return;
         };
+        *self.ended.entry(reason).or_default() += 1;
         match reason {
             CloseReason::SlowBody => connection.body_expired.store(true, Ordering::Release),
             CloseReason::IdleTimeout | CloseReason::IdleEvicted => {
@@ -406,9 +417,18 @@
         connection.task.register(cx.waker());
         match connection.end.load(Ordering::Acquire) {
             END_NONE => {}
-            // A request that arrived meanwhile is served.
-            END_IDLE if connection.in_request.load(Ordering::Acquire) => {}
-            END_IDLE => return Poll::Ready(Ok(())),
+            // A request that arrived meanwhile is served, and keeps the connection.
+            END_IDLE if connection.in_request.load(Ordering::Acquire) => {
+                connection.end.store(END_NONE, Ordering::Release);
+            }
+            END_IDLE if this.passed_on || !this.unparsed.is_empty() => {}
+            END_IDLE => {
+                let mut byte = [0];
+                let peeked = this.tcp.poll_peek(cx, &mut ReadBuf::new(&mut byte));
+                if !matches!(peeked, Poll::Ready(Ok(1..))) {
+                    return Poll::Ready(Ok(()));
+                }
+            }
             _ => return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into())),
         }
         if this.blocked || !connection.may_read() {
@@ -532,32 +552,24 @@
             state.max_head_bytes = limits.max_header_bytes;
             state.account.set_timeouts(timeouts(&limits));
         }
-        if state.account.is_empty() {
-            continue;
-        }
-        let expired = state.account.expire(now);
-        for (key, reason) in &expired {
-            state.end(*key, *reason);
+        for (key, reason) in state.account.expire(now) {
+            state.end(key, reason);
         }
+        let ended = std::mem::take(&mut state.ended);
         let held_bytes = state.account.total_bytes();
         drop(state);
-        for reason in CloseReason::iter() {
-            let ended = expired.iter().filter(|(_, other)| *other == reason);
-            let ended = ended.count() as u64;
-            if ended == 0 {
-                continue;
-            }
-            let reason = <&'static str>::from(reason);
+        for (reason, connections) in ended {
+            let name = <&'static str>::from(reason);
             let labels = StateLabels {
-                state: reason.to_owned(),
+                state: name.to_owned(),
             };
             let counter = &context.metrics.mesh.caller_closes;
-            counter.get_or_create(&labels).inc_by(ended);
+            counter.get_or_create(&labels).inc_by(connections);
             // Callers that keep idle connections open are usual, and their number is in the metric.
-            if reason != <&'static str>::from(CloseReason::IdleTimeout) {
+            if reason != CloseReason::IdleTimeout {
                 context.cluster_view.events.emit(&Event::CallersClosed {
-                    reason,
-                    connections: ended,
+                    reason: name,
+                    connections,
                     held_bytes,
                 });
             }
--- a/crates/policy/src/caller_account.rs
+++ b/crates/policy/src/caller_account.rs
@@ -262,6 +262,10 @@
             let before = connection.bytes();
             connection.phase = phase;
             connection.since = now;
+            // A request that arrived before the end of an idle connection keeps it.
+            if phase == ConnectionPhase::Request && std::mem::take(&mut connection.closing) {
+                self.closing -= 1;
+            }
             self.total_bytes = self.total_bytes + connection.bytes() - before;
         }
     }
@@ -375,9 +379,4 @@
     pub fn body_bytes(&self) -> u64 {
         self.body_bytes
     }
-
-    /// Whether no connection exists.
-    pub fn is_empty(&self) -> bool {
-        self.connections.is_empty()
-    }
 }
