--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -147,6 +147,7 @@
             .configure(mesh::http::routes)
     })
     .workers(1)
+    .max_connections(process::MAX_INNER_CONNECTIONS)
     .disable_signals()
     .listen(inner_listener)?
     .run();
@@ -157,6 +158,7 @@
             .default_service(web::to(check_readiness))
     })
     .workers(1)
+    .max_connections(process::MAX_PROBE_CONNECTIONS)
     .disable_signals()
     .listen(readiness_listener)?
     .run();
--- a/crates/daemon/src/gateway/reader.rs
+++ b/crates/daemon/src/gateway/reader.rs
@@ -14,6 +14,9 @@
     event_stream::EventSplitter, send::UpstreamResponse,
 };
 
+/// Comments of a stream that are held until an event follows. They only keep the connection alive, so further
+/// ones are dropped.
+const MAX_HELD_COMMENT_BYTES: usize = 64 * 1_024;
 /// Parts of a response that an upstream must have sent before the request counts as one that does not crash it.
 const SOUND_PROGRESS: u32 = 3;
 /// Time from the head of the response for which the upstream must have sent it besides.
@@ -63,6 +66,13 @@
     End,
 }
 
+/// Adds comments to those that are held until an event follows; drops them once too many are held.
+pub fn hold_comments(held: &mut BytesMut, comments: &[u8]) {
+    if held.len() + comments.len() <= MAX_HELD_COMMENT_BYTES {
+        held.extend_from_slice(comments);
+    }
+}
+
 /// An upstream's response whose head has been received.
 pub struct ResponseReader {
     /// The response.
@@ -169,10 +179,11 @@
                 // The end is read again after the comments.
                 Received::End => {}
                 Received::Bytes { buf, has_content } => {
-                    comments.extend_from_slice(&buf);
                     if !has_content {
+                        hold_comments(&mut comments, &buf);
                         continue;
                     }
+                    comments.extend_from_slice(&buf);
                 }
             }
             let buf = comments.freeze();
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -17,7 +17,7 @@
     admission::InProgress,
     attempts::{RequestAttempts, SilenceDecision, NEXT_ATTEMPT_INTERVAL},
     context::{GatewayContext, InFlightRequest},
-    reader::{Interruption, InterruptionCause, Received, ResponseReader},
+    reader::{self, Interruption, InterruptionCause, Received, ResponseReader},
     send::UpstreamResponse,
 };
 use crate::{
@@ -353,8 +353,10 @@
                     biased;
                     received = self.reader.next(), if interruption.is_none() => match received {
                         Ok(Received::Bytes { buf, has_content }) => {
-                            held.extend_from_slice(&buf);
-                            if has_content {
+                            if !has_content {
+                                reader::hold_comments(&mut held, &buf);
+                            } else {
+                                held.extend_from_slice(&buf);
                                 let buf = std::mem::take(&mut held).freeze();
                                 return Race::WentOn(Received::Bytes { buf, has_content });
                             }
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -23,6 +23,7 @@
     fleet::dissemination::EmptyResponse,
     inner::{check_protocol_version, message_response, InnerError, MAX_MESSAGE_BYTES, OPENMETRICS},
     metrics::{Metrics, RefreshGauges},
+    process::MAX_PROBE_CONNECTIONS,
 };
 
 /// Adds the routes; they require [`ClusterView`], [`Metrics`] and [`Gauges`] as application data.
@@ -54,7 +55,8 @@
             .app_data(data.1.clone())
             .route(paths::METRICS, web::get().to(serve_current_metrics))
     });
-    let server = server.workers(1).disable_signals().listen(listener)?;
+    let server = server.workers(1).max_connections(MAX_PROBE_CONNECTIONS);
+    let server = server.disable_signals().listen(listener)?;
     actix_rt::spawn(server.run());
     Ok(())
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -13,6 +13,11 @@
 
 use crate::error::DaemonError;
 
+/// Connections to the address for other processes. Each process of the largest deployment to design for, 2,700
+/// hosts, contacts a few others at a time and keeps a connection for 10 s at most.
+pub const MAX_INNER_CONNECTIONS: usize = 512;
+/// Connections to the addresses for readiness checks and metrics, which a few balancers and collectors use.
+pub const MAX_PROBE_CONNECTIONS: usize = 64;
 /// Length of the accept queue of a listening socket.
 pub const BACKLOG: i32 = 4096;
 /// Time after which a graceful stop no longer waits for running requests.
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -80,6 +80,7 @@
             .configure(http::configure_routes)
     })
     .workers(1)
+    .max_connections(process::MAX_INNER_CONNECTIONS)
     .disable_signals()
     .listen(inner_listener)?
     .run();
