--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -18,7 +18,7 @@
     attempts::RequestAttempts,
     context::{GatewayContext, InFlightRequest},
     next_attempt::{SilenceDecision, NEXT_ATTEMPT_INTERVAL},
-    reader::{Interruption, InterruptionCause, Received, ResponseReader},
+    reader::{self, Interruption, InterruptionCause, Received, ResponseReader},
     send::UpstreamResponse,
 };
 use crate::{
@@ -68,6 +68,8 @@
     BodyTooLong,
     /// The request's body was not received in time.
     BodyTooSlow,
+    /// The bodies of all callers, or those of the workspace, use up their share of the memory.
+    MemoryFull,
     /// No upstream may serve the request.
     NoUpstream,
     /// Every upstream is overloaded.
@@ -352,8 +354,10 @@
                     biased;
                     received = self.reader.next(), if interruption.is_none() => match received {
                         Ok(Received::Bytes { buf, has_content }) => {
-                            held.extend_from_slice(&buf);
-                            if has_content {
+                            if !has_content {
+                                reader::hold_comments(&mut held, &buf);
+                            } else {
+                                held.extend_from_slice(&buf);
                                 let buf = std::mem::take(&mut held).freeze();
                                 return Race::WentOn(Received::Bytes { buf, has_content });
                             }
