--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     process::read_settings,
-    reader::{FaultCollector, FieldReader},
+    reader::{integer_property, FaultCollector, FieldReader},
     report::{FaultKind, FaultReport},
 };
 
@@ -17,6 +17,10 @@
 /// Longest duration that a setting in seconds may have.
 const MAX_DURATION_S: u32 = 3_600;
 
+/// Range of the prompt tokens that one upstream keeps. Fewer than one short prompt are a mistake, and more
+/// than this do not fit into the memory of any accelerator.
+const PROMPT_CACHE_TOKENS: (u64, u64) = (256, 100_000_000);
+
 /// Highest accepted link rate, in megabits per second.
 const MAX_LINK_MBPS: u32 = 1_000_000;
 /// Rate of a host's link if the settings do not give one, in megabits per second.
@@ -70,6 +74,9 @@
     /// Time for which a process must have been running and connected before bounds such as
     /// `version_within` apply to it.
     pub contact_after: Duration,
+    /// Number of prompt tokens that one upstream keeps after a request, by service. A service that is
+    /// missing keeps none, and its requests are placed without regard to their prompts.
+    pub prompt_cache: HashMap<SmolStr, u32>,
 }
 
 /// Settings of `balsamjunctiond stager`.
@@ -114,6 +121,7 @@
                 }
             }
         }
+        let prompt_cache = read_prompt_cache(fields, faults);
         let strict = fields.boolean("strict_revocation").unwrap_or(true);
         let revoke = read_millis(fields, "revoke_within_ms", 5_000);
         let slack = fields.float("retry_slack", (0, 1_000_000), "requests");
@@ -132,6 +140,7 @@
             retry_window: read_seconds(fields, "retry_window_s", 10.0),
             version_within: read_millis(fields, "version_within_ms", 8_000),
             contact_after: read_millis(fields, "contact_after_ms", 3_000),
+            prompt_cache,
         })
     })
 }
@@ -156,6 +165,20 @@
     })
 }
 
+/// Reads the tokens that upstreams keep, by service; empty without the section.
+fn read_prompt_cache(
+    fields: &FieldReader<'_, '_>,
+    faults: &FaultCollector<'_>,
+) -> HashMap<SmolStr, u32> {
+    let section = fields.object("prompt_cache");
+    let services = section.iter().flat_map(|section| section.properties());
+    let capacities = services.filter_map(|prop| {
+        let capacity = integer_property(prop, PROMPT_CACHE_TOKENS, "tokens", faults)?;
+        Some((SmolStr::new(prop.name.as_str()), capacity as u32))
+    });
+    capacities.collect()
+}
+
 fn read_millis(fields: &FieldReader<'_, '_>, name: &'static str, default: u64) -> Duration {
     let value = fields.integer(name, (0, MAX_DURATION_MS), "milliseconds");
     Duration::from_millis(value.unwrap_or(default))
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -99,3 +99,49 @@
         );
     }
 }
+
+// Guards against a deployment whose requests are placed by their prompts although nobody asked for it.
+#[test]
+fn no_upstream_keeps_prompts_unless_the_settings_say_so() {
+    let settings = read_gateway(GATEWAY.as_bytes(), &[]).expect("the fixture is valid");
+
+    assert!(settings.prompt_cache.is_empty());
+}
+
+#[test]
+fn a_gateway_reads_the_tokens_that_upstreams_keep() {
+    let kept = r#"{"deck-model": 120000, "draft-model": 256}"#;
+    let text = GATEWAY.replacen('{', &format!("{{ \"prompt_cache\": {kept},"), 1);
+
+    let settings = read_gateway(text.as_bytes(), &[]).expect("the settings are valid");
+
+    let mut services: Vec<_> = settings.prompt_cache.into_iter().collect();
+    services.sort();
+    assert_eq!(
+        services,
+        [("deck-model".into(), 120_000), ("draft-model".into(), 256)]
+    );
+}
+
+#[test]
+fn tokens_that_no_upstream_can_keep_are_rejected() {
+    for kept in [
+        r#"{"deck-model": 0}"#,
+        r#"{"deck-model": 255}"#,
+        r#"{"deck-model": 100000001}"#,
+    ] {
+        let text = GATEWAY.replacen('{', &format!("{{ \"prompt_cache\": {kept},"), 1);
+
+        let report = read_gateway(text.as_bytes(), &[]).expect_err("the number is out of range");
+
+        let text = report.to_string();
+        assert!(
+            text.contains("deck-model") && text.contains("256 to 100000000 tokens"),
+            "{text}"
+        );
+    }
+    for kept in ["true", "[]", r#"{"deck-model": "many"}"#] {
+        let text = GATEWAY.replacen('{', &format!("{{ \"prompt_cache\": {kept},"), 1);
+        assert!(read_gateway(text.as_bytes(), &[]).is_err(), "{kept}");
+    }
+}
