Place requests where their prompt prefixes are probably cached

For services with the gateway setting prompt_cache, each gateway estimates which upstreams still cache which prefixes, and subtracts the expected saving from the cost of an upstream. Upstreams that are a last resort save nothing, so a saving changes the order only; a property test found that savings at ejected upstreams decided whether a request was sent. Without the setting decisions are unchanged.

`sent` lines carry the expected saving; two metrics count expected tokens and observed hits and misses.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -122,6 +122,13 @@
         /// Id of the upstream that would have been selected if its limit allowed another request.
         #[serde(skip_serializing_if = "Option::is_none")]
         instead_of: Option<SmolStr>,
+        /// Prompt tokens that the upstream is expected to have cached. Absent unless the service has the
+        /// setting `prompt_cache`.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        saved_tokens: Option<u64>,
+        /// The time in milliseconds that was weighed for them in the selection.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        saved_ms: Option<u64>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -168,7 +168,8 @@
 
 impl RequestAttempts {
     fn new(context: Arc<GatewayContext>, request: Arc<CallerRequest>) -> Self {
-        let requirements = request.requirements();
+        let keeps_prompts = context.keeps_prompts(&request.service);
+        let requirements = request.requirements(keeps_prompts);
         Self {
             context,
             request,
@@ -523,6 +524,8 @@
             begin_within_ms: start_deadline
                 .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
             instead_of: in_flight.instead_of(),
+            saved_tokens: in_flight.expected_saving().map(|s| s.tokens as u64),
+            saved_ms: in_flight.expected_saving().map(|s| s.ms as u64),
             once: self.request.runs_at_most_once(),
         });
     }
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -5,7 +5,9 @@
 use actix_web::HttpRequest;
 use balsamjunction_directory::{ApiKeyOwner, Route, RouteKind};
 use balsamjunction_platform::headers;
-use balsamjunction_policy::{dispatch::RequestRequirements, shutdown::Interruptible, Moment};
+use balsamjunction_policy::{
+    dispatch::RequestRequirements, prompt_cache, shutdown::Interruptible, Moment,
+};
 use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
 use hyper::{
@@ -132,15 +134,23 @@
         since + Duration::from_millis(self.route.target_latency_ms)
     }
 
-    /// Returns the dispatcher's description of the request.
-    pub fn requirements(&self) -> RequestRequirements {
+    /// Returns the dispatcher's description of the request. It contains the prefixes of the prompt if the
+    /// upstreams of the service keep them.
+    pub fn requirements(&self, keeps_prompts: bool) -> RequestRequirements {
         let header = |name: &str| self.headers.get(name).and_then(|value| value.to_str().ok());
         let tokens = header(headers::TOKENS).and_then(headers::parse_tokens);
+        let prompt_tokens = tokens.map_or(0.0, |(prompt, _)| f64::from(prompt));
+        let model = header(headers::MODEL).map(SmolStr::new);
+        let prefixes = keeps_prompts.then(|| {
+            let parts = headers::parse_prompt_parts(header(headers::PROMPT_PARTS)?);
+            let parts = parts.map(|part| (parse_prompt_part(part.id).0, part.tokens));
+            prompt_cache::prefixes(model.as_deref(), prompt_tokens, parts)
+        });
         let owner = self.api_key_owner.as_deref();
         RequestRequirements {
             service: self.service.clone(),
-            model: header(headers::MODEL).map(SmolStr::new),
-            prompt_tokens: tokens.map_or(0.0, |(prompt, _)| f64::from(prompt)),
+            model,
+            prompt_tokens,
             priority: owner
                 .and_then(|owner| owner.priority)
                 .unwrap_or(self.route.priority),
@@ -148,6 +158,7 @@
             workspace_regions: owner.map(|h| h.allowed_regions.clone()).unwrap_or_default(),
             first_event_deadline: self.first_event_deadline(self.arrived_at),
             tried: Vec::new(),
+            prefixes: prefixes.flatten(),
         }
     }
 }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -1,7 +1,7 @@
 //! State that all threads of a gateway share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
@@ -15,6 +15,7 @@
         AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, RequestRequirements,
         SelectedUpstream, ServedVersion, UpstreamCondition, UpstreamKey, WaitKey,
     },
+    prompt_cache::{ExpectedSaving, Observation},
     retry_window::{RetryWindowSettings, WindowedRetryBudget},
     silence::ResponseTimes,
     Moment,
@@ -61,6 +62,8 @@
     /// Whether the dispatcher has received the upstreams of a configuration.
     upstreams_known: AtomicBool,
     revoke_within: Option<Duration>,
+    /// The services whose upstreams keep prompts.
+    prompt_keepers: HashSet<SmolStr>,
     dispatch: Mutex<Dispatch>,
     retry_budgets: Mutex<HashMap<SmolStr, WindowedRetryBudget>>,
     retry_window: RetryWindowSettings,
@@ -99,6 +102,7 @@
             in_progress: AtomicUsize::new(0),
             upstreams_known: AtomicBool::new(false),
             revoke_within: settings.revoke_within,
+            prompt_keepers: settings.prompt_cache.keys().cloned().collect(),
             dispatch: Mutex::new(Dispatch {
                 dispatcher,
                 waiting: HashMap::new(),
@@ -138,6 +142,11 @@
             && self.facts_fresher_than(READY_MAX_AGE_FRACTION)
     }
 
+    /// Whether the upstreams of a service keep prompts after their requests.
+    pub fn keeps_prompts(&self, service: &str) -> bool {
+        self.prompt_keepers.contains(service)
+    }
+
     fn entry_count(&self) -> usize {
         self.cluster_view
             .with_members(|members, now| members.share_count(now, ProcessRole::Entry))
@@ -398,7 +407,7 @@
         // An upstream assigned while the request was being dropped would otherwise keep the capacity forever.
         if let Ok(Ok(selected)) = self.rx.try_recv() {
             let now = self.context.now();
-            let prompt_tokens = self.prompt_tokens;
+            let prompt_tokens = selected.unread_tokens(self.prompt_tokens);
             dispatch.dispatcher.record_outcome(
                 now,
                 selected.upstream,
@@ -422,10 +431,14 @@
         if selected.instead_of.is_some() {
             context.metrics.mesh.limit_detours.inc();
         }
+        if let Some(prompt) = &selected.prompt {
+            let tokens = prompt.saving.tokens as u64;
+            context.metrics.mesh.expected_cached_tokens.inc_by(tokens);
+        }
         Self {
             context,
+            unprocessed_prompt_tokens: selected.unread_tokens(prompt_tokens),
             selected,
-            unprocessed_prompt_tokens: prompt_tokens,
             outcome: AttemptOutcome::Cancelled,
         }
     }
@@ -440,6 +453,12 @@
         self.selected.expected_ms
     }
 
+    /// Returns what the request is expected to save there; absent unless the service keeps prompts and the
+    /// caller stated the parts of its own.
+    pub fn expected_saving(&self) -> Option<ExpectedSaving> {
+        Some(self.selected.prompt.as_ref()?.saving)
+    }
+
     /// Returns the upstream's registration, unless the dispatcher has removed it.
     pub fn upstream_record(&self) -> Option<UpstreamRecord> {
         let dispatch = lock(&self.context.dispatch);
@@ -541,12 +560,21 @@
             let ratio = elapsed.as_secs_f64() / expected;
             metrics.mesh.first_event_ratio.observe(ratio);
         }
-        lock(&self.context.dispatch).dispatcher.record_first_event(
+        let observation = lock(&self.context.dispatch).dispatcher.record_first_event(
             now,
             &self.selected,
             unprocessed_prompt_tokens,
             elapsed.as_secs_f64() * 1e3,
         );
+        let state = match observation {
+            Observation::None => return,
+            observed => observed.to_string(),
+        };
+        let counter = metrics
+            .mesh
+            .prompt_cache
+            .get_or_create(&StateLabels { state });
+        counter.inc();
     }
 
     /// Sets the outcome that is recorded when the guard is dropped; a cancellation by default.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -200,5 +200,6 @@
         old_version_start_window: settings.version_within.mul_f64(OLD_VERSION_START_FRACTION),
         started: clock.started_at(),
         startup_start_window: settings.contact_after.mul_f64(STARTUP_START_FRACTION),
+        prompt_cache: settings.prompt_cache.clone(),
     })
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -85,6 +85,10 @@
     pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
     pub limit_detours: Counter,
+    /// Prompt tokens that upstreams were expected to have cached, of requests sent there.
+    pub expected_cached_tokens: Counter,
+    /// Requests with an expected saving by what their first event showed: `hit` or `miss`.
+    pub prompt_cache: Family<StateLabels, Counter>,
     /// Upstreams that were silent for too long under a request, by what was done.
     pub silences: Family<StateLabels, Counter>,
     /// Interruptions of streams, by cause and by what became of the stream.
@@ -115,6 +119,8 @@
             refused_parts: Gauge::default(),
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
+            expected_cached_tokens: Counter::default(),
+            prompt_cache: Family::default(),
             silences: Family::default(),
             stream_interruptions: Family::default(),
         };
@@ -156,6 +162,11 @@
         r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
         r.register("limit_detours", detours, m.limit_detours.clone());
+        let tokens = "Prompt tokens that upstreams were expected to have cached";
+        let expected = m.expected_cached_tokens.clone();
+        r.register("expected_cached_tokens", tokens, expected);
+        let observed = "Expected savings by what the first event showed";
+        r.register("prompt_cache", observed, m.prompt_cache.clone());
         let silences = "Silent upstreams by what was done";
         r.register("silences", silences, m.silences.clone());
         let interrupted = "Interruptions of streams by cause";
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
@@ -24,6 +25,7 @@
 pub use self::shares::{Entries, SharingEntry};
 use self::{pool::Pool, upstream::Upstream, versions::PublishedVersions};
 use crate::{
+    prompt_cache::{Observation, Prefix, PromptCache, SentPrompt},
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
 };
@@ -54,6 +56,8 @@
     pub first_event_deadline: Moment,
     /// Upstreams to which it was already sent, and which are excluded.
     pub tried: Vec<UpstreamKey>,
+    /// The prefixes of its prompt; absent unless its service has the setting `prompt_cache`.
+    pub prefixes: Option<Arc<[Prefix]>>,
 }
 
 impl RequestRequirements {
@@ -87,6 +91,16 @@
     pub assigned_at: Moment,
     /// The upstream that would have been selected if its limit allowed another request.
     pub instead_of: Option<UpstreamKey>,
+    /// The prefixes of its prompt with the expected saving, for services with `prompt_cache`.
+    pub prompt: Option<SentPrompt>,
+}
+
+impl SelectedUpstream {
+    /// The number of tokens that the upstream is expected to read of a prompt with `prompt_tokens`.
+    pub fn unread_tokens(&self, prompt_tokens: f64) -> f64 {
+        let saved = self.prompt.as_ref().map_or(0.0, |p| p.saving.tokens);
+        (prompt_tokens - saved).max(0.0)
+    }
 }
 
 /// Why a request is refused, and when the caller should retry.
@@ -148,6 +162,9 @@
     /// How long after the start of this process requests may start on engines with versions older than
     /// the one that the first read of the facts finds.
     pub startup_start_window: Moment,
+    /// Number of prompt tokens that one upstream keeps after a request, by service. Services that are
+    /// missing keep none.
+    pub prompt_cache: HashMap<SmolStr, u32>,
 }
 
 /// Whether an upstream receives requests, for status pages.
@@ -209,6 +226,7 @@
     pools: HashMap<SmolStr, Pool>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
+    prompt_cache: PromptCache,
     entries: Entries,
     /// Increases whenever `entries` changes.
     entries_generation: u64,
@@ -243,6 +261,7 @@
     /// Creates a dispatcher without upstreams.
     pub fn new(settings: DispatchSettings) -> Self {
         Self {
+            prompt_cache: PromptCache::new(&settings.prompt_cache),
             settings,
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -311,6 +330,8 @@
             let oldest = self.missing.pop_front();
             oldest.and_then(|(_, key)| self.upstreams.remove(key));
         }
+        self.prompt_cache
+            .retain(|key| self.upstreams.contains_key(key));
         // The publication time of a version found at the start is unknown. It is chosen so that the start
         // deadline of older versions is `startup_start_window` after the start.
         let start_deadline = self.settings.started + self.settings.startup_start_window;
@@ -415,6 +436,7 @@
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            prompt_cache: &self.prompt_cache,
         };
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
     }
@@ -519,6 +541,7 @@
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            prompt_cache: &self.prompt_cache,
         };
         let Some(best) = pool.select(&cx, &mut self.upstreams, request) else {
             let first = pool.earliest_return(&cx, &self.upstreams, request);
@@ -538,6 +561,7 @@
                 nominal_ms: best.nominal_ms,
                 assigned_at: now,
                 instead_of: best.instead_of,
+                prompt: best.prompt,
             });
         }
         let waited = now.saturating_sub(since);
@@ -561,7 +585,11 @@
         selected: &SelectedUpstream,
     ) {
         if let Some(upstream) = self.upstreams.get_mut(selected.upstream) {
-            upstream.record_send(now, request.prompt_tokens);
+            upstream.record_send(now, selected.unread_tokens(request.prompt_tokens));
+        }
+        if let Some(prompt) = &selected.prompt {
+            self.prompt_cache
+                .record_send(now, selected.upstream, prompt);
         }
     }
 
@@ -573,22 +601,34 @@
     }
 
     /// Records that the first event of a request arrived `took_ms` after it was sent, so its prompt has
-    /// been read.
+    /// been read. `prompt_tokens` are those that it counted for ([`SelectedUpstream::unread_tokens`]).
+    /// Returns what the time shows about the upstream's cache of prompts.
     pub fn record_first_event(
         &mut self,
         now: Moment,
         selected: &SelectedUpstream,
         prompt_tokens: f64,
         took_ms: f64,
-    ) {
-        if let Some(upstream) = self.upstreams.get_mut(selected.upstream) {
-            upstream.record_prompt_read(prompt_tokens);
-            upstream.calibrate(now, took_ms, selected.nominal_ms);
+    ) -> Observation {
+        let key = selected.upstream;
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Observation::None;
+        };
+        upstream.record_prompt_read(prompt_tokens);
+        let mut nominal_ms = selected.nominal_ms;
+        let mut observation = Observation::None;
+        if let Some(prompt) = &selected.prompt {
+            let expected_ms = selected.expected_ms;
+            let cache = &mut self.prompt_cache;
+            observation = cache.record_first_event(now, key, prompt, expected_ms, took_ms);
+            nominal_ms = prompt.nominal_ms(nominal_ms, expected_ms, observation);
         }
+        upstream.calibrate(now, took_ms, nominal_ms);
+        observation
     }
 
-    /// Records that a request no longer occupies the upstream. `unread_tokens` is the length of its prompt
-    /// if no event arrived, otherwise zero.
+    /// Records that a request no longer occupies the upstream. `unread_tokens` is what its prompt counted
+    /// for ([`SelectedUpstream::unread_tokens`]) if no event arrived, otherwise zero.
     pub fn record_outcome(
         &mut self,
         now: Moment,
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -7,9 +7,13 @@
 
 use super::{
     availability::Unavailable, DispatchSettings, PublishedVersions, RequestRequirements, Upstream,
-    UpstreamKey,
+    UpstreamCondition, UpstreamKey,
+};
+use crate::{
+    estimate,
+    prompt_cache::{CacheTarget, ExpectedSaving, Lookup, PromptCache, SentPrompt},
+    Moment,
 };
-use crate::{estimate, Moment};
 
 /// Added cost of an upstream in another data centre, in milliseconds of waiting. Traffic between data
 /// centres is expensive, and links between regions are narrow.
@@ -49,10 +53,12 @@
     pub published: &'a PublishedVersions,
     /// Number of entries that share the limits of each upstream.
     pub entry_count: usize,
+    /// Which upstreams probably cache which prompt prefixes.
+    pub prompt_cache: &'a PromptCache,
 }
 
 /// An upstream as evaluated for a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Candidate {
     /// The upstream.
     pub upstream: UpstreamKey,
@@ -66,6 +72,8 @@
     pub excess_ms: f64,
     /// The upstream that would have been selected if its limit allowed another request.
     pub instead_of: Option<UpstreamKey>,
+    /// The prefixes of its prompt with the expected saving, for services with `prompt_cache`.
+    pub prompt: Option<SentPrompt>,
 }
 
 /// When a member that may not be used now can be used again.
@@ -102,6 +110,7 @@
     ) -> Option<Candidate> {
         let mut best: Option<(f64, Candidate)> = None;
         let mut best_limited: Option<(f64, UpstreamKey)> = None;
+        let lookup = self.prompt_lookup(cx, upstreams, request);
         for key in &self.members {
             let Some(upstream) = upstreams.get_mut(*key) else {
                 continue;
@@ -109,7 +118,7 @@
             if request.tried.contains(key) || !self.may_serve(cx, upstream, request) {
                 continue;
             }
-            let candidate = self.evaluate(cx, *key, upstream, request);
+            let mut candidate = self.evaluate(cx, *key, upstream, request);
             if !starts_in_time(cx, upstream, request, candidate.expected_ms) {
                 continue;
             }
@@ -132,6 +141,11 @@
             if !candidate.fits {
                 cost += LAST_RESORT_PENALTY_MS;
             }
+            if let Some(lookup) = &lookup {
+                let sent = sent_prompt(cx, lookup, *key, upstream, request, candidate.fits);
+                cost -= sent.saving.ms;
+                candidate.prompt = Some(sent);
+            }
             if upstream
                 .limited_until(cx.now, cx.settings.started)
                 .is_some()
@@ -232,8 +246,66 @@
             fits: has_capacity && allowed,
             excess_ms: expected_ms + CALLER_ROUND_TRIP_MS - remaining_ms,
             instead_of: None,
+            prompt: None,
         }
     }
+
+    /// Prepares the estimates of what an upstream saves if it still caches a prefix of the prompt; `None`
+    /// for services without `prompt_cache`.
+    fn prompt_lookup<'a>(
+        &'a self,
+        cx: &SelectionContext<'a>,
+        upstreams: &SlotMap<UpstreamKey, Upstream>,
+        request: &'a RequestRequirements,
+    ) -> Option<Lookup<'a>> {
+        let prefixes = request.prefixes.as_ref()?;
+        let model = self.model.as_ref()?;
+        cx.prompt_cache.lookup(
+            &request.service,
+            model,
+            request.prompt_tokens,
+            prefixes,
+            || {
+                let members = self.members.iter();
+                let members = members.filter_map(|key| Some((*key, upstreams.get(*key)?)));
+                members
+                    .filter(|(_, u)| u.record.data_centre == cx.settings.data_centre)
+                    .filter(|(_, u)| self.may_serve(cx, u, request))
+                    .map(|(key, u)| (key, u.record.id.as_str()))
+                    .collect()
+            },
+        )
+    }
+}
+
+/// The prefixes of a request with the saving expected at an upstream. An upstream that is a last resort, or
+/// whose switch of versions will empty its cache, saves nothing; otherwise a saving could decide whether the
+/// request is sent.
+fn sent_prompt(
+    cx: &SelectionContext<'_>,
+    lookup: &Lookup<'_>,
+    key: UpstreamKey,
+    upstream: &Upstream,
+    request: &RequestRequirements,
+    fits: bool,
+) -> SentPrompt {
+    let model = request.model.as_ref();
+    let target = CacheTarget {
+        key,
+        version: model
+            .and_then(|model| upstream.served_version(model))
+            .unwrap_or(0),
+        occupancy: upstream.occupancy(cx.now),
+        own_requests: upstream.own_requests,
+        slots: upstream.record.slots,
+        cold: upstream.condition(cx.now) == UpstreamCondition::Cold,
+    };
+    let last_resort = !fits || upstream.is_ejected(cx.now);
+    let saving = match !last_resort && !switch_pending(cx, upstream, request) {
+        true => lookup.saving(cx.now, &target),
+        false => ExpectedSaving::default(),
+    };
+    lookup.sent(&target, saving)
 }
 
 /// Whether the region and the weights of an upstream permit a request.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod owner;
 pub mod pace;
 pub mod pause;
+pub mod prompt_cache;
 pub mod queue;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,6 +6,8 @@
 mod limited_fleet;
 mod limits;
 mod overload;
+mod prompt_cache;
+mod prompt_fleet;
 mod steady_load;
 mod subsets;
 mod versions;
@@ -73,6 +75,11 @@
 
     /// The same with a dispatcher that started at `started`.
     fn started_at(started: Moment) -> Self {
+        Self::with_prompt_cache(started, HashMap::new())
+    }
+
+    /// The same, where upstreams of the services in `prompt_cache` keep so many tokens.
+    fn with_prompt_cache(started: Moment, prompt_cache: HashMap<SmolStr, u32>) -> Self {
         let regions = [("addis-a", "addis"), ("mekelle-a", "mekelle")];
         let regions = regions.map(|(dc, region)| (SmolStr::new(dc), SmolStr::new(region)));
         let settings = DispatchSettings {
@@ -82,6 +89,7 @@
             old_version_start_window: OLD_VERSION_START_WINDOW,
             started,
             startup_start_window: STARTUP_START_WINDOW,
+            prompt_cache,
         };
         let mut cluster = Self {
             replica: Replica::default(),
