Warnings about valid declarations, and effects of changes

Entries that can never apply and values that contradict each other get a warning with line and column. Processes accept declarations as before. Each difference of two declarations gets a sentence on what it does.

--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -172,7 +172,7 @@
 
 impl LookupContext {
     /// Whether an exception with this scope applies.
-    fn matches(&self, scope: &Scope) -> bool {
+    pub fn matches(&self, scope: &Scope) -> bool {
         let name = match scope.kind {
             ScopeKind::DataCentre => &self.data_centre,
             ScopeKind::Pool => &self.pool,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,7 +4,9 @@
 //! and remedy, and no part of a faulty document is applied. See docs/OPERATIONS.md, "Declaration".
 
 pub mod diff;
+pub mod effect;
 pub mod fleet;
+pub mod lint;
 pub mod mesh;
 pub mod process;
 pub mod reader;
@@ -15,11 +17,13 @@
 
 pub use crate::{
     diff::{diff, Change},
+    effect::{effects, Effect},
     fleet::{
         DataCentre, Exception, Fleet, Pool, PoolKind, ResolvedValue, Route, Scope, Upstream,
         ValueSource,
     },
     fleet_reader::read_fleet,
+    lint::{lint_fleet, Warning, WarningKind},
     mesh::{read_gateway, read_stager, GatewaySettings, MeshSettings, StagerSettings},
     process::{read_entry, read_sidecar, EntrySettings, LinkRates, PeerSettings, SidecarSettings},
     report::{Fault, FaultReport, Position},
