--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -14,7 +14,9 @@
 Usage: balsamjunction <COMMAND> [--json]
 
 Commands:
-  check FILE                               list every fault of a declaration with its position
+  check FILE [--active OLD | --entry IP:PORT]
+                                           list every fault and warning of a declaration with its position,
+                                           and what it changes in OLD, or in what a process has in force
   diff OLD NEW                             list the changes between two declarations
   explain FILE --host H [--workspace W]    show the effective values and their sources
   explain-request ID FILE...               show the timeline of a request from log files
@@ -31,6 +33,7 @@
 
 Examples:
   balsamjunction check fleet.jsonc
+  balsamjunction check next.jsonc --entry 10.0.0.7:7000
   balsamjunction explain fleet.jsonc --host deck-model-3 --workspace selam
   balsamjunction weights --entry 10.0.0.7:7000 --watch
   balsamjunction explain-request 9c41d07be2a35f68 edge-*.log
@@ -46,6 +49,8 @@
     pub host: Option<SmolStr>,
     /// Value of `--workspace`.
     pub workspace: Option<SmolStr>,
+    /// Value of `--active`.
+    pub active: Option<SmolStr>,
     /// Value of `--entry`.
     pub entry: Option<SmolStr>,
     /// Whether `--json` is given.
@@ -65,6 +70,7 @@
             Arg::Long("watch") => parsed.watch = true,
             Arg::Long("host") => parsed.host = Some(parser.value()?.string()?.into()),
             Arg::Long("workspace") => parsed.workspace = Some(parser.value()?.string()?.into()),
+            Arg::Long("active") => parsed.active = Some(parser.value()?.string()?.into()),
             Arg::Long("entry") => parsed.entry = Some(parser.value()?.string()?.into()),
             Arg::Value(value) => parsed.positionals.push(value.string()?.into()),
             other => return Err(other.unexpected().into()),
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -5,7 +5,7 @@
 use balsamjunction_settings::diff;
 use serde_json::json;
 
-use super::read_declaration;
+use super::{read_declaration, write_change};
 use crate::error::CliError;
 
 /// Writes one line per change, marked `~` if changed, `+` if added and `-` if removed.
@@ -15,13 +15,8 @@
         writeln!(out, "{}", json!({ "changes": changes }))?;
         return Ok(());
     }
-    for change in changes {
-        match (change.old, change.new) {
-            (Some(old), Some(new)) => writeln!(out, "~ {}: {old} -> {new}", change.path)?,
-            (None, Some(new)) => writeln!(out, "+ {}: {new}", change.path)?,
-            (Some(old), None) => writeln!(out, "- {}: {old}", change.path)?,
-            (None, None) => {}
-        }
+    for change in &changes {
+        write_change(change, out)?;
     }
     Ok(())
 }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -10,11 +10,12 @@
 
 use std::{fs, io::Write, path::Path};
 
-use balsamjunction_settings::{read_fleet, Fleet};
+use balsamjunction_settings::{read_fleet, Change, Fleet};
 
 use crate::{
     error::CliError,
-    options::{Command, Options},
+    fleet_client::FleetClient,
+    options::{ActiveDeclaration, Command, Options},
 };
 
 /// Runs a command and writes its output to `out`.
@@ -22,7 +23,16 @@
     let json = options.json;
     let system = actix_rt::System::new();
     match &options.command {
-        Command::Check { file } => check::run(file, json, out),
+        Command::Check { file, active } => {
+            let active = || match active {
+                None => Ok(None),
+                Some(ActiveDeclaration::File(path)) => read_declaration(path).map(Some),
+                Some(ActiveDeclaration::Process(address)) => system
+                    .block_on(async { FleetClient::default().fetch_declaration(*address).await })
+                    .map(Some),
+            };
+            check::run(file, active, json, out)
+        }
         Command::Diff { old, new } => diff::run(old, new, json, out),
         Command::Explain {
             file,
@@ -52,3 +62,15 @@
         report,
     })
 }
+
+/// Writes a change as one line, marked `~` if changed, `+` if added and `-` if removed.
+fn write_change(change: &Change, out: &mut dyn Write) -> Result<(), CliError> {
+    let path = &change.path;
+    match (&change.old, &change.new) {
+        (Some(old), Some(new)) => writeln!(out, "~ {path}: {old} -> {new}")?,
+        (None, Some(new)) => writeln!(out, "+ {path}: {new}")?,
+        (Some(old), None) => writeln!(out, "- {path}: {old}")?,
+        (None, None) => {}
+    }
+    Ok(())
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -35,6 +35,15 @@
         /// Name of the argument as in the help.
         argument: &'static str,
     },
+    /// Two arguments exclude each other.
+    #[display("balsamjunction: {first} and {second} exclude each other; leave one out")]
+    #[from(ignore)]
+    ConflictingArguments {
+        /// The first argument.
+        first: &'static str,
+        /// The second argument.
+        second: &'static str,
+    },
     /// The value of `--entry` is not an IP address and port.
     #[display("balsamjunction: \"{value}\" is not an IP address and port such as 10.0.0.7:7000")]
     #[from(ignore)]
@@ -118,6 +127,7 @@
             Self::Arguments(_)
             | Self::UnknownCommand { .. }
             | Self::MissingArgument { .. }
+            | Self::ConflictingArguments { .. }
             | Self::InvalidAddress { .. } => 2,
             _ => 1,
         }
--- a/crates/cli/src/fleet_client.rs
+++ b/crates/cli/src/fleet_client.rs
@@ -45,6 +45,13 @@
     CliError::Unreachable { address, reason }
 }
 
+/// The declaration in a process's state.
+fn in_force(address: SocketAddr, state: &PullResponse) -> Result<Fleet, CliError> {
+    let document = state.fleet.as_ref();
+    let document = document.ok_or(CliError::NoDeclaration { address })?;
+    read_fleet(document.text.as_bytes()).map_err(|_| CliError::NoDeclaration { address })
+}
+
 impl FleetClient {
     /// Sends a GET request and parses the JSON response.
     pub async fn get_json<T: DeserializeOwned>(
@@ -77,6 +84,11 @@
         Ok(header::from_compressed(&body, MAX_RESPONSE_BYTES as u64)?)
     }
 
+    /// Fetches the declaration that a process has in force.
+    pub async fn fetch_declaration(&self, address: SocketAddr) -> Result<Fleet, CliError> {
+        in_force(address, &self.pull(address).await?)
+    }
+
     /// Fetches the declaration that a process has in force, and the status of every member of its
     /// membership list, sorted by data centre and host.
     pub async fn fetch_fleet(
@@ -84,9 +96,7 @@
         address: SocketAddr,
     ) -> Result<(Fleet, Vec<ProcessStatus>), CliError> {
         let state = self.pull(address).await?;
-        let document = state.fleet.ok_or(CliError::NoDeclaration { address })?;
-        let fleet = read_fleet(document.text.as_bytes());
-        let fleet = fleet.map_err(|_| CliError::NoDeclaration { address })?;
+        let fleet = in_force(address, &state)?;
         let members = state.members.unwrap_or_default().members;
         let statuses = members.iter().map(|member| async {
             let address: SocketAddr = member.address.parse().ok()?;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -18,13 +18,24 @@
     "weights",
 ];
 
+/// Where to find the declaration that is in force.
+#[derive(Clone, Debug)]
+pub enum ActiveDeclaration {
+    /// A file.
+    File(PathBuf),
+    /// The inner address of an entry or sidecar, which is asked for it.
+    Process(SocketAddr),
+}
+
 /// A command with its arguments.
 #[derive(Clone, Debug)]
 pub enum Command {
-    /// Validates a declaration and lists every fault.
+    /// Validates a declaration, lists every fault and warning, and shows what it would change.
     Check {
         /// Path of the declaration.
         file: PathBuf,
+        /// The active declaration to compare it with, if any.
+        active: Option<ActiveDeclaration>,
     },
     /// Lists the changes between two declarations.
     Diff {
@@ -92,6 +103,7 @@
         let command = match name.as_str() {
             "check" => Command::Check {
                 file: next_positional("FILE")?,
+                active: parse_active(args.active, args.entry)?,
             },
             "diff" => Command::Diff {
                 old: next_positional("OLD")?,
@@ -143,6 +155,22 @@
     }
 }
 
+/// Parses the values of `--active` and `--entry`, of which at most one may be given.
+fn parse_active(
+    file: Option<SmolStr>,
+    entry: Option<SmolStr>,
+) -> Result<Option<ActiveDeclaration>, CliError> {
+    match (file, entry) {
+        (Some(_), Some(_)) => Err(CliError::ConflictingArguments {
+            first: "--active",
+            second: "--entry",
+        }),
+        (Some(file), None) => Ok(Some(ActiveDeclaration::File(PathBuf::from(file.as_str())))),
+        (None, None) => Ok(None),
+        (None, entry) => parse_address(entry).map(|a| Some(ActiveDeclaration::Process(a))),
+    }
+}
+
 /// Parses the value of `--entry`.
 fn parse_address(entry: Option<SmolStr>) -> Result<SocketAddr, CliError> {
     let value = entry.ok_or(CliError::MissingArgument {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -203,3 +203,81 @@
         "{late}"
     );
 }
+
+#[test]
+fn check_lists_warnings_with_their_positions_and_still_exits_with_zero() {
+    let empty = VALID.replace("\"set\": {\"max_concurrency\": 2}", "\"set\": {}");
+    let file = TempFile::new("warnings", &empty);
+
+    let plain = run_on_file("check", &file, &[]);
+    let structured = run_on_file("check", &file, &["--json"]);
+
+    let line = format!(
+        "{}:12:9: warning: exception \"old\" sets nothing",
+        file.path().display()
+    );
+    assert_eq!(plain.status.code(), Some(0));
+    assert!(
+        text(&plain.stdout).contains(&line),
+        "{}",
+        text(&plain.stdout)
+    );
+    let warning = &json(&structured)["warnings"][0];
+    assert_eq!(
+        (&warning["line"], &warning["column"]),
+        (&12.into(), &9.into())
+    );
+}
+
+#[test]
+fn check_shows_the_effects_of_the_changes_to_the_active_declaration() {
+    let active = TempFile::new("active", VALID);
+    let next = VALID.replace("\"max_concurrency\": 2", "\"max_concurrency\": 4");
+    let next = TempFile::new("next", &next);
+    let path = active.path().to_str().expect("the path is text");
+
+    let plain = run_on_file("check", &next, &["--active", path]);
+    let structured = run_on_file("check", &next, &["--active", path, "--json"]);
+    let unchanged = run_on_file("check", &active, &["--active", path]);
+
+    let expected = "~ exceptions/old/set/max_concurrency: 2 -> 4\n    \
+                    effect: max_concurrency of 1 host: 2 -> 4 requests\n";
+    assert_eq!(plain.status.code(), Some(0));
+    assert!(
+        text(&plain.stdout).ends_with(expected),
+        "{}",
+        text(&plain.stdout)
+    );
+    let change = &json(&structured)["changes"][0];
+    assert_eq!(change["path"], "exceptions/old/set/max_concurrency");
+    assert_eq!(
+        change["effect"],
+        "max_concurrency of 1 host: 2 -> 4 requests"
+    );
+    assert!(text(&unchanged.stdout).contains("no changes to the active declaration"));
+}
+
+#[test]
+fn check_rejects_an_active_declaration_that_cannot_be_read() {
+    let file = TempFile::new("check-active", VALID);
+    let faulty = TempFile::new("active-faulty", "{");
+    let path = faulty.path().to_str().expect("the path is text");
+
+    let invalid = run_on_file("check", &file, &["--active", path]);
+    let missing = run_on_file("check", &file, &["--active", "/nonexistent/fleet.jsonc"]);
+    let silent = run_on_file("check", &file, &["--entry", "127.0.0.1:1"]);
+    let both = run_on_file(
+        "check",
+        &file,
+        &["--entry", "127.0.0.1:1", "--active", path],
+    );
+
+    for output in [&invalid, &missing, &silent] {
+        assert_eq!(output.status.code(), Some(1));
+        assert!(output.stdout.is_empty());
+    }
+    assert!(text(&invalid.stderr).contains(path));
+    assert!(text(&silent.stderr).contains("127.0.0.1:1 does not answer"));
+    assert_eq!(both.status.code(), Some(2));
+    assert!(text(&both.stderr).contains("--active and --entry exclude each other"));
+}
