--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -29,6 +29,8 @@
     pub retry_slack: f64,
     /// Time within which engines must serve a published version (setting `version_within_ms`).
     pub version_deadline: Duration,
+    /// Prompt tokens that upstreams keep, by service (setting `prompt_cache`).
+    pub prompt_cache: Value,
     /// Time within which a revoked key must be refused everywhere (setting `revoke_within_ms`).
     pub revocation_deadline: Duration,
     /// Delay before a process that exited is restarted. If absent, it is not restarted.
@@ -144,6 +146,7 @@
             processes: Processes::new(dir.clone()),
             retry_slack: 20.0,
             version_deadline: Duration::from_millis(3_000),
+            prompt_cache: json!({}),
             revocation_deadline: Duration::from_millis(2_000),
             restart_after: None,
             config: config(origin.address),
@@ -238,7 +241,7 @@
             "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
             "seeds": mesh_addresses(seeds), "revoke_within_ms": self.revocation_deadline.as_millis(), "grace_s": 8,
             "version_within_ms": self.version_deadline.as_millis(), "retry_slack": self.retry_slack,
-            "first_start": true,
+            "first_start": true, "prompt_cache": self.prompt_cache,
         });
         self.launch(name, "gateway", &settings);
         gateway
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod odd_entries;
 mod planned_stops;
+mod prompt_prefixes;
 mod requests;
 mod restored_store;
 mod silence;
