--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -144,7 +144,8 @@
 
 impl RequestAttempts {
     fn new(context: Arc<GatewayContext>, request: Arc<CallerRequest>) -> Self {
-        let requirements = request.requirements();
+        let keeps_prompts = context.keeps_prompts(&request.service);
+        let requirements = request.requirements(keeps_prompts);
         Self {
             context,
             request,
@@ -466,6 +467,8 @@
             queueing: in_flight.queueing(),
             service_time_percent: stated.map(|stated| stated.percent),
             service_time_age_ms: stated.map(|stated| stated.age.as_millis() as u64),
+            saved_tokens: in_flight.expected_saving().map(|s| s.tokens as u64),
+            saved_ms: in_flight.expected_saving().map(|s| s.ms as u64),
             once: self.request.runs_at_most_once(),
         });
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -246,5 +246,6 @@
             ContentionSetting::On => ContentionMode::On,
             ContentionSetting::Off => ContentionMode::Off,
         },
+        prompt_cache: settings.prompt_cache.clone(),
     })
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use balsamjunction_directory::{Declaration, Directory, UpstreamRecord, UpstreamState};
@@ -37,6 +38,7 @@
     shares::{Entries, SharingEntry},
 };
 use crate::{
+    prompt_cache::{Observation, Prefix, PromptCache, SentPrompt},
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
 };
@@ -73,6 +75,8 @@
     pub caller_leaves_at: Moment,
     /// Upstreams to which it was already sent, and which are excluded.
     pub tried: Vec<UpstreamKey>,
+    /// The prefixes of its prompt; absent unless its service has the setting `prompt_cache`.
+    pub prefixes: Option<Arc<[Prefix]>>,
 }
 
 impl RequestRequirements {
@@ -112,6 +116,8 @@
     pub target_latency: Moment,
     /// How the request came to be sent, if its service is contended.
     pub queueing: Option<Queueing>,
+    /// The prefixes of its prompt with the expected saving, for services with `prompt_cache`.
+    pub prompt: Option<SentPrompt>,
 }
 
 /// How a request to a contended service came to be sent, for the log.
@@ -129,6 +135,14 @@
     pub window: f64,
 }
 
+impl SelectedUpstream {
+    /// The number of tokens that the upstream is expected to read of a prompt with `prompt_tokens`.
+    pub fn unread_tokens(&self, prompt_tokens: f64) -> f64 {
+        let saved = self.prompt.as_ref().map_or(0.0, |p| p.saving.tokens);
+        (prompt_tokens - saved).max(0.0)
+    }
+}
+
 /// Why a request is refused, and when the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchRefusal {
@@ -190,6 +204,9 @@
     pub startup_start_window: Moment,
     /// Whether services are treated as contended.
     pub contention: ContentionMode,
+    /// Number of prompt tokens that one upstream keeps after a request, by service. Services that are
+    /// missing keep none.
+    pub prompt_cache: HashMap<SmolStr, u32>,
 }
 
 /// Whether an upstream receives requests, for status pages.
@@ -255,6 +272,7 @@
     persistence: HashMap<SmolStr, Persistence>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
+    prompt_cache: PromptCache,
     entries: Entries,
     /// Increases whenever `entries` changes.
     entries_generation: u64,
@@ -334,6 +352,7 @@
             unseen_wait_ms: best.unseen_wait_ms,
             target_latency: request.target_latency,
             queueing: None,
+            prompt: best.prompt.clone(),
         }
     }
 }
@@ -342,6 +361,7 @@
     /// Creates a dispatcher without upstreams.
     pub fn new(settings: DispatchSettings) -> Self {
         Self {
+            prompt_cache: PromptCache::new(&settings.prompt_cache),
             settings,
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
@@ -412,6 +432,8 @@
             let oldest = self.missing.pop_front();
             oldest.and_then(|(_, key)| self.upstreams.remove(key));
         }
+        self.prompt_cache
+            .retain(|key| self.upstreams.contains_key(key));
         // The publication time of a version found at the start is unknown. It is chosen so that the start
         // deadline of older versions is `startup_start_window` after the start.
         let start_deadline = self.settings.started + self.settings.startup_start_window;
@@ -549,6 +571,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: None,
+            prompt_cache: &self.prompt_cache,
         };
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
     }
@@ -827,6 +850,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: contention.map(|state| state.unseen_wait_ms(now)),
+            prompt_cache: &self.prompt_cache,
         };
         pool.select(&cx, &mut self.upstreams, request)
             .ok_or_else(|| {
@@ -878,6 +902,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: None,
+            prompt_cache: &self.prompt_cache,
         };
         pool.earliest_return(&cx, &self.upstreams, request)
     }
@@ -889,7 +914,11 @@
         selected: &SelectedUpstream,
     ) {
         if let Some(upstream) = self.upstreams.get_mut(selected.upstream) {
-            upstream.record_send(now, request.prompt_tokens);
+            upstream.record_send(now, selected.unread_tokens(request.prompt_tokens));
+        }
+        if let Some(prompt) = &selected.prompt {
+            self.prompt_cache
+                .record_send(now, selected.upstream, prompt);
         }
     }
 
@@ -920,33 +949,44 @@
     }
 
     /// Records that the first event of a request arrived `took_ms` after it was sent, so its prompt has
-    /// been read.
+    /// been read. `prompt_tokens` are those that it counted for ([`SelectedUpstream::unread_tokens`]).
+    /// Returns what the time shows about the upstream's cache of prompts.
     pub fn record_first_event(
         &mut self,
         now: Moment,
         selected: &SelectedUpstream,
         prompt_tokens: f64,
         took_ms: f64,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(selected.upstream) else {
-            return;
+    ) -> Observation {
+        let key = selected.upstream;
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Observation::None;
         };
         upstream.record_prompt_read(prompt_tokens);
-        upstream.calibrate(now, took_ms, selected.nominal_ms);
+        let mut nominal_ms = selected.nominal_ms;
+        let mut observation = Observation::None;
+        let estimated_ms = selected.expected_ms - selected.unseen_wait_ms;
+        if let Some(prompt) = &selected.prompt {
+            let cache = &mut self.prompt_cache;
+            observation = cache.record_first_event(now, key, prompt, selected.expected_ms, took_ms);
+            nominal_ms = prompt.nominal_ms(nominal_ms, selected.expected_ms, observation);
+        }
+        upstream.calibrate(now, took_ms, nominal_ms);
         let service = upstream.record.service.clone();
         let observed = FirstEventObservation {
             took_ms,
-            estimated_ms: selected.expected_ms - selected.unseen_wait_ms,
+            estimated_ms,
             target_ms: selected.target_latency.as_secs_f64() * 1e3,
             in_flight: self.in_flight(&service),
         };
         if let Some(state) = self.contended.get_mut(&service) {
             state.record_first_event(now, observed);
         }
+        observation
     }
 
-    /// Records that a request no longer occupies the upstream. `unread_tokens` is the length of its prompt
-    /// if no event arrived, otherwise zero.
+    /// Records that a request no longer occupies the upstream. `unread_tokens` is what its prompt counted
+    /// for ([`SelectedUpstream::unread_tokens`]) if no event arrived, otherwise zero.
     pub fn record_outcome(
         &mut self,
         now: Moment,
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -7,6 +7,8 @@
 mod limited_fleet;
 mod limits;
 mod overload;
+mod prompt_cache;
+mod prompt_fleet;
 mod second_copy;
 mod service_time;
 mod slow_fleet;
@@ -78,15 +80,24 @@
 
     /// The same with a dispatcher that started at `started`.
     fn started_at(started: Moment) -> Self {
-        Self::build(started, ContentionMode::Auto)
+        Self::build(started, ContentionMode::Auto, HashMap::new())
     }
 
     /// The same with a setting of which services are contended.
     fn with_contention(contention: ContentionMode) -> Self {
-        Self::build(Moment::ZERO, contention)
+        Self::build(Moment::ZERO, contention, HashMap::new())
     }
 
-    fn build(started: Moment, contention: ContentionMode) -> Self {
+    /// The same, where upstreams of the services in `prompt_cache` keep so many tokens.
+    fn with_prompt_cache(started: Moment, prompt_cache: HashMap<SmolStr, u32>) -> Self {
+        Self::build(started, ContentionMode::Auto, prompt_cache)
+    }
+
+    fn build(
+        started: Moment,
+        contention: ContentionMode,
+        prompt_cache: HashMap<SmolStr, u32>,
+    ) -> Self {
         let regions = [("addis-a", "addis"), ("mekelle-a", "mekelle")];
         let regions = regions.map(|(dc, region)| (SmolStr::new(dc), SmolStr::new(region)));
         let settings = DispatchSettings {
@@ -97,6 +108,7 @@
             started,
             startup_start_window: STARTUP_START_WINDOW,
             contention,
+            prompt_cache,
         };
         let mut cluster = Self {
             replica: Replica::default(),
