--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -444,7 +444,7 @@
 /// A guard for a request at an upstream, which releases the upstream's capacity when it is dropped.
 pub struct InFlightRequest {
     context: Arc<GatewayContext>,
-    selected: SelectedUpstream,
+    selected: Box<SelectedUpstream>,
     unprocessed_prompt_tokens: f64,
     outcome: AttemptOutcome,
 }
@@ -461,7 +461,7 @@
         Self {
             context,
             unprocessed_prompt_tokens: selected.unread_tokens(prompt_tokens),
-            selected,
+            selected: Box::new(selected),
             outcome: AttemptOutcome::Cancelled,
         }
     }
--- a/crates/policy/src/dispatch/contention.rs
+++ b/crates/policy/src/dispatch/contention.rs
@@ -35,9 +35,9 @@
 /// Relative reduction of the window for each late first event. With [`GROWTH`], one in three may be late: some are late
 /// for another reason than load, since hosts differ in speed and change it.
 const REDUCTION: f64 = 0.02;
-/// Smallest window as a multiple of the even share of the slots. With fewer requests than slots and some that wait
-/// there, upstreams would idle between the end of a request and the arrival of the next one.
-const MIN_WINDOW_FACTOR: f64 = 1.25;
+/// Smallest window as a fraction of the even share of the slots, so that slots are not left idle by entries that
+/// observe late first events for another reason than load.
+const MIN_WINDOW_FRACTION: f64 = 0.8;
 /// Largest window as a multiple of the even share, since callers are distributed unevenly to entries.
 const MAX_WINDOW_FACTOR: f64 = 4.0;
 /// The window counts as used up from this fraction of it on.
@@ -149,7 +149,7 @@
         let fair_share = fair_share.max(1.0);
         Self {
             fair_share,
-            window: fair_share * MIN_WINDOW_FACTOR,
+            window: fair_share,
             unseen_wait: Average::default(),
             first_event: Average::default(),
             arrivals: [Rate::default(); RANKS],
@@ -218,7 +218,7 @@
             took_ms if took_ms < limit_ms * FAST_FRACTION => 1.0 + FAST_GROWTH,
             _ => 1.0 + GROWTH,
         };
-        let least = self.fair_share * MIN_WINDOW_FACTOR;
+        let least = (self.fair_share * MIN_WINDOW_FRACTION).max(1.0);
         let most = self.fair_share * MAX_WINDOW_FACTOR;
         self.window = (self.window * factor).clamp(least, most);
     }
