Stagers read staged chunks over kept connections; a test of killed owners

Each comparison of staged chunks opened a connection per chunk. Orders and the staging of chunks keep using one connection each: a late copy of a response must not be taken for theirs. The test of copies therefore expects seven connections instead of twelve: three orders, three staged chunks, and one for six reads, whose content is compared with the digest. An origin that does not accept a connection within 400 ms counts as unreachable.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -29,15 +29,44 @@
 /// A host that does not accept a connection within this time counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How a client opens and keeps connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientOptions {
+    /// Source address of connections, if a particular one is to be used.
+    pub outbound_ip: Option<IpAddr>,
+    /// A host that does not accept a connection within this time counts as unreachable.
+    pub connect_timeout: Duration,
+    /// Idle connections are closed after this time.
+    pub idle_limit: Duration,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            outbound_ip: None,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_limit: CLIENT_IDLE_LIMIT,
+        }
+    }
+}
+
 /// Creates a client. Its connections use `outbound_ip` as their source address, if one is given.
 pub fn new_client(outbound_ip: Option<IpAddr>) -> Client {
+    new_client_with(ClientOptions {
+        outbound_ip,
+        ..ClientOptions::default()
+    })
+}
+
+/// Creates a client with `options`.
+pub fn new_client_with(options: ClientOptions) -> Client {
     let tcp = strict::StrictConnector::new(TcpConnector::default().service());
     let mut connector = Connector::new()
         .connector(tcp)
         .limit(MAX_CONNECTIONS)
-        .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(CLIENT_IDLE_LIMIT);
-    if let Some(ip) = outbound_ip {
+        .timeout(options.connect_timeout)
+        .conn_keep_alive(options.idle_limit);
+    if let Some(ip) = options.outbound_ip {
         connector = connector.local_address(ip);
     }
     Client::builder()
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -9,9 +9,11 @@
 };
 
 use awc::Client;
+use balsamjunction_client::ClientOptions;
 use balsamjunction_directory::{Fact, Subject};
 use balsamjunction_platform::{
     store::ALL_KEYS_PREFIX, Engine, EngineReport, PlatformError, Store, WeightOrigin,
+    STAGING_IDLE_LIMIT,
 };
 use balsamjunction_policy::{pace::Pacer, version_queue::versions_to_fetch, Moment};
 use balsamjunction_protocol::{
@@ -44,6 +46,9 @@
 /// Time limit of the notification of entries before a switch. Entries that it does not reach in time
 /// receive the state from their peers.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(120);
+/// An origin that does not accept a connection within this time counts as unreachable. While it is, four hosts try it;
+/// with a second for each attempt, its return would be noticed too late.
+const ORIGIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Changes of the relative service time of an engine below this many percentage points are not reported.
 const SERVICE_TIME_STEP_PERCENT: u32 = 20;
 /// The version that engines serve before any is published.
@@ -67,6 +72,8 @@
     pub engine: Engine,
     /// HTTP client for peers and the origin.
     pub client: Client,
+    /// HTTP client for the origin.
+    origin_client: Client,
     /// Limits the rate of fetched chunks.
     pub pacer: RefCell<Pacer>,
     seeds: Seeds,
@@ -118,9 +125,17 @@
             metrics: shared.metrics,
             engine: Engine::new(
                 client.clone(),
+                balsamjunction_client::new_client_with(ClientOptions {
+                    idle_limit: STAGING_IDLE_LIMIT,
+                    ..ClientOptions::default()
+                }),
                 balsamjunction_client::new_client(None),
                 settings.engine,
             ),
+            origin_client: balsamjunction_client::new_client_with(ClientOptions {
+                connect_timeout: ORIGIN_CONNECT_TIMEOUT,
+                ..ClientOptions::default()
+            }),
             store: Store::new(client.clone(), settings.mesh.store),
             client,
             members_requested_at: Cell::new(Moment::ZERO),
@@ -220,7 +235,7 @@
     pub fn origin(&self) -> Option<WeightOrigin> {
         let update = self.update.borrow();
         let address: SocketAddr = update.as_ref()?.0.origin.as_ref()?.parse().ok()?;
-        Some(WeightOrigin::new(self.client.clone(), address))
+        Some(WeightOrigin::new(self.origin_client.clone(), address))
     }
 
     /// Capacity of the link of the origin in kilobits a second; zero if unknown.
@@ -251,6 +266,20 @@
         service_members
     }
 
+    /// Number of live engines of the service, and of those that are switching, this one not counted among the latter.
+    pub fn switching_engines(&self) -> (usize, usize) {
+        self.cluster_view.with_members(|members, now| {
+            let engines = members
+                .live(now, ProcessRole::Sidecar)
+                .filter_map(|record| record.engine.as_ref())
+                .filter(|engine| engine.service == self.service);
+            let own = usize::from(self.report.borrow().is_some());
+            engines.fold((own, 0), |(all, switching), engine| {
+                (all + 1, switching + usize::from(engine.switching))
+            })
+        })
+    }
+
     /// Notifies all entries before the engine switches, so that they send it no more requests and do not
     /// count requests that the switch aborts as failures.
     pub async fn notify_switch(&self) {
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -260,7 +260,8 @@
 }
 
 // A second copy of an engine's response on a stager's connection could be taken for the response to a load
-// order.
+// order or to the staging of a chunk. Only reads of staged chunks share a connection: a copy of another chunk does not
+// match its digest.
 #[actix_rt::test]
 async fn requests_of_a_stager_receive_no_copies_of_earlier_responses() {
     let staged_chunks = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"held\":[]}";
@@ -272,7 +273,7 @@
     let upstream = ScriptedServer::start(script)
         .await
         .expect("start the scripted server");
-    let engine = platform::Engine::new(new_client(), new_client(), upstream.address);
+    let engine = platform::Engine::new(new_client(), new_client(), new_client(), upstream.address);
     let order = platform::LoadOrder {
         model: "m1".into(),
         version: 2,
@@ -297,7 +298,8 @@
     }
 
     assert_eq!(upstream.requests(), 12);
-    assert_eq!(upstream.connections(), 12);
+    // One each for three orders and three staged chunks, and one for the six reads.
+    assert_eq!(upstream.connections(), 7);
 }
 
 // The gateway read the body of an error response to its end before it handled the error.
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -259,7 +259,7 @@
 async fn an_order_that_is_not_permitted_when_its_connection_is_open_is_not_sent() {
     let server = Engine::start(model_engine_options("e0", 3, 5)).await;
     let server = server.expect("start the engine");
-    let engine = platform::Engine::new(new_client(), new_client(), server.address);
+    let engine = platform::Engine::new(new_client(), new_client(), new_client(), server.address);
     let order = platform::LoadOrder {
         model: "m1".into(),
         version: 2,
@@ -311,3 +311,45 @@
 
     assert_eq!(engines[last].inconsistent_loads(), 0);
 }
+
+/// Time after the announcement for which the origin can be reached: shorter than 1.2 s, for which hosts used to wait for
+/// owners that are lost, and several times as long as one of them takes to be replaced.
+const ORIGIN_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// Guards against chunks that wait for their owners, which were killed, until the origin cannot be reached either. On one
+/// day two killed owners of one chunk each kept a version from all 57 others.
+#[actix_rt::test]
+async fn chunks_of_killed_owners_are_fetched_before_the_origin_becomes_unreachable() {
+    let mut site = TestSite::start().await;
+    let gateway = site.start_gateway("g1", &[]);
+    let mut engines = Vec::new();
+    for n in 0..6 {
+        let mut options = model_engine_options(&format!("e{n}"), 3, 5);
+        if n % 2 == 1 {
+            options.data_centre = "addis-b".into();
+        }
+        let engine = site.start_engine(options).await;
+        site.start_stager(&format!("s{n}"), &engine, &[gateway]);
+        engines.push(engine);
+    }
+    gateway.wait_until_ready().await;
+    wait_until("all stagers to fetch the first version", async || {
+        let has_fetched = |n| {
+            let lines = site.log_lines(&format!("s{n}"), "weights");
+            lines.iter().any(|line| line["step"] == "fetched")
+        };
+        (0..6).all(has_fetched)
+    })
+    .await;
+
+    signal(&site, "s0", Signal::SIGKILL);
+    signal(&site, "s1", Signal::SIGKILL);
+    site.publish_version(2);
+    actix_rt::time::sleep(ORIGIN_WINDOW).await;
+    site.origin.set_down(true);
+
+    wait_until_served(&engines[2..], 2).await;
+    assert!(engines[2..]
+        .iter()
+        .all(|engine| engine.inconsistent_loads() == 0));
+}
