--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -11,7 +11,8 @@
 
 use balsamjunction_platform::{LoadOrder, Manifest, OrderOutcome, PlatformError, SwitchMode};
 use balsamjunction_policy::{
-    rendezvous, staged_check::StagedCheck, version_queue::VersionQueue, Moment,
+    rendezvous, staged_check::StagedCheck, switch_schedule::SwitchTurn,
+    version_queue::VersionQueue, Moment,
 };
 use futures_util::{stream, StreamExt, TryStreamExt};
 use log::debug;
@@ -32,11 +33,6 @@
 /// Delay between attempts to fetch a manifest. It passes through two or three hosts, and no chunk can be
 /// fetched before it arrives.
 const MANIFEST_RETRY_DELAY: Duration = Duration::from_millis(15);
-/// Start of the interval in which serving engines start to switch, as a fraction of the time allowed for
-/// a change of version. Chunks take about that long to arrive.
-const SWITCH_INTERVAL_START: f64 = 0.28;
-/// End of that interval, by which the last engine has started to switch.
-const SWITCH_INTERVAL_END: f64 = 0.86;
 /// An engine that neither serves the version nor processes the order after this time is ordered again.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -213,9 +209,7 @@
     };
     stage_missing_chunks(stager, id, &manifest, PARALLEL_CHUNKS[0]).await?;
     let staged_at = stager.now();
-    while stager.serving_version(&id.model).is_some()
-        && stager.now() < scheduled_switch_time(stager, id, staged_at)
-    {
+    while stager.serving_version(&id.model).is_some() && !may_switch(stager, id, staged_at) {
         if next_switch_target(stager).as_ref() != Some(id) {
             return Ok(());
         }
@@ -269,23 +263,26 @@
         .await
 }
 
-/// The time at which this engine switches. Engines switch one after the other, so that most of them serve
-/// at any time.
-///
-/// `staged_at` is the time at which the version was staged.
-fn scheduled_switch_time(stager: &Stager, id: &VersionId, staged_at: Moment) -> Moment {
-    let since = stager.outdated_since(&id.model).unwrap_or(staged_at);
-    let start = (since + stager.version_within.mul_f64(SWITCH_INTERVAL_START)).max(staged_at);
-    let end = (since + stager.version_within.mul_f64(SWITCH_INTERVAL_END)).max(start);
+/// Whether it is the turn of this engine to switch, which had the version staged at `staged_at`.
+fn may_switch(stager: &Stager, id: &VersionId, staged_at: Moment) -> bool {
+    let Some(report) = stager.report() else {
+        return true;
+    };
     // Hosts of one data centre are scattered in this order, so that each data centre keeps most of its
     // engines in service.
     let service_members = stager.service_members();
     let names = service_members.iter().map(|m| m.host.as_str());
     let order = rendezvous::rank(&id.version.to_le_bytes(), names);
     let own_host = stager.settings.host.as_str();
-    let rank = order.iter().position(|host| *host == own_host).unwrap_or(0);
-    let fraction = rank as f64 / order.len().max(1) as f64;
-    start + (end - start).mul_f64(fraction)
+    let (engines, switching) = stager.switching_engines();
+    let turn = SwitchTurn {
+        since: stager.outdated_since(&id.model).unwrap_or(staged_at),
+        within: stager.version_within,
+        staged_at,
+        rank: order.iter().position(|host| *host == own_host).unwrap_or(0),
+        engines,
+    };
+    turn.may_start(stager.now(), switching, report.running)
 }
 
 /// Stages every chunk that is not staged with its digest, `parallel_chunks` at a time; returns the number of chunks
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod sliding_window;
 pub mod staged_check;
 pub mod stated_limits;
+pub mod switch_schedule;
 pub mod upgrade;
 pub mod version_queue;
 
