Weights: requests in flight outlive their plan, stalled versions resume with the origin, waits are logged

A plan that followed another one of the same version requested the chunk under way again, and what the first request brought was lost. A stalled version is fetched again once the origin is back. Sidecars report what they fetch from the origin, as stagers do. The log has a line when a fetch waits; a metric counts missing chunks by the state of their owner.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,6 +63,8 @@
     pub upstreams: Family<StateLabels, Gauge>,
     /// Versions of the weights: the target version, and the version that the engine on this host serves.
     pub weights: Family<StateLabels, Gauge>,
+    /// Chunks that a waiting fetch lacks, by what is known of their owner.
+    pub missing_chunks: Family<StateLabels, Gauge>,
     /// Log lines that were dropped because the queue was full.
     pub dropped_lines: Counter,
     /// Log lines that were left out by sampling.
@@ -104,6 +106,7 @@
             members: Family::default(),
             upstreams: Family::default(),
             weights: Family::default(),
+            missing_chunks: Family::default(),
             dropped_lines: Counter::default(),
             sampled_lines: Counter::default(),
             overdue_answers: Counter::default(),
@@ -134,6 +137,11 @@
         r.register("members", up, m.members.clone());
         r.register("upstreams", "Upstreams by state", m.upstreams.clone());
         r.register("weights", "Versions of weights", m.weights.clone());
+        r.register(
+            "missing_chunks",
+            "Chunks that a waiting fetch lacks, by the state of their owner",
+            m.missing_chunks.clone(),
+        );
         let dropped = "Log lines that found the queue full";
         r.register("dropped_lines", dropped, m.dropped_lines.clone());
         let sampled = "Log lines left out under load";
--- a/crates/daemon/src/sidecar/chunks.rs
+++ b/crates/daemon/src/sidecar/chunks.rs
@@ -15,6 +15,8 @@
 struct StoredVersion {
     manifest: Manifest,
     chunks: Vec<Option<Bytes>>,
+    /// Chunks that this host is to fetch from the origin for the fleet.
+    fetching_from_origin: ChunkMap,
 }
 
 /// Manifests and verified chunks, by version.
@@ -36,6 +38,7 @@
             .or_insert_with(|| StoredVersion {
                 chunks: vec![None; manifest.chunks.len()],
                 manifest,
+                fetching_from_origin: ChunkMap::default(),
             });
     }
 
@@ -71,6 +74,20 @@
         versions.get(version)?.chunks.get(chunk)?.clone()
     }
 
+    /// Records the chunks of a version that this host is to fetch from the origin for the fleet.
+    pub fn set_fetching_from_origin(&self, version: &str, chunks: ChunkMap) {
+        if let Some(stored) = self.lock().get_mut(version) {
+            stored.fetching_from_origin = chunks;
+        }
+    }
+
+    /// The chunks of a version that this host is to fetch from the origin for the fleet.
+    pub fn fetching_from_origin(&self, version: &str) -> ChunkMap {
+        let versions = self.lock();
+        let stored = versions.get(version);
+        stored.map_or_else(ChunkMap::default, |s| s.fetching_from_origin.clone())
+    }
+
     /// The chunks of a version that are stored; empty if the version is not.
     pub fn chunk_map(&self, version: &str) -> ChunkMap {
         let versions = self.lock();
--- a/crates/daemon/src/sidecar/weights/http.rs
+++ b/crates/daemon/src/sidecar/weights/http.rs
@@ -55,6 +55,7 @@
 ) -> ChunkMapResponse {
     ChunkMapResponse {
         map: context.chunk_store.chunk_map(version),
+        fetching_from_origin: context.chunk_store.fetching_from_origin(version),
         serving: context.version_status().serving.as_ref() == Some(version),
         uploads: pacing.upload_count(),
         ..ChunkMapResponse::default()
--- a/crates/daemon/src/sidecar/weights/mod.rs
+++ b/crates/daemon/src/sidecar/weights/mod.rs
@@ -192,7 +192,10 @@
         }
         let now = self.client.context.clock.now();
         if let Some(plan) = &mut self.plan {
-            for action in plan.next_actions(now) {
+            let actions = plan.next_actions(now);
+            let chunk_store = &self.client.context.chunk_store;
+            chunk_store.set_fetching_from_origin(plan.version(), plan.missing_owned());
+            for action in actions {
                 let client = self.client.clone();
                 let addr = ctx.address();
                 let version = plan.version().clone();
--- a/crates/daemon/src/stager/chunk_cache.rs
+++ b/crates/daemon/src/stager/chunk_cache.rs
@@ -31,6 +31,8 @@
     manifest: Manifest,
     chunks: Vec<Option<Bytes>>,
     fetching_from_origin: ChunkMap,
+    /// Chunks of which a response of the origin is awaited.
+    in_flight: Vec<bool>,
 }
 
 /// A version of which a peer asks for chunks.
@@ -69,6 +71,7 @@
             id: id.clone(),
             manifest,
             fetching_from_origin: ChunkMap::empty(chunks.len()),
+            in_flight: vec![false; chunks.len()],
             chunks,
         });
         if versions.len() > MAX_VERSIONS {
@@ -180,6 +183,27 @@
         });
     }
 
+    /// Records whether a response of the origin with a chunk is awaited.
+    pub fn set_in_flight(&self, id: &VersionId, chunk: usize, in_flight: bool) {
+        self.with_version(id, |cached| {
+            if let Some(entry) = cached.in_flight.get_mut(chunk) {
+                *entry = in_flight;
+            }
+        });
+    }
+
+    /// Chunks of which a response of the origin is awaited.
+    pub fn in_flight(&self, id: &VersionId) -> ChunkMap {
+        let map = self.with_version(id, |cached| {
+            let mut map = ChunkMap::empty(cached.in_flight.len());
+            let chunks = cached.in_flight.iter().enumerate();
+            let awaited = chunks.filter(|(_, in_flight)| **in_flight);
+            awaited.for_each(|(chunk, _)| map.set(chunk));
+            map
+        });
+        map.unwrap_or_default()
+    }
+
     /// Chunks of a version that this host is fetching from the origin.
     pub fn fetching_from_origin(&self, id: &VersionId) -> ChunkMap {
         self.with_version(id, |cached| cached.fetching_from_origin.clone())
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -1,13 +1,13 @@
 //! Fetches the manifest and the chunks of a version from other hosts and from the origin.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use awc::Client;
 use balsamjunction_platform::{Manifest, PlatformError};
 use balsamjunction_policy::{
     fetch::{
-        choose_manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, Participants,
-        Source,
+        choose_manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, OwnerState,
+        Participants, Source,
     },
     version_queue::VersionQueue,
     Moment,
@@ -18,9 +18,11 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use smol_str::{format_smolstr, SmolStr};
+use strum::IntoEnumIterator;
 use tokio::sync::mpsc;
 
 use super::{chunk_cache::VersionId, http::CHUNK_MAP_HEADER, state::Stager};
+use crate::{events::Event, metrics::StateLabels};
 
 /// Longest time between two requests to the plan for new actions.
 const PLAN_INTERVAL: Duration = Duration::from_millis(20);
@@ -38,6 +40,9 @@
 /// A fetch without progress for this long is stalled: no host can send its missing chunks now.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// A fetch without progress for this long is logged as waiting: several times as long as a chunk takes.
+const LOGGED_WAIT: Duration = Duration::from_millis(500);
+
 /// Status code of a peer whose queue of uploads is full.
 const BUSY_STATUS: u16 = 503;
 
@@ -146,12 +151,13 @@
     fetch_by_plan(stager, id, manifest, Distribution::Owners, is_superseded).await
 }
 
-/// Records how many chunks of each missing version are cached.
+/// Records how many chunks of each missing version are cached, and whether the origin responds.
 pub fn record_stored_counts(
     stager: &Stager,
     queue: &mut VersionQueue<VersionId>,
     missing: &[VersionId],
 ) {
+    queue.record_origin_state(stager.chunk_cache.origin_state().is_down());
     for id in missing {
         if let Some((cached, _)) = stager.chunk_cache.chunk_counts(id) {
             queue.record_stored(id, cached);
@@ -195,6 +201,9 @@
         plan.record_stored(chunk);
     }
     let outcome = execute_plan(stager, id, &mut plan, is_superseded).await;
+    if outcome == FetchOutcome::Complete {
+        set_missing_chunks(stager, &HashMap::new());
+    }
     stager
         .chunk_cache
         .set_fetching_from_origin(id, ChunkMap::empty(chunks));
@@ -211,6 +220,7 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     let mut last_missing = plan.missing_count();
     let mut last_progress = stager.now();
+    let mut is_wait_logged = false;
     let corrupt_before = stager.metrics.corrupt_chunks.get();
     while plan.outstanding_count() > 0 {
         let idle = stager.now().saturating_sub(last_progress);
@@ -220,6 +230,11 @@
         if plan.missing_count() < last_missing {
             last_missing = plan.missing_count();
             last_progress = stager.now();
+            is_wait_logged = false;
+        }
+        if !is_wait_logged && stager.now().saturating_sub(last_progress) > LOGGED_WAIT {
+            is_wait_logged = true;
+            log_wait(stager, id, plan);
         }
         if stager.now().saturating_sub(last_progress) > STALL_TIMEOUT {
             if stager.metrics.corrupt_chunks.get()
@@ -236,7 +251,19 @@
         stager
             .chunk_cache
             .set_fetching_from_origin(id, plan.missing_owned());
+        // An earlier plan of this version may have ended before all its responses arrived.
+        let cached = stager.chunk_cache.chunk_map(id);
+        let arrived = (0..plan.chunk_count()).filter(|chunk| cached.has(*chunk));
+        arrived.for_each(|chunk| plan.record_stored(chunk));
+        plan.set_in_flight(stager.chunk_cache.in_flight(id));
         for action in plan.next_actions(stager.now()) {
+            if let FetchAction::Fetch {
+                chunk,
+                source: Source::Origin,
+            } = &action
+            {
+                stager.chunk_cache.set_in_flight(id, *chunk, true);
+            }
             actix_rt::spawn(execute_action(
                 stager.clone(),
                 id.clone(),
@@ -255,6 +282,48 @@
     FetchOutcome::Complete
 }
 
+/// Logs what a fetch waits for, and since when, and counts missing chunks by the state of their owner.
+fn log_wait(stager: &Stager, id: &VersionId, plan: &FetchPlan) {
+    let now = stager.now();
+    let mut counts: HashMap<OwnerState, i64> = HashMap::new();
+    let mut missing = Vec::new();
+    for (chunk, owner, state) in plan.missing_with_owner_states(now) {
+        *counts.entry(state).or_default() += 1;
+        if missing.len() < MAX_LOGGED_CHUNKS {
+            let state: &str = state.into();
+            missing.push(format!("{chunk} of {owner} ({state})"));
+        }
+    }
+    set_missing_chunks(stager, &counts);
+    let waited_ms = now.saturating_sub(plan.waiting_since()).as_millis();
+    let origin = match plan.origin_state().is_down() {
+        true => "does not respond",
+        false => "responds",
+    };
+    stager.cluster_view.events.emit(&Event::Weights {
+        model: id.model.clone(),
+        version: id.version,
+        step: "waits",
+        detail: format!(
+            "for {} chunks since {waited_ms} ms, such as {}; the origin {origin}",
+            plan.missing_count(),
+            missing.join(", ")
+        ),
+    });
+}
+
+/// Sets the gauge of missing chunks by the state of their owner.
+fn set_missing_chunks(stager: &Stager, counts: &HashMap<OwnerState, i64>) {
+    for state in OwnerState::iter() {
+        let name: &str = state.into();
+        let labels = StateLabels {
+            state: name.to_owned(),
+        };
+        let gauge = stager.metrics.mesh.missing_chunks.get_or_create(&labels);
+        gauge.set(counts.get(&state).copied().unwrap_or(0));
+    }
+}
+
 fn list_participants(stager: &Stager) -> Participants {
     Participants {
         host: stager.settings.host.clone(),
@@ -334,6 +403,9 @@
             }
             let started = stager.now();
             let fetched = fetch_chunk(&stager, &id, chunk, &source).await;
+            if source == Source::Origin {
+                stager.chunk_cache.set_in_flight(&id, chunk, false);
+            }
             let took_ms = stager.now().saturating_sub(started).as_millis();
             debug!("chunk {chunk} of {id:?} took {took_ms} ms from {source:?}");
             let (buf, chunk_map) = match fetched {
@@ -348,9 +420,18 @@
             }
         }
     };
-    // The fetch may have ended meanwhile.
-    if tx.send(outcome).is_err() {
-        debug!("an action completed after the fetch of its version ended");
+    // The fetch may have ended meanwhile; another one of the same version needs the chunk.
+    if let Err(mpsc::error::SendError(ActionOutcome::Chunk {
+        chunk,
+        source,
+        buf: Ok(buf),
+        ..
+    })) = tx.send(outcome)
+    {
+        let bytes = buf.len() as u64;
+        if stager.chunk_cache.put(&id, chunk, buf) {
+            count_bytes(&stager, &source, bytes);
+        }
     }
 }
 
--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -122,6 +122,28 @@
     },
 }
 
+/// What a host knows of the owner of a chunk that it lacks.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum OwnerState {
+    /// This host is the owner.
+    Own,
+    /// It is not among the live hosts.
+    Gone,
+    /// It failed to respond or sent a corrupt chunk.
+    Avoided,
+    /// It has not reported yet.
+    Unknown,
+    /// It reports that it stores the chunk.
+    Stores,
+    /// It reports that it fetches the chunk from the origin.
+    Fetches,
+    /// It reports neither.
+    Idle,
+}
+
 /// How a fetch failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FetchFailure {
@@ -154,7 +176,7 @@
     probed_at: Option<Moment>,
     responded_at: Option<Moment>,
     probing: bool,
-    /// Since when the peer reports that it fetches chunks from the origin.
+    /// Since when the peer reports that it fetches the same chunks from the origin.
     origin_fetches_since: Option<Moment>,
     /// Chunks that this host is fetching from the peer.
     active_fetches: usize,
@@ -187,6 +209,8 @@
     missing: usize,
     active_fetches: HashSet<usize>,
     active_origin_fetches: usize,
+    /// Chunks that this host is fetching from the origin, by this plan or by another one of the same version.
+    in_flight: ChunkMap,
     active_probes: usize,
     origin_avoid_until: Moment,
     origin_spacing: Moment,
@@ -226,6 +250,7 @@
             missing: chunks,
             active_fetches: HashSet::new(),
             active_origin_fetches: 0,
+            in_flight: ChunkMap::empty(chunks),
             active_probes: 0,
             origin_avoid_until: Moment::ZERO,
             origin_spacing: DEFAULT_ORIGIN_SPACING,
@@ -303,15 +328,33 @@
         map
     }
 
+    /// Number of chunks of the version.
+    pub fn chunk_count(&self) -> usize {
+        self.stored.len()
+    }
+
     /// Number of chunks that are stored.
     pub fn stored_count(&self) -> usize {
         self.stored.len() - self.missing
     }
 
+    /// Records the chunks that this host is fetching from the origin, by this plan or by an earlier one of the same version
+    /// that has ended.
+    pub fn set_in_flight(&mut self, chunks: ChunkMap) {
+        self.in_flight = chunks;
+    }
+
+    /// Number of chunks that this host is fetching from the origin.
+    fn origin_fetch_count(&self) -> usize {
+        let in_flight = (0..self.stored.len()).filter(|chunk| self.in_flight.has(*chunk));
+        in_flight.count().max(self.active_origin_fetches)
+    }
+
     /// Whether this plan is to fetch a chunk and is not fetching it already.
     fn needs(&self, chunk: usize) -> bool {
         !self.stored[chunk]
             && !self.active_fetches.contains(&chunk)
+            && !self.in_flight.has(chunk)
             && (self.distribution != Distribution::OwnChunks
                 || self.owners.fleet[chunk] == self.host)
     }
@@ -326,6 +369,20 @@
         missing.filter_map(|(chunk, _)| Some((chunk, self.owners.fleet.get(chunk)?)))
     }
 
+    /// Since when no chunk has arrived.
+    pub fn waiting_since(&self) -> Moment {
+        self.last_progress
+    }
+
+    /// The chunks that are not stored yet, each with its owner and what this host knows of it.
+    pub fn missing_with_owner_states(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (usize, &SmolStr, OwnerState)> {
+        self.missing_with_owners()
+            .map(move |(chunk, owner)| (chunk, owner, self.owner_state(now, chunk)))
+    }
+
     /// The chunks that are stored.
     pub fn stored_map(&self) -> ChunkMap {
         let mut map = ChunkMap::empty(self.stored.len());
@@ -543,7 +600,10 @@
         let is_fetching = (0..self.stored.len()).any(|n| report.fetching_from_origin.has(n));
         view.responded_at = Some(now);
         view.origin_fetches_since = match is_fetching {
-            true => view.origin_fetches_since.or(Some(now)),
+            true if report.fetching_from_origin == view.origin_fetches => {
+                view.origin_fetches_since.or(Some(now))
+            }
+            true => Some(now),
             false => None,
         };
         view.stored = report.map;
--- a/crates/policy/src/fetch/source_selection.rs
+++ b/crates/policy/src/fetch/source_selection.rs
@@ -4,9 +4,10 @@
 use smol_str::SmolStr;
 
 use super::{
-    Distribution, FetchPlan, Source, HEDGE_DELAY, MAX_DIRECT_FETCHES, MAX_FETCHES_PER_PEER,
-    MAX_IDLE_FETCH_TIME, MAX_ORIGIN_FETCHES, MAX_OWNER_FETCH_TIME, OWNER_REPORT_LIFETIME,
-    OWNER_TIMEOUT, START_GRACE, SURVEY_TIMEOUT, TAKEOVER_STEP, UNKNOWN_TIMEOUT,
+    Distribution, FetchPlan, OwnerState, Source, HEDGE_DELAY, MAX_DIRECT_FETCHES,
+    MAX_FETCHES_PER_PEER, MAX_IDLE_FETCH_TIME, MAX_ORIGIN_FETCHES, MAX_OWNER_FETCH_TIME,
+    OWNER_REPORT_LIFETIME, OWNER_TIMEOUT, START_GRACE, SURVEY_TIMEOUT, TAKEOVER_STEP,
+    UNKNOWN_TIMEOUT,
 };
 use crate::{rendezvous, Moment};
 
@@ -96,6 +97,24 @@
         Some(TAKEOVER_STEP * (further - 1))
     }
 
+    /// What this host knows of the owner of a missing chunk.
+    pub(super) fn owner_state(&self, now: Moment, chunk: usize) -> OwnerState {
+        let owner = &self.owners.fleet[chunk];
+        if *owner == self.host {
+            return OwnerState::Own;
+        }
+        if !self.peers.contains_key(owner) {
+            return OwnerState::Gone;
+        }
+        match self.views.get(owner) {
+            Some(view) if now < view.avoid_until => OwnerState::Avoided,
+            Some(view) if view.stored.has(chunk) => OwnerState::Stores,
+            Some(view) if view.origin_fetches.has(chunk) => OwnerState::Fetches,
+            Some(view) if view.responded_at.is_some() => OwnerState::Idle,
+            _ => OwnerState::Unknown,
+        }
+    }
+
     /// Whether a host cannot be relied on for a chunk: it is gone or avoided, its state is unknown for too long, or it
     /// neither stores the chunk nor fetches it.
     pub(super) fn is_lost(&self, now: Moment, host: &SmolStr, chunk: usize) -> bool {
@@ -201,7 +220,7 @@
             Distribution::Owners | Distribution::OwnChunks => MAX_ORIGIN_FETCHES,
             Distribution::Direct => MAX_DIRECT_FETCHES,
         };
-        let available = self.active_origin_fetches < limit && now >= self.origin_avoid_until;
+        let available = self.origin_fetch_count() < limit && now >= self.origin_avoid_until;
         available.then_some(Source::Origin)
     }
 
--- a/crates/policy/src/version_queue.rs
+++ b/crates/policy/src/version_queue.rs
@@ -29,6 +29,7 @@
     manifest_missing_since: HashMap<V, Moment>,
     /// Number of stored chunks of each version, as last recorded.
     stored: HashMap<V, usize>,
+    origin_is_down: bool,
 }
 
 impl<V> Default for VersionQueue<V> {
@@ -37,6 +38,7 @@
             stalled_until: HashMap::new(),
             manifest_missing_since: HashMap::new(),
             stored: HashMap::new(),
+            origin_is_down: false,
         }
     }
 }
@@ -56,6 +58,14 @@
         }
     }
 
+    /// Records whether the origin responds. Once it is back, stalled versions can be fetched again.
+    pub fn record_origin_state(&mut self, is_down: bool) {
+        if self.origin_is_down && !is_down {
+            self.stalled_until.clear();
+        }
+        self.origin_is_down = is_down;
+    }
+
     /// Forgets all versions that are not `missing`.
     pub fn retain(&mut self, missing: &[V]) {
         self.stalled_until.retain(|v, _| missing.contains(v));
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -46,6 +46,18 @@
     assert!(queue.should_yield(millis(100), &2, &[3, 2], (46, 48), millis(300)));
 }
 
+// Guards against hosts that own nothing of the newest version, and learned of the return of the origin 2 s too late.
+#[test]
+fn a_stalled_version_is_fetched_again_once_the_origin_is_back() {
+    let mut queue = VersionQueue::default();
+    queue.record_origin_state(true);
+    queue.mark_stalled(millis(0), &3);
+
+    queue.record_origin_state(false);
+
+    assert_eq!(queue.next_version(millis(100), &[3, 2]), Some(&3));
+}
+
 #[test]
 fn an_older_version_is_fetched_while_the_newest_is_stalled() {
     let mut queue = VersionQueue::default();
