--- a/crates/lab/tests/callers/limits.rs
+++ b/crates/lab/tests/callers/limits.rs
@@ -1,18 +1,24 @@
 //! Limits on single callers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use balsamjunction_lab::standin::platform::Script;
+use bytes::Bytes;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
+use crate::common::{model_engine_options, wait_until, API_KEY};
 use crate::crowd::{connect, head, LoadedSite, MAX_BODY_BYTES};
 
 /// Time within which a connection must be answered or closed; the limits in these tests are a few seconds.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
+/// Time within which the work for an unread response must have ended; the limit is ten seconds.
+const MAX_UNREAD_WAIT: Duration = Duration::from_secs(25);
+
 /// Reads until the connection is closed.
 async fn read_to_end(connection: &mut TcpStream) -> String {
     let mut buf = Vec::new();
@@ -90,3 +96,45 @@
 
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+// A response that was not read held its upstream for as long as its caller kept the connection open.
+#[actix_rt::test]
+async fn the_work_for_an_unread_response_is_cancelled() {
+    let site = LoadedSite::start().await;
+    let endless = Script {
+        opening: "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+                  Balsamjunction-Server-Signature: s\r\nContent-Type: text/plain\r\n\
+                  Transfer-Encoding: chunked\r\n\r\n"
+            .to_owned(),
+        filler: Bytes::from("400\r\n".to_owned() + &"r".repeat(1_024) + "\r\n"),
+        ..Script::default()
+    };
+    let options = model_engine_options("e1", 0, 0);
+    let upstream = site.site.start_scripted_server(options, endless).await;
+    let mut connection = connect(site.gateway.callers).await;
+    let request = format!(
+        "POST /once/now HTTP/1.1\r\nHost: floor.example\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Balsamjunction-Attempt-Id: a1\r\nBalsamjunction-Model: m1\r\nContent-Length: 1\r\n\r\nx"
+    );
+
+    wait_until("the upstream to be known", async || {
+        let probe = site.gateway.generate_on("/once/now", "probe");
+        let _ = actix_rt::time::timeout(Duration::from_millis(200), probe).await;
+        upstream.requests() > 0
+    })
+    .await;
+    let written = connection.write_all(request.as_bytes()).await;
+    written.expect("the gateway reads the request");
+    let before = upstream.requests();
+    wait_until("the request to reach the upstream", async || {
+        upstream.requests() > before || upstream.open_connections() > 0
+    })
+    .await;
+    let started = Instant::now();
+    while upstream.open_connections() > 0 && started.elapsed() < MAX_UNREAD_WAIT {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    assert_eq!(upstream.open_connections(), 0);
+    drop(connection);
+}
