--- a/crates/lab/tests/callers/limits.rs
+++ b/crates/lab/tests/callers/limits.rs
@@ -138,3 +138,27 @@
     assert_eq!(upstream.open_connections(), 0);
     drop(connection);
 }
+
+// Bounds on all bodies must leave room for a single one of the greatest length, in one piece or in small chunks.
+#[actix_rt::test]
+async fn a_single_body_of_the_greatest_length_is_served() {
+    let longest = |site: &mut crate::common::TestSite| {
+        site.update_config(|config| config["routes"][3]["timeoutMs"] = json!(60_000));
+    };
+    let site = LoadedSite::start_with(longest).await;
+    let id = "Balsamjunction-Attempt-Id: a1\r\nConnection: close\r\n";
+    let length = format!("{id}Content-Length: {MAX_BODY_BYTES}\r\n\r\n");
+    let whole = head("POST", 1, &length) + &"b".repeat(MAX_BODY_BYTES);
+    let chunks = format!("100\r\n{}\r\n", "c".repeat(256)).repeat(MAX_BODY_BYTES / 256);
+    let chunked = format!("{id}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n");
+    let chunked = head("POST", 2, &chunked);
+
+    for request in [whole, chunked] {
+        let mut connection = connect(site.gateway.callers).await;
+        let written = connection.write_all(request.as_bytes()).await;
+        written.expect("the gateway reads the request");
+        let response = read_to_end(&mut connection).await;
+
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
--- a/crates/policy/src/caller_account.rs
+++ b/crates/policy/src/caller_account.rs
@@ -95,7 +95,8 @@
     pub total_bytes: u64,
     /// Memory of bodies, in bytes.
     pub body_bytes: u64,
-    /// Memory of bodies while a long one is among them, and of the bodies of one workspace, in bytes.
+    /// Memory of bodies up to which a long one is admitted, and of all bodies of one workspace, in bytes. One
+    /// workspace's long bodies are admitted up to half of `body_bytes`.
     pub long_body_bytes: u64,
 }
 
@@ -282,12 +283,17 @@
             _ => connection.workspace.clone(),
         };
         let used = self.workspaces.get(&workspace).copied().unwrap_or(0);
-        let limit = match connection.body_bytes + length <= SMALL_BODY_BYTES {
-            true => self.limits.body_bytes,
-            false => self.limits.long_body_bytes,
+        let AccountLimits {
+            body_bytes,
+            long_body_bytes,
+            ..
+        } = self.limits;
+        let (limit, workspace_limit) = match connection.body_bytes + length <= SMALL_BODY_BYTES {
+            true => (body_bytes, long_body_bytes),
+            false => (long_body_bytes, body_bytes / 2),
         };
         let fits = self.body_bytes + length <= limit
-            && used + length <= limit
+            && used + length <= workspace_limit
             && self.total_bytes + length <= self.limits.total_bytes;
         if fits {
             connection.body_bytes += length;
--- a/crates/policy/tests/caller_account.rs
+++ b/crates/policy/tests/caller_account.rs
@@ -168,17 +168,30 @@
     assert!(account.reserve_body(key, &"gondar".into(), 600));
 }
 
+// The bodies of one workspace must not use up the share of all others.
+#[test]
+fn a_workspace_leaves_room_for_bodies_of_another() {
+    let mut account = account();
+    for n in 0..7 {
+        let key = connect(&mut account, ms(n));
+        account.reserve_body(key, &"selam".into(), 100_000);
+    }
+    let key = connect(&mut account, ms(40));
+
+    assert!(!account.reserve_body(key, &"selam".into(), 100_000));
+    assert!(account.reserve_body(key, &"gondar".into(), 200_000));
+}
+
 #[test]
 fn stalled_bodies_end_sooner_while_memory_is_short_the_largest_first() {
     let mut account = account();
-    let keys: Vec<_> = [100_000, 600_000]
-        .map(|length| {
-            let key = connect(&mut account, Moment::ZERO);
-            account.enter(Moment::ZERO, key, ConnectionPhase::Body);
-            assert!(account.reserve_body(key, &"selam".into(), length));
-            key
-        })
-        .to_vec();
+    let bodies = [("selam", 100_000), ("gondar", 480_000)];
+    let keys = bodies.map(|(workspace, length)| {
+        let key = connect(&mut account, Moment::ZERO);
+        account.enter(Moment::ZERO, key, ConnectionPhase::Body);
+        assert!(account.reserve_body(key, &workspace.into(), length));
+        key
+    });
 
     let expired = account.expire(ms(600));
 
