--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -117,7 +117,7 @@
     /// How the request came to be sent, if its service is contended.
     pub queueing: Option<Queueing>,
     /// The prefixes of its prompt with the expected saving, for services with `prompt_cache`.
-    pub prompt: Option<SentPrompt>,
+    pub prompt: Option<Box<SentPrompt>>,
 }
 
 /// How a request to a contended service came to be sent, for the log.
@@ -352,7 +352,7 @@
             unseen_wait_ms: best.unseen_wait_ms,
             target_latency: request.target_latency,
             queueing: None,
-            prompt: best.prompt.clone(),
+            prompt: best.prompt.clone().map(Box::new),
         }
     }
 }
