The age of the last chunk from the origin is counted from the request for it

Counted from the response, it became younger with each host that passed it on, so that an origin that cannot be reached seemed to respond for ever and every host asked it when it was back.

--- a/crates/policy/src/fetch/mod.rs
+++ b/crates/policy/src/fetch/mod.rs
@@ -584,6 +584,13 @@
         view.probing = false;
         match response {
             Some(response) => {
+                let asked_at = view.probed_at.unwrap_or(now);
+                if let Some(age_ms) = response.origin_age_ms {
+                    // The age is of a time after the request. Counted from the response instead, each host that passes
+                    // it on would make it younger, and an unreachable origin would seem to respond for ever.
+                    let at = asked_at.saturating_sub(Moment::from_millis(age_ms.into()));
+                    self.record_origin_response(now, at);
+                }
                 self.record_peer_state(now, host, response);
             }
             None => view.avoid_until = now + FAILED_BACKOFF,
@@ -592,10 +599,6 @@
 
     /// Records what a peer stores and sends, as it also reports with every chunk.
     pub fn record_peer_state(&mut self, now: Moment, host: &SmolStr, report: ChunkMapResponse) {
-        if let Some(age_ms) = report.origin_age_ms {
-            let age = Moment::from_millis(age_ms.into());
-            self.record_origin_response(now, now.saturating_sub(age));
-        }
         let view = self.views.entry(host.clone()).or_default();
         let is_fetching = (0..self.stored.len()).any(|n| report.fetching_from_origin.has(n));
         view.responded_at = Some(now);
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -495,6 +495,27 @@
     assert_eq!(plan.assignment_count(), 2);
 }
 
+// Guards against an age that is counted from its arrival: each host that passes it on would make it younger, and hosts
+// that tell each other would take an unreachable origin for one that responds.
+#[test]
+fn the_age_of_the_last_chunk_from_the_origin_is_counted_from_the_request_for_it() {
+    let rng = Pcg64Mcg::seed_from_u64(5);
+    let distribution = Distribution::Owners;
+    let others = participants(0, 1, members(2, 1, &BTreeSet::new()));
+    let mut plan = FetchPlan::new(Moment::ZERO, "v2".into(), CHUNKS, distribution, others, rng);
+    let failure = FetchFailure::Unavailable;
+    plan.record_failure(millis(1_000), 0, &Source::Origin, failure);
+    plan.next_actions(millis(2_000));
+
+    let report = ChunkMapResponse {
+        origin_age_ms: Some(1_100),
+        ..ChunkMapResponse::default()
+    };
+    plan.record_probe(millis(2_400), &host(1), Some(report));
+
+    assert!(plan.origin_state().is_down());
+}
+
 fn some_version(name: &str) -> Option<SmolStr> {
     Some(name.into())
 }
