--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -102,6 +102,15 @@
         /// The revision up to which the facts of this process were complete in the era before.
         previous_revision: u64,
     },
+    /// Connections or bodies of callers were ended, since they held resources without progress.
+    CallersClosed {
+        /// Why, such as `slow-head`.
+        reason: &'static str,
+        /// Their number since the last such line, which is at least 100 ms ago.
+        connections: u64,
+        /// Memory that all callers held before, in bytes.
+        held_bytes: u64,
+    },
     /// A request was sent to an upstream.
     Sent {
         /// Id of the request.
@@ -131,6 +140,13 @@
         /// Time in milliseconds since it was stated.
         #[serde(skip_serializing_if = "Option::is_none")]
         service_time_age_ms: Option<u64>,
+        /// Prompt tokens that the upstream is expected to have cached. Absent unless the service has the
+        /// setting `prompt_cache`.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        saved_tokens: Option<u64>,
+        /// The time in milliseconds that was weighed for them in the selection.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        saved_ms: Option<u64>,
         /// Whether the request may run at most once.
         #[serde(skip_serializing_if = "is_false")]
         once: bool,
@@ -340,6 +356,7 @@
             | Self::VersionPublished { .. }
             | Self::Dependency { .. }
             | Self::StreamBroken { .. }
+            | Self::CallersClosed { .. }
             | Self::Weights { .. } => None,
         }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,6 +63,8 @@
     pub upstreams: Family<StateLabels, Gauge>,
     /// Versions of the weights: the target version, and the version that the engine on this host serves.
     pub weights: Family<StateLabels, Gauge>,
+    /// Chunks that a waiting fetch lacks, by what is known of their owner.
+    pub missing_chunks: Family<StateLabels, Gauge>,
     /// Log lines that were dropped because the queue was full.
     pub dropped_lines: Counter,
     /// Log lines that were left out by sampling.
@@ -85,6 +87,10 @@
     pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
     pub limit_detours: Counter,
+    /// Prompt tokens that upstreams were expected to have cached, of requests sent there.
+    pub expected_cached_tokens: Counter,
+    /// Requests with an expected saving by what their first event showed: `hit` or `miss`.
+    pub prompt_cache: Family<StateLabels, Counter>,
     /// Upstreams that were silent for too long under a request, by what was done.
     pub silences: Family<StateLabels, Counter>,
     /// Age of the relative service time of the selected upstream, in seconds, if it states one.
@@ -95,6 +101,12 @@
     pub reselections: Counter,
     /// Interruptions of streams, by cause and by what became of the stream.
     pub stream_interruptions: Family<StateLabels, Counter>,
+    /// Connections of callers, by phase.
+    pub caller_connections: Family<StateLabels, Gauge>,
+    /// Memory that callers hold, by the phase of their connections, in bytes.
+    pub caller_memory: Family<StateLabels, Gauge>,
+    /// Connections and bodies of callers that were ended, by reason.
+    pub caller_closes: Family<StateLabels, Counter>,
 }
 
 impl MeshMetrics {
@@ -110,6 +122,7 @@
             members: Family::default(),
             upstreams: Family::default(),
             weights: Family::default(),
+            missing_chunks: Family::default(),
             dropped_lines: Counter::default(),
             sampled_lines: Counter::default(),
             overdue_answers: Counter::default(),
@@ -121,11 +134,16 @@
             refused_parts: Gauge::default(),
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
+            expected_cached_tokens: Counter::default(),
+            prompt_cache: Family::default(),
             silences: Family::default(),
             service_time_age: times(),
             second_copies: Family::default(),
             reselections: Counter::default(),
             stream_interruptions: Family::default(),
+            caller_connections: Family::default(),
+            caller_memory: Family::default(),
+            caller_closes: Family::default(),
         };
         let m = &metrics;
         let seconds = Unit::Seconds;
@@ -146,6 +164,11 @@
         r.register("members", up, m.members.clone());
         r.register("upstreams", "Upstreams by state", m.upstreams.clone());
         r.register("weights", "Versions of weights", m.weights.clone());
+        r.register(
+            "missing_chunks",
+            "Chunks that a waiting fetch lacks, by the state of their owner",
+            m.missing_chunks.clone(),
+        );
         let dropped = "Log lines that found the queue full";
         r.register("dropped_lines", dropped, m.dropped_lines.clone());
         let sampled = "Log lines left out under load";
@@ -168,6 +191,11 @@
         r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
         r.register("limit_detours", detours, m.limit_detours.clone());
+        let tokens = "Prompt tokens that upstreams were expected to have cached";
+        let expected = m.expected_cached_tokens.clone();
+        r.register("expected_cached_tokens", tokens, expected);
+        let observed = "Expected savings by what the first event showed";
+        r.register("prompt_cache", observed, m.prompt_cache.clone());
         let silences = "Silent upstreams by what was done";
         r.register("silences", silences, m.silences.clone());
         let copies = "Second copies of requests at slow upstreams by what became of them";
@@ -178,6 +206,17 @@
         let interrupted = "Interruptions of streams by cause";
         let interruptions = m.stream_interruptions.clone();
         r.register("stream_interruptions", interrupted, interruptions);
+        let connections = "Connections of callers by phase";
+        r.register(
+            "caller_connections",
+            connections,
+            m.caller_connections.clone(),
+        );
+        let memory = "Memory that callers hold, by phase of their connections";
+        let bytes = Unit::Bytes;
+        r.register_with_unit("caller_memory", memory, bytes, m.caller_memory.clone());
+        let closes = "Connections and bodies of callers that were ended, by reason";
+        r.register("caller_closes", closes, m.caller_closes.clone());
         metrics
     }
 }
--- a/crates/policy/src/dispatch/second_copy.rs
+++ b/crates/policy/src/dispatch/second_copy.rs
@@ -122,6 +122,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: None,
+            prompt_cache: &self.prompt_cache,
         };
         let other = pool.select(&cx, &mut self.upstreams, &request)?;
         let slowdown = self.slowdown(now, other.upstream);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! typed actions or decisions. Sockets, clocks and global random sources stay outside, so that tests
 //! exercise the same code that the daemon runs. See docs/DESIGN.md, "Decisions".
 
+pub mod caller_account;
 pub mod crash;
 pub mod crash_suspects;
 pub mod declaration;
@@ -20,6 +21,7 @@
 pub mod owner;
 pub mod pace;
 pub mod pause;
+pub mod prompt_cache;
 pub mod queue;
 pub mod rendezvous;
 pub mod retry;
@@ -30,6 +32,7 @@
 pub mod sliding_window;
 pub mod staged_check;
 pub mod stated_limits;
+pub mod switch_schedule;
 pub mod upgrade;
 pub mod version_queue;
 
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     process::read_settings,
-    reader::{FaultCollector, FieldReader},
+    reader::{integer_property, FaultCollector, FieldReader},
     report::{FaultKind, FaultReport},
 };
 
@@ -18,12 +18,21 @@
 /// Longest duration that a setting in seconds may have.
 const MAX_DURATION_S: u32 = 3_600;
 
+/// Range of the prompt tokens that one upstream keeps. Fewer than one short prompt are a mistake, and more
+/// than this do not fit into the memory of any accelerator.
+const PROMPT_CACHE_TOKENS: (u64, u64) = (256, 100_000_000);
+
 /// Highest accepted link rate, in megabits per second.
 const MAX_LINK_MBPS: u32 = 1_000_000;
 /// Rate of a host's link if the settings do not give one, in megabits per second.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
+/// Range of the memory of a host, in megabytes. Below it, a gateway's own memory leaves nothing for callers.
+const MEMORY_MB: (u64, u64) = (48, 1_048_576);
+/// Range of the descriptors of a host. Below it, those that are reserved leave few for callers.
+const DESCRIPTORS: (u64, u64) = (256, 1_048_576);
+
 /// How a gateway or stager identifies itself and finds the platform and its peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MeshSettings {
@@ -58,6 +67,10 @@
     /// Whether the whole system starts for the first time, so that no earlier process has used up any part
     /// of a shared budget.
     pub first_start: bool,
+    /// Memory that the host allows the process, in megabytes of 1,000,000 bytes; absent if it is not known.
+    pub memory_mb: Option<u64>,
+    /// File descriptors that the host allows the process; absent if the number is not known.
+    pub descriptors: Option<u64>,
     /// Longest time that a shutdown may take.
     pub grace: Duration,
     /// Retries to a service per request to it within `retry_window`.
@@ -73,6 +86,9 @@
     pub contact_after: Duration,
     /// Whether services are treated as contended; see docs/ROUTING.md, "Contended services".
     pub contention: ContentionSetting,
+    /// Number of prompt tokens that one upstream keeps after a request, by service. A service that is
+    /// missing keeps none, and its requests are placed without regard to their prompts.
+    pub prompt_cache: HashMap<SmolStr, u32>,
 }
 
 /// Whether services are treated as contended.
@@ -130,6 +146,7 @@
                 }
             }
         }
+        let prompt_cache = read_prompt_cache(fields, faults);
         let strict = fields.boolean("strict_revocation").unwrap_or(true);
         let revoke = read_millis(fields, "revoke_within_ms", 5_000);
         let slack = fields.float("retry_slack", (0, 1_000_000), "requests");
@@ -140,6 +157,8 @@
             regions,
             revoke_within: strict.then_some(revoke),
             first_start: fields.boolean("first_start").unwrap_or(false),
+            memory_mb: fields.integer("memory_mb", MEMORY_MB, "megabytes"),
+            descriptors: fields.integer("descriptors", DESCRIPTORS, "descriptors"),
             grace: read_seconds(fields, "grace_s", 8.0),
             retry_ratio: fields
                 .float("retry_ratio", (0, 10), "per request")
@@ -151,6 +170,7 @@
             contention: fields
                 .parsed("contention", "auto, on or off")
                 .unwrap_or_default(),
+            prompt_cache,
         })
     })
 }
@@ -175,6 +195,20 @@
     })
 }
 
+/// Reads the tokens that upstreams keep, by service; empty without the section.
+fn read_prompt_cache(
+    fields: &FieldReader<'_, '_>,
+    faults: &FaultCollector<'_>,
+) -> HashMap<SmolStr, u32> {
+    let section = fields.object("prompt_cache");
+    let services = section.iter().flat_map(|section| section.properties());
+    let capacities = services.filter_map(|prop| {
+        let capacity = integer_property(prop, PROMPT_CACHE_TOKENS, "tokens", faults)?;
+        Some((SmolStr::new(prop.name.as_str()), capacity as u32))
+    });
+    capacities.collect()
+}
+
 fn read_millis(fields: &FieldReader<'_, '_>, name: &'static str, default: u64) -> Duration {
     let value = fields.integer(name, (0, MAX_DURATION_MS), "milliseconds");
     Duration::from_millis(value.unwrap_or(default))
