--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! cold. See docs/ROUTING.md.
 
 mod availability;
+mod contended_services;
 pub mod contention;
 mod pool;
 mod rate_limit;
@@ -20,13 +21,13 @@
     sync::Arc,
 };
 
-use balsamjunction_directory::{Declaration, Directory, UpstreamRecord, UpstreamState};
+use balsamjunction_directory::{Directory, UpstreamRecord, UpstreamState};
 use balsamjunction_protocol::mesh::EngineStatus;
 use slotmap::{new_key_type, SlotMap};
 use smol_str::SmolStr;
 
 use self::{
-    contention::{Contention, ContentionMode, FirstEventObservation, QueuePosition},
+    contention::{Contention, ContentionMode, FirstEventObservation},
     pool::{Candidate, Pool},
     service_time::Persistence,
     upstream::Upstream,
@@ -289,9 +290,6 @@
 const MAX_WAIT: Moment = Moment::from_millis(45);
 /// Shortest time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Moment = Moment::from_millis(150);
-/// Longest time after which a refused caller is asked to retry, at a contended service. The rates from which it is
-/// expected are those of the last second, so that a longer one says nothing.
-const MAX_RETRY_AFTER: Moment = Moment::from_secs(5);
 /// Longest backoff that is granted to an upstream: a day. A longer one is more likely a fault of the
 /// upstream than its intention.
 const MAX_BACKOFF: Moment = Moment::from_secs(24 * 3_600);
@@ -313,34 +311,6 @@
     limited: None,
 };
 
-/// The refusal of a request that would wait for `wait`, longer than its caller.
-fn overload(wait: Moment) -> DispatchRefusal {
-    DispatchRefusal {
-        reason: RefusalReason::Overload,
-        retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-        limited: None,
-    }
-}
-
-impl RequestRequirements {
-    /// Its position in the queue of a contended service, if first events arrive `first_event_time` after a request
-    /// is sent.
-    fn queue_position(
-        &self,
-        now: Moment,
-        since: Moment,
-        first_event_time: Moment,
-    ) -> QueuePosition {
-        QueuePosition {
-            first_attempt: self.tried.is_empty(),
-            rank: self.rank,
-            late: now + first_event_time > self.first_event_deadline,
-            deadline: self.first_event_deadline,
-            since,
-        }
-    }
-}
-
 impl SelectedUpstream {
     fn new(now: Moment, request: &RequestRequirements, best: &Candidate) -> Self {
         Self {
@@ -458,34 +428,6 @@
         times_changed
     }
 
-    /// Keeps a state for each contended service, with the even share of this entry in its slots.
-    fn configure_contention(&mut self, declaration: &Declaration) {
-        let mut contended = HashMap::new();
-        for service in &declaration.services {
-            let is_contended = match self.settings.contention {
-                ContentionMode::Auto => {
-                    contention::has_ranks(declaration, service)
-                        || (service.engine.is_some() && self.reports_service_time(&service.name))
-                }
-                ContentionMode::On => service.engine.is_some(),
-                ContentionMode::Off => false,
-            };
-            let Some(pool) = self.pools.get(&service.name).filter(|_| is_contended) else {
-                continue;
-            };
-            let usable = pool.members().iter();
-            let usable = usable.filter_map(|key| self.upstreams.get(*key));
-            let usable = usable.filter(|upstream| upstream.has_slots_in_use());
-            let slots: u32 = usable.map(|upstream| upstream.record.slots).sum();
-            let fair_share = f64::from(slots) / self.entries.count() as f64;
-            let existing = self.contended.remove(&service.name);
-            let mut state = existing.unwrap_or_else(|| Contention::new(fair_share));
-            state.set_fair_share(fair_share);
-            contended.insert(service.name.clone(), state);
-        }
-        self.contended = contended;
-    }
-
     /// The members of a pool that this entry prefers.
     fn subset_of(&self, members: &[UpstreamKey]) -> Vec<UpstreamKey> {
         let existing = members
@@ -565,14 +507,7 @@
     pub fn may_serve(&self, now: Moment, key: UpstreamKey, request: &RequestRequirements) -> bool {
         let upstream = self.upstreams.get(key);
         let pool = self.pools.get(&request.service);
-        let cx = pool::SelectionContext {
-            now,
-            settings: &self.settings,
-            published: &self.published,
-            entry_count: self.entries.count(),
-            unseen_wait_ms: None,
-            prompt_cache: &self.prompt_cache,
-        };
+        let cx = self.selection_context(now);
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
     }
 
@@ -662,178 +597,6 @@
         decisions
     }
 
-    /// Decides about a request to a contended service that has just arrived or is to be retried.
-    fn submit_contended(&mut self, now: Moment, request: RequestRequirements) -> DispatchDecision {
-        let Some(state) = self.contended.get_mut(&request.service) else {
-            return DispatchDecision::Refuse(NO_UPSTREAM);
-        };
-        if request.tried.is_empty() {
-            state.record_arrival(now, request.rank);
-        }
-        let first_event_time = state.first_event_time(now);
-        let position = request.queue_position(now, now, first_event_time);
-        let queue = self.waiting.values();
-        let queue = queue.filter(|w| w.request.service == request.service);
-        let (mut ahead, mut same_rank_ahead, mut waiting) = (0, 0, 0);
-        for other in queue {
-            let other = other.request.queue_position(now, now, first_event_time);
-            let is_ahead = other <= position;
-            waiting += 1;
-            ahead += usize::from(is_ahead);
-            same_rank_ahead += usize::from(is_ahead && other.rank == position.rank);
-        }
-        let in_flight = self.in_flight(&request.service);
-        let admits = self
-            .contended
-            .get(&request.service)
-            .is_some_and(|state| state.admits(now, request.rank, in_flight));
-        if !position.first_attempt || (ahead == 0 && admits) {
-            match self.select(now, &request) {
-                Err(refusal) => return DispatchDecision::Refuse(refusal),
-                Ok(best) if best.may_receive => {
-                    let selected = self.send_contended(now, &request, &best, Moment::ZERO, waiting);
-                    return DispatchDecision::Send(selected);
-                }
-                Ok(_) => {}
-            }
-        }
-        let wait = self
-            .contended
-            .get(&request.service)
-            .map_or(Moment::ZERO, |state| {
-                state.expected_wait(now, request.rank, ahead, same_rank_ahead)
-            });
-        let begins_in_time = now + wait + first_event_time <= request.caller_leaves_at;
-        if waiting >= contention::MAX_WAITING || !begins_in_time {
-            return DispatchDecision::Refuse(overload(wait));
-        }
-        let since = now;
-        DispatchDecision::Wait(self.waiting.insert(WaitingRequest { request, since }))
-    }
-
-    /// Decides about the requests that wait for contended services.
-    fn poll_contended(&mut self, now: Moment) -> Vec<(WaitKey, DispatchDecision)> {
-        let mut decisions = Vec::new();
-        let services: Vec<SmolStr> = self.contended.keys().cloned().collect();
-        for service in services {
-            self.poll_service(now, &service, &mut decisions);
-        }
-        decisions
-    }
-
-    fn poll_service(
-        &mut self,
-        now: Moment,
-        service: &SmolStr,
-        decisions: &mut Vec<(WaitKey, DispatchDecision)>,
-    ) {
-        let Some(state) = self.contended.get(service) else {
-            return;
-        };
-        let first_event_time = state.first_event_time(now);
-        let waiting = self.waiting.iter();
-        let mut queue: Vec<(QueuePosition, WaitKey)> = waiting
-            .filter(|(_, w)| w.request.service == *service)
-            .map(|(key, w)| {
-                (
-                    w.request.queue_position(now, w.since, first_event_time),
-                    key,
-                )
-            })
-            .collect();
-        let owed = contention::order_queue(&mut queue, state.owes_less_urgent());
-        let mut in_flight = self.in_flight(service);
-        let mut blocked = false;
-        let mut remaining = queue.len();
-        let (mut ahead, mut same_rank_ahead, mut last_rank) = (0, 0, None);
-        for (position, key) in queue {
-            let Some(waiting) = self.waiting.get(key) else {
-                continue;
-            };
-            let Some(state) = self.contended.get(service) else {
-                return;
-            };
-            // Nothing is reserved for others where a request is owed its turn.
-            let bound_rank = if owed == Some(key) { 0 } else { position.rank };
-            blocked |= !state.admits(now, bound_rank, in_flight);
-            if last_rank.replace(position.rank) != Some(position.rank) {
-                same_rank_ahead = 0;
-            }
-            let wait = match blocked {
-                true => state.expected_wait(now, position.rank, ahead, same_rank_ahead),
-                false => Moment::ZERO,
-            };
-            let decision = if now + wait + first_event_time > waiting.request.caller_leaves_at {
-                // Those before it have taken longer than expected when it arrived.
-                DispatchDecision::Refuse(overload(wait))
-            } else if blocked {
-                ahead += 1;
-                same_rank_ahead += 1;
-                continue;
-            } else {
-                let request = waiting.request.clone();
-                let waited = now.saturating_sub(waiting.since);
-                match self.select(now, &request) {
-                    Err(refusal) => DispatchDecision::Refuse(refusal),
-                    Ok(best) if best.may_receive => {
-                        in_flight += 1;
-                        let others = remaining - 1;
-                        let selected = self.send_contended(now, &request, &best, waited, others);
-                        DispatchDecision::Send(selected)
-                    }
-                    Ok(_) => {
-                        blocked = true;
-                        continue;
-                    }
-                }
-            };
-            remaining -= 1;
-            self.waiting.remove(key);
-            decisions.push((key, decision));
-        }
-    }
-
-    /// Counts a request to a contended service as sent.
-    fn send_contended(
-        &mut self,
-        now: Moment,
-        request: &RequestRequirements,
-        best: &Candidate,
-        waited: Moment,
-        waiting: usize,
-    ) -> SelectedUpstream {
-        let rank = request.rank;
-        let others = self.waiting.values().map(|w| &w.request);
-        let others = others.filter(|other| other.service == request.service);
-        let (mut overtakes, mut overtaken) = (false, false);
-        for other in others {
-            overtakes |= other.rank > rank;
-            overtaken |= other.rank < rank;
-        }
-        let in_flight = self.in_flight(&request.service) + 1;
-        let mut selected = SelectedUpstream::new(now, request, best);
-        if let Some(state) = self.contended.get_mut(&request.service) {
-            state.record_departure(now, overtakes, overtaken);
-            let window = state.window();
-            selected.queueing = Some(Queueing {
-                rank,
-                waited,
-                waiting,
-                in_flight,
-                window,
-            });
-        }
-        self.record_send(now, request, &selected);
-        selected
-    }
-
-    /// Requests of this entry that run or wait at the upstreams of a service.
-    fn in_flight(&self, service: &SmolStr) -> usize {
-        let members = self.pools.get(service).map_or(&[][..], Pool::members);
-        let upstreams = members.iter().filter_map(|key| self.upstreams.get(*key));
-        upstreams.map(|upstream| upstream.own_requests).sum()
-    }
-
     /// Selects the upstream for a request, or tells why none may serve it now.
     fn select(
         &mut self,
@@ -893,17 +656,22 @@
         })
     }
 
-    /// The earliest time at which a backoff or a limit lets an upstream serve a request.
-    fn earliest_return(&self, now: Moment, request: &RequestRequirements) -> Option<pool::Return> {
-        let pool = self.pools.get(&request.service)?;
-        let cx = pool::SelectionContext {
+    /// The inputs of a selection that does not depend on the load.
+    fn selection_context(&self, now: Moment) -> pool::SelectionContext<'_> {
+        pool::SelectionContext {
             now,
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: None,
             prompt_cache: &self.prompt_cache,
-        };
+        }
+    }
+
+    /// The earliest time at which a backoff or a limit lets an upstream serve a request.
+    fn earliest_return(&self, now: Moment, request: &RequestRequirements) -> Option<pool::Return> {
+        let pool = self.pools.get(&request.service)?;
+        let cx = self.selection_context(now);
         pool.earliest_return(&cx, &self.upstreams, request)
     }
 
--- a/crates/policy/src/dispatch/second_copy.rs
+++ b/crates/policy/src/dispatch/second_copy.rs
@@ -115,16 +115,7 @@
     ) -> Option<(Candidate, f64)> {
         let mut request = request.clone();
         request.tried.push(key);
-        let pool = self.pools.get(&request.service)?;
-        let cx = super::pool::SelectionContext {
-            now,
-            settings: &self.settings,
-            published: &self.published,
-            entry_count: self.entries.count(),
-            unseen_wait_ms: None,
-            prompt_cache: &self.prompt_cache,
-        };
-        let other = pool.select(&cx, &mut self.upstreams, &request)?;
+        let other = self.select(now, &request).ok()?;
         let slowdown = self.slowdown(now, other.upstream);
         Some((other, slowdown))
     }
