--- a/crates/lab/src/standin/platform/mod.rs
+++ b/crates/lab/src/standin/platform/mod.rs
@@ -4,6 +4,7 @@
 //! docs/PLATFORM.md.
 
 mod engine;
+mod held_link;
 mod origin;
 mod scripted;
 mod server;
@@ -11,6 +12,7 @@
 
 pub use self::{
     engine::{Engine, EngineFault, EngineOptions, OrderFault, Run},
+    held_link::HeldLink,
     origin::{Origin, CHUNK_BYTES, CHUNK_COUNT},
     scripted::{Script, ScriptedServer},
     server::{Body, ResponseResult},
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -13,13 +13,16 @@
         address::AddressBlock,
         process::{LaunchCommand, Processes},
     },
-    standin::platform::{Engine, EngineOptions, Origin, Script, ScriptedServer, Store},
+    standin::platform::{Engine, EngineOptions, HeldLink, Origin, Script, ScriptedServer, Store},
 };
 use serde_json::{json, Value};
 
 /// The API key that the published configuration assigns to the workspace `selam`.
 pub const API_KEY: &str = "key-of-selam";
 
+/// The longest body that the configuration allows.
+const MAX_BODY_BYTES: usize = 10_000;
+
 /// Stand-ins for the platform, and the daemon processes that a test starts. Dropping it kills the processes.
 pub struct TestSite {
     pub store: Store,
@@ -123,7 +126,7 @@
             {"name": "floor-terminal", "origin": origin.to_string(), "zone": "addis-a",
              "linkMbps": 10.0, "maxConnections": 48},
         ],
-        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 10000,
+        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES,
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
         "tenants": [{"name": "selam", "apiKeys": [API_KEY], "priority": 1, "allowedRegions": []}],
     })
@@ -185,6 +188,18 @@
         self.store.put(&key, &engine.registry_entry(state));
     }
 
+    /// Starts an engine that is reached over a link, and registers it.
+    pub async fn start_engine_behind_link(&self, options: EngineOptions) -> (Engine, HeldLink) {
+        let engine = Engine::start(options).await.expect("start the engine");
+        let link = HeldLink::start(engine.address)
+            .await
+            .expect("start the link");
+        let entry = engine.options.registry_entry(link.address, "ready");
+        let key = format!("servers/{}", engine.options.id);
+        self.store.put(&key, &entry);
+        (engine, link)
+    }
+
     /// Starts a server whose responses follow `script`, and registers it.
     pub async fn start_scripted_server(
         &self,
@@ -389,6 +404,19 @@
         path: &str,
         id: &str,
         headers: &[(&str, &str)],
+    ) -> Result<CallerResponse, SendRequestError> {
+        let body = "body of the call".to_owned();
+        self.try_call_with_body(method, path, id, headers, body)
+            .await
+    }
+
+    async fn try_call_with_body(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+        body: String,
     ) -> Result<CallerResponse, SendRequestError> {
         let method = method.parse().expect("the method is valid");
         let url = format!("http://{}{path}", self.callers);
@@ -400,9 +428,7 @@
         for (name, value) in headers {
             request = request.insert_header((*name, *value));
         }
-        let sent = request
-            .timeout(Duration::from_secs(10))
-            .send_body("body of the call");
+        let sent = request.timeout(Duration::from_secs(10)).send_body(body);
         let mut response = sent.await?;
         let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
         let retry_after = header("retry-after").and_then(|value| value.parse().ok());
@@ -459,6 +485,21 @@
         ];
         self.call_with("POST", path, id, &headers).await
     }
+
+    /// Sends a generation request whose body is as long as the configuration allows.
+    pub async fn generate_with_longest_body(&self, path: &str, id: &str) -> CallerResponse {
+        let key = format!("Bearer {API_KEY}");
+        let headers = [
+            ("authorization", key.as_str()),
+            ("balsamjunction-model", "m1"),
+            ("balsamjunction-token-usage", "100,50"),
+        ];
+        let body = "x".repeat(MAX_BODY_BYTES);
+        let response = self
+            .try_call_with_body("POST", path, id, &headers, body)
+            .await;
+        response.expect("the gateway responds")
+    }
 }
 
 /// The IDs of the events in the body of a stream, in order of arrival.
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use balsamjunction_lab::standin::platform::{Engine, EngineOptions};
+use balsamjunction_lab::standin::platform::{Engine, EngineOptions, Run};
 use futures_util::future::{join, join_all};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
@@ -133,6 +133,23 @@
     engines.iter().map(endings).collect()
 }
 
+/// A description of each run that started on a version after its bound.
+fn late_runs(runs: &[Run], version: u64, published_at: Instant) -> Vec<String> {
+    let ms = |at: Instant| (at - published_at).as_millis();
+    runs.iter()
+        .filter(|run| run.version == Some(version))
+        .filter(|run| run.started_at > published_at + VERSION_WITHIN)
+        .map(|run| {
+            format!(
+                "{} arrived at {} ms, began at {} ms",
+                run.id,
+                ms(run.arrived_at),
+                ms(run.started_at)
+            )
+        })
+        .collect()
+}
+
 fn assert_all_served_by(responses: &[CallerResponse], id: &str) {
     for got in responses {
         assert_eq!(got.status, 200, "{responses:#?}");
@@ -160,19 +177,7 @@
     join_all(calls).await;
 
     let runs = old_engine.runs();
-    let ms = |at: Instant| (at - published_at).as_millis();
-    let late: Vec<String> = runs
-        .iter()
-        .filter(|run| run.version == Some(1) && run.started_at > bound)
-        .map(|run| {
-            format!(
-                "{} arrived at {} ms, began at {} ms",
-                run.id,
-                ms(run.arrived_at),
-                ms(run.started_at)
-            )
-        })
-        .collect();
+    let late = late_runs(&runs, 1, published_at);
     assert!(!runs.is_empty(), "no request began");
     assert!(
         late.is_empty(),
@@ -316,3 +321,40 @@
     let started: Vec<String> = old_engine.runs().into_iter().map(|run| run.id).collect();
     assert_eq!(started, ["a1"]);
 }
+
+// Guards against a request that was cancelled on its way, over a link that is congested, and is delivered after the bound
+// of the version (mix-120 on abay-deck, hunt-7279-3 on abay-deck-large).
+#[actix_rt::test]
+async fn a_request_that_is_cancelled_on_its_way_is_not_delivered_afterwards() {
+    let mut site = TestSite::start().await;
+    site.version_deadline = VERSION_WITHIN;
+    let options = model_engine_options("e0", EVENT_COUNT, 5);
+    let (old_engine, link) = site.start_engine_behind_link(options).await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+
+    let published_at = publish_second_version(&site);
+    let bound = published_at + VERSION_WITHIN;
+    link.set_held(true);
+    actix_rt::time::sleep_until((bound - QUEUE_WAIT).into()).await;
+    gateway
+        .generate_with_longest_body(NON_RESUMABLE_PATH, "a0")
+        .await;
+    wait_until("the request to be cancelled", async || {
+        endings_by_engine(&site, "g1", from_ref(&old_engine)) == [["recalled"]]
+    })
+    .await;
+    actix_rt::time::sleep_until((bound + LATENESS).into()).await;
+    link.set_held(false);
+    // A request that is delivered begins at once.
+    actix_rt::time::sleep(QUEUE_WAIT).await;
+    eprintln!(
+        "DBG arrivals {} runs {:?} log {:?}",
+        old_engine.arrival_count(),
+        old_engine.runs().len(),
+        site.log_lines("g1", "attempt-failed")
+    );
+
+    let late = late_runs(&old_engine.runs(), 1, published_at);
+    assert!(late.is_empty(), "{late:#?}");
+}
