Logs and a metric tell how late a recall is

For a request that begins on an overdue version although it was recalled, nothing told whether the gateway recalled it late or the engine heard of it late. The line of the recall says how long after the send and after its moment it came, and balsamjunction_recall_delay_seconds has the latter for all recalls.

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -485,7 +485,10 @@
             PendingResult::Response(response) => {
                 self.classify_response(response, in_flight, &upstream, sent_at)
             }
-            PendingResult::Overdue => self.cancel_overdue(&mut in_flight, &upstream),
+            PendingResult::Overdue(overdue_for) => {
+                let waited = self.context.now().saturating_sub(sent_at);
+                self.cancel_overdue(&mut in_flight, &upstream, waited, overdue_for)
+            }
             PendingResult::Broken(e) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
                     self.report_crash(&upstream);
@@ -519,12 +522,20 @@
         &mut self,
         in_flight: &mut InFlightRequest,
         upstream: &UpstreamRecord,
+        waited: Duration,
+        overdue_for: Duration,
     ) -> AttemptResult {
         in_flight.set_outcome(AttemptOutcome::Cancelled);
         self.requirements.first_event_deadline =
             self.request.first_event_deadline(self.context.now());
-        self.context.metrics.mesh.cancelled_requests.inc();
-        let detail = "cancelled: the upstream's version is overdue".to_owned();
+        let metrics = &self.context.metrics.mesh;
+        metrics.cancelled_requests.inc();
+        metrics.recall_delay.observe(overdue_for.as_secs_f64());
+        let detail = format!(
+            "cancelled {} ms after it was sent, the upstream's version is overdue for {} ms",
+            waited.as_millis(),
+            overdue_for.as_millis()
+        );
         self.log_failed_attempt(upstream, "recalled", detail);
         AttemptResult::Unknown
     }
--- a/crates/daemon/src/gateway/context/in_flight.rs
+++ b/crates/daemon/src/gateway/context/in_flight.rs
@@ -141,11 +141,12 @@
             .served_version(self.selected.upstream, model)
     }
 
-    /// Waits until requests must no longer start on the version that the upstream serves.
+    /// Waits until requests must no longer start on the version that the upstream serves; returns for how long they
+    /// must not have.
     ///
     /// `version_at_send` is the version that it served when the request was sent. This version applies if the
     /// upstream is no longer listed, since an upstream that leaves still starts the requests that wait there.
-    pub async fn wait_until_overdue(&self, model: &str, version_at_send: u64) {
+    pub async fn wait_until_overdue(&self, model: &str, version_at_send: u64) -> Duration {
         let mut changes = self.context.start_deadlines_changed.subscribe();
         loop {
             let deadline = match self.served_version(model) {
@@ -154,10 +155,11 @@
             };
             match deadline {
                 Some(deadline) => {
-                    let remaining = deadline.saturating_sub(self.context.now());
-                    if remaining.is_zero() {
-                        return;
+                    let now = self.context.now();
+                    if now >= deadline {
+                        return now - deadline;
                     }
+                    let remaining = deadline - now;
                     // The deadline is evaluated again, whether it has passed or changed.
                     let _ = actix_rt::time::timeout(remaining, changes.changed()).await;
                 }
--- a/crates/daemon/src/gateway/pending.rs
+++ b/crates/daemon/src/gateway/pending.rs
@@ -1,5 +1,7 @@
 //! Requests that were sent to an upstream and have not been answered.
 
+use std::time::Duration;
+
 use balsamjunction_directory::UpstreamRecord;
 use balsamjunction_policy::{
     dispatch::{AttemptOutcome, ServedVersion},
@@ -22,8 +24,8 @@
     Response(UpstreamResponse),
     /// The connection broke before.
     Broken(SendError),
-    /// The request must have started by now, since the upstream serves a superseded version.
-    Overdue,
+    /// The request must have started this long ago, since the upstream serves a superseded version.
+    Overdue(Duration),
 }
 
 /// One request at one upstream, whose response has not begun.
@@ -51,7 +53,7 @@
                 Some((model, served)) => {
                     self.in_flight
                         .wait_until_overdue(model, served.version)
-                        .await;
+                        .await
                 }
                 None => future::pending().await,
             }
@@ -63,7 +65,7 @@
                 Ok(response) => PendingResult::Response(response),
                 Err(e) => PendingResult::Broken(e),
             },
-            () = overdue => PendingResult::Overdue,
+            overdue_for = overdue => PendingResult::Overdue(overdue_for),
         }
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -73,6 +73,8 @@
     pub overdue_answers: Counter,
     /// Requests that were cancelled at upstreams whose version was overdue.
     pub cancelled_requests: Counter,
+    /// Time from the deadline by which a request must have started until it is recalled, in seconds.
+    pub recall_delay: Histogram,
     /// Upstreams that stated in a response that they are leaving.
     pub leaving_upstreams: Counter,
     /// Responses by which an upstream asked for a backoff (`Retry-After`).
@@ -127,6 +129,7 @@
             sampled_lines: Counter::default(),
             overdue_answers: Counter::default(),
             cancelled_requests: Counter::default(),
+            recall_delay: times(),
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
             limit_responses: Counter::default(),
@@ -159,7 +162,7 @@
         r.register_with_unit("facts_age", age, seconds.clone(), m.facts_age.clone());
         let age = "Age of the relative service time of the selected upstream";
         let ages = m.service_time_age.clone();
-        r.register_with_unit("service_time_age", age, seconds, ages);
+        r.register_with_unit("service_time_age", age, seconds.clone(), ages);
         let up = "Processes believed to be up, by role";
         r.register("members", up, m.members.clone());
         r.register("upstreams", "Upstreams by state", m.upstreams.clone());
@@ -177,6 +180,9 @@
         r.register("overdue_answers", overdue, m.overdue_answers.clone());
         let recalls = "Requests recalled from overdue versions";
         r.register("recalls", recalls, m.cancelled_requests.clone());
+        let delays = "Time by which recalls are late";
+        let delay = m.recall_delay.clone();
+        r.register_with_unit("recall_delay", delays, seconds, delay);
         let leaving = "Upstreams that said that they leave";
         r.register("leaving_upstreams", leaving, m.leaving_upstreams.clone());
         let rests = "Answers by which an upstream wanted nothing for a while";
