A request that is given up is reset, so that it is not delivered afterwards

Cause: a request is given up by closing its connection, and the close is an orderly one. TCP delivers what the send buffer holds first and repeats it for as long as packets are lost, so over a congested link the whole request arrives after it was cancelled. The class is a cancellation that is queued behind what it cancels; it is the same for recalls, callers that have left, second copies, time limits and the stop of a process, and all of them close the connection in one place.

Now a connection that is dropped before its response is complete is reset: what the send buffer holds is discarded, and the reset does not wait behind it. A response that is complete still ends with an orderly close.

--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -5,7 +5,13 @@
 //! round trip. See docs/DESIGN.md, "Connections". `awc` does not expose whether a request was written, so
 //! `hyper`'s connections are used here.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use actix_rt::task::JoinHandle;
 use balsamjunction_platform::headers;
@@ -14,7 +20,10 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1, Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
 
 /// An upstream that does not accept a connection in this time is skipped; nothing was sent to it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -53,7 +62,8 @@
     }
 }
 
-/// A connection that closes when it is dropped, which makes the upstream cancel the request.
+/// A connection that is reset when it is dropped before the response is complete, which makes the upstream cancel the
+/// request.
 pub struct Connection(JoinHandle<()>);
 
 impl Drop for Connection {
@@ -62,6 +72,74 @@
     }
 }
 
+/// The socket of a connection, which is reset unless both sides have finished with it.
+///
+/// An orderly close would still deliver what the send buffer holds: a request that is cancelled while a congested link
+/// delays it would run afterwards. See docs/ROUTING.md, "Cancellation".
+struct ResettingStream {
+    tcp: TcpStream,
+    /// Whether the response is complete, or the upstream has closed the connection.
+    finished: bool,
+}
+
+impl AsyncRead for ResettingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let has_room = buf.remaining() > 0;
+        let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
+        if has_room && matches!(polled, Poll::Ready(Ok(()))) && buf.filled().len() == filled {
+            self.finished = true;
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ResettingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.finished = true;
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
+
+impl Drop for ResettingStream {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        if let Err(e) = self.tcp.set_zero_linger() {
+            log::debug!("a cancelled connection closes without a reset: {e}");
+        }
+    }
+}
+
 /// Opens a connection. This is a separate step from [`send`], since its failure proves that the request did
 /// not run.
 pub async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
@@ -80,7 +158,10 @@
 ) -> Result<UpstreamResponse, SendError> {
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(tcp))
+        .handshake(TokioIo::new(ResettingStream {
+            tcp,
+            finished: false,
+        }))
         .await;
     let (mut sender, connection) = handshake.map_err(SendError::Broken)?;
     let _connection = Connection(actix_rt::spawn(async move {
