Sidecar: a chunk is read up to the length that its manifest states

What was at stake: a sender that answers a chunk without end took 64 MiB of the sidecar for each of several chunks at a time, and a peer 64 MiB for a manifest. The length was checked after the whole body was collected.

Change: the expected length, which is known before the call, is the limit of the body; a manifest of a peer has the limit of one of the origin, 8 MiB.

Evidence: daemon test `a_chunk_without_end_is_read_up_to_its_length`. It passes now. Not run with a real process.

--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -65,8 +65,8 @@
 pub trait WeightStore {
     /// The manifest of a version.
     fn manifest(&self, version: &str) -> PlatformResult<'_, Manifest>;
-    /// One chunk of a version; its length and hash are not verified.
-    fn chunk(&self, version: &str, chunk: usize) -> PlatformResult<'_, Bytes>;
+    /// One chunk of a version, of at most `max_bytes`; its length and hash are not verified.
+    fn chunk(&self, version: &str, chunk: usize, max_bytes: usize) -> PlatformResult<'_, Bytes>;
 }
 
 /// A model engine that loads and switches versions of weights on order.
--- a/crates/daemon/src/platform/store_http.rs
+++ b/crates/daemon/src/platform/store_http.rs
@@ -11,9 +11,7 @@
 use super::{PlatformError, PlatformResult, WeightStore};
 
 /// Maximum length of a manifest: 100,000 chunks.
-const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
-/// Maximum length of a chunk.
-pub const MAX_CHUNK_BYTES: usize = 64 * 1024 * 1024;
+pub const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
 /// A manifest that is not received within this time is requested again.
 const MANIFEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// A chunk that is not received within this time is requested again.
@@ -58,8 +56,8 @@
         .boxed_local()
     }
 
-    fn chunk(&self, version: &str, chunk: usize) -> PlatformResult<'_, Bytes> {
+    fn chunk(&self, version: &str, chunk: usize, max_bytes: usize) -> PlatformResult<'_, Bytes> {
         let url = format!("http://{}/v1/chunks/{version}/{chunk}", self.address);
-        get_body(&self.client, url, MAX_CHUNK_BYTES, CHUNK_TIMEOUT).boxed_local()
+        get_body(&self.client, url, max_bytes, CHUNK_TIMEOUT).boxed_local()
     }
 }
--- a/crates/daemon/src/sidecar/weights/weights_client.rs
+++ b/crates/daemon/src/sidecar/weights/weights_client.rs
@@ -16,7 +16,7 @@
 use crate::{
     client,
     platform::{
-        store_http::{self, MAX_CHUNK_BYTES},
+        store_http::{self, MAX_MANIFEST_BYTES},
         Engine, PlatformError, WeightStore,
     },
     sidecar::{
@@ -83,9 +83,8 @@
             }
             Source::Peer { address, .. } => {
                 let url = format!("http://{address}{}/{version}", paths::MANIFEST);
-                let body =
-                    store_http::get_body(&self.http_client, url, MAX_CHUNK_BYTES, QUERY_TIMEOUT)
-                        .await;
+                let (client, limit) = (&self.http_client, MAX_MANIFEST_BYTES);
+                let body = store_http::get_body(client, url, limit, QUERY_TIMEOUT).await;
                 serde_json::from_slice(&body.ok()?).ok()
             }
         }
@@ -126,12 +125,13 @@
         }
         let received = match (source, &self.origin) {
             (Source::Origin, Some(origin)) => ReceivedChunk {
-                buf: origin.chunk(version, chunk).await?,
+                buf: origin.chunk(version, chunk, expected).await?,
                 sender_chunks: None,
             },
             (Source::Origin, None) => return Err(PlatformError::Status { status: 404 }),
             (Source::Peer { address, .. }, _) => {
-                self.fetch_chunk_from_peer(*address, version, chunk).await?
+                let fetch = self.fetch_chunk_from_peer(*address, version, chunk, expected);
+                fetch.await?
             }
         };
         if received.buf.len() != expected {
@@ -146,6 +146,7 @@
         address: SocketAddr,
         version: &str,
         chunk: usize,
+        max_bytes: usize,
     ) -> Result<ReceivedChunk, PlatformError> {
         let url = format!("http://{address}{}/{version}/{chunk}", paths::CHUNK);
         let data_centre = self.context.settings.peer.data_centre.as_str();
@@ -159,7 +160,7 @@
         let chunk_map = response.headers().get(CHUNK_MAP_HEADER);
         let sender_chunks =
             chunk_map.and_then(|value| header::from_header(value.to_str().ok()?).ok());
-        let buf = response.body().limit(MAX_CHUNK_BYTES).await?;
+        let buf = response.body().limit(max_bytes).await?;
         Ok(ReceivedChunk { buf, sender_chunks })
     }
 }
