Gateway: 200 unread responses without end fit into the smallest host

What callers saw: nothing yet. With 200 requests at once whose upstreams send without end and whose callers do not read, a gateway used 100 to 107 MB with events of 60 kB (124 MB in a longer trial) where the host allows 112 MB. The tests of `hostile` sent 24 requests to one upstream, of which four were at it at a time, so that the sum was never measured.

Cause: for each response up to two read buffers of 64 KiB, an event buffer that doubles, and the HTTP server's write buffer, which takes a whole event at a time.

Change: read buffers of 16 KiB, so that a head of an upstream may have 16 KiB instead of 64; pieces of at most 16 KiB for the HTTP server; the event buffer is allocated once beyond 32 KiB; 4 KiB of comments are held instead of 64. The longest event stays 64 KiB.

Evidence: `endless_responses_to_many_callers_fit_into_the_smallest_host`. The bound is what the account charges for an unread response, 148 KiB each, and the 40 MB that are reserved: 70 MB.

--- a/crates/daemon/src/gateway/event_stream.rs
+++ b/crates/daemon/src/gateway/event_stream.rs
@@ -5,10 +5,19 @@
 use memchr::memmem;
 use smol_str::SmolStr;
 
+use super::send::MAX_READ_BUFFER_BYTES;
+
 /// Longest event that is buffered. Events of engines take a few hundred bytes; the limit bounds the memory
 /// for an event that never ends.
 const MAX_EVENT_BYTES: usize = 64 * 1_024;
 
+/// Longest incomplete event for which the buffer grows by doubling. Beyond it the buffer is allocated once, with
+/// [`MAX_BUFFER_BYTES`].
+const MAX_DOUBLING_BYTES: usize = 32 * 1_024;
+
+/// Capacity for the longest event and a read behind it.
+const MAX_BUFFER_BYTES: usize = MAX_EVENT_BYTES + MAX_READ_BUFFER_BYTES;
+
 /// An event exceeds the maximum length.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
@@ -35,7 +44,7 @@
     pub fn push(&mut self, buf: &[u8]) -> Result<Option<CompleteEvents>, EventTooLong> {
         // A boundary may start in bytes that were searched before.
         let searched = self.incomplete.len().saturating_sub(MAX_BOUNDARY_BYTES - 1);
-        self.incomplete.extend_from_slice(buf);
+        self.append(buf);
         let Some(end) = find_last_event_end(&self.incomplete[searched..]) else {
             return match self.incomplete.len() > MAX_EVENT_BYTES {
                 true => Err(EventTooLong),
@@ -50,6 +59,16 @@
         Ok(Some(CompleteEvents { buf, has_content }))
     }
 
+    fn append(&mut self, buf: &[u8]) {
+        let length = self.incomplete.len() + buf.len();
+        if length > self.incomplete.capacity() && length > MAX_DOUBLING_BYTES {
+            let mut larger = BytesMut::with_capacity(length.max(MAX_BUFFER_BYTES));
+            larger.extend_from_slice(&self.incomplete);
+            self.incomplete = larger;
+        }
+        self.incomplete.extend_from_slice(buf);
+    }
+
     /// Whether the received bytes end with a complete event.
     pub fn is_at_boundary(&self) -> bool {
         self.incomplete.is_empty()
--- a/crates/daemon/src/gateway/reader.rs
+++ b/crates/daemon/src/gateway/reader.rs
@@ -16,7 +16,7 @@
 
 /// Comments of a stream that are held until an event follows. They only keep the connection alive, so further
 /// ones are dropped.
-const MAX_HELD_COMMENT_BYTES: usize = 64 * 1_024;
+const MAX_HELD_COMMENT_BYTES: usize = 4 * 1_024;
 /// Parts of a response that an upstream must have sent before the request counts as one that does not crash it.
 const SOUND_PROGRESS: u32 = 3;
 /// Time from the head of the response for which the upstream must have sent it besides.
--- a/crates/daemon/src/gateway/response.rs
+++ b/crates/daemon/src/gateway/response.rs
@@ -30,6 +30,10 @@
 /// Jitter of the time in `retry-after`, as a fraction of it, so that callers do not retry simultaneously.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// Longest piece that is handed to the HTTP server at a time. The server copies a piece into its write buffer as
+/// soon as that holds less than 32 KiB, so this bounds the buffer of a caller that does not read.
+const MAX_PIECE_BYTES: usize = 16 * 1_024;
+
 /// Why a stream that was interrupted is not resumed, for the log and the metrics.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -174,6 +178,8 @@
 pub struct ResponseRelay {
     attempts: RequestAttempts,
     reader: ResponseReader,
+    /// Received bytes that the HTTP server has not taken yet.
+    unsent: Bytes,
     resumable: bool,
     /// When another upstream is tried next for a silent one; absent until it is silent.
     next_attempt_at: Option<Moment>,
@@ -210,6 +216,7 @@
         let head_at = attempts.context.now();
         Self {
             reader: ResponseReader::new(response, in_flight, success && events, head_at),
+            unsent: Bytes::new(),
             resumable,
             attempts,
             next_attempt_at: None,
@@ -250,7 +257,24 @@
         io::ErrorKind::ConnectionAborted.into()
     }
 
-    /// Returns the next bytes for the caller; `None` at the end of a complete response.
+    /// Returns the next bytes for the caller, [`MAX_PIECE_BYTES`] at most; `None` at the end of a complete response.
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, io::Error> {
+        if self.unsent.is_empty() {
+            let Some(buf) = self.next_bytes().await? else {
+                return Ok(None);
+            };
+            self.unsent = buf;
+        }
+        let length = self.unsent.len().min(MAX_PIECE_BYTES);
+        let piece = self.unsent.split_to(length);
+        if self.unsent.is_empty() {
+            // An empty handle would keep the buffer of all pieces.
+            self.unsent = Bytes::new();
+        }
+        Ok(Some(piece))
+    }
+
+    /// Returns what is received next; `None` at the end of a complete response.
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, io::Error> {
         loop {
             match self.receive().await {
@@ -488,7 +512,7 @@
 
 fn stream_body(relay: ResponseRelay) -> impl Stream<Item = Result<Bytes, io::Error>> + Unpin {
     let bytes = stream::try_unfold(relay, |mut relay| async {
-        let next = relay.next_bytes().await?;
+        let next = relay.next_piece().await?;
         Ok(next.map(|buf| (buf, relay)))
     });
     Box::pin(bytes)
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -19,8 +19,9 @@
 /// An upstream that does not accept a connection in this time is skipped; nothing was sent to it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Limit of the read buffer, which must hold the head of a response; heads take a few hundred bytes.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1_024;
+/// Limit of the read buffer, which must hold the head of a response; heads take a few hundred bytes. A response
+/// holds up to two such buffers: the one that is filled, and the piece that was read last.
+pub const MAX_READ_BUFFER_BYTES: usize = 16 * 1_024;
 
 /// Why an upstream returned no response.
 #[derive(Debug, Display, Error)]
--- /dev/null
+++ b/crates/lab/tests/gateway/endless_sums.rs
@@ -0,0 +1,131 @@
+//! Memory under many endless responses at the same time.
+
+use std::time::Duration;
+
+use balsamjunction_lab::standin::platform::{Script, ScriptedServer};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+use crate::common::{model_engine_options, plain_engine_options, Gateway, TestSite, API_KEY};
+
+/// Memory of the smallest host in use, the default of the setting `memory_mb`.
+const SMALLEST_HOST_MB: u64 = 112;
+/// Requests in progress at the same time on the smallest host.
+const CONCURRENT_REQUESTS: usize = 200;
+/// Faulty upstreams. A new one is sent a few requests at a time.
+const FAULTY_UPSTREAMS: usize = 60;
+/// Time for which the responses flow, within the time limit of the route.
+const FLOW_TIME: Duration = Duration::from_secs(3);
+/// Memory that a gateway may use with so many unread responses: 148 KiB that it charges for each, and the 40 MB that it
+/// reserves for everything else.
+const MAX_GATEWAY_BYTES: u64 = CONCURRENT_REQUESTS as u64 * 148 * 1_024 + 40_000_000;
+
+const OK_HEAD: &str = "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
+                  Balsamjunction-Server-Signature: s\r\n";
+/// Length of a response that does not end within the test, in bytes.
+const ENDLESS_LENGTH: u64 = 10_000_000_000;
+
+/// A response that begins with `headers` besides the usual ones, and repeats `filler` without end.
+fn endless_script(headers: &str, filler: Vec<u8>) -> Script {
+    Script {
+        opening: format!("{OK_HEAD}{headers}\r\n"),
+        filler: filler.into(),
+        ..Script::default()
+    }
+}
+
+/// Endless responses, each with the path of the requests that receive them.
+fn endless_responses() -> Vec<(&'static str, Script)> {
+    let length = format!("Content-Length: {ENDLESS_LENGTH}\r\n");
+    let events = "Content-Type: text/event-stream\r\n";
+    let long_event = [
+        b"id: 1\ndata: ".to_vec(),
+        vec![b'w'; 60_000],
+        b"\n\n".to_vec(),
+    ]
+    .concat();
+    let lines = (0..60).map(|n| format!("x-more-{n}: {}\r\n", "v".repeat(200)));
+    let long_head: String = lines.collect();
+    let informational = Script {
+        opening: "HTTP/1.1 100 Continue\r\n\r\n".to_owned(),
+        filler: b"HTTP/1.1 102 Processing\r\nx-more: of the same\r\n\r\n"
+            .repeat(1_000)
+            .into(),
+        ..Script::default()
+    };
+    vec![
+        ("/order/new", informational),
+        (
+            "/draft/now",
+            endless_script(&format!("{events}{length}"), long_event),
+        ),
+        (
+            "/draft/now",
+            endless_script(events, b": hello\n\n".repeat(10_000)),
+        ),
+        ("/order/new", endless_script(&length, vec![b'b'; 100_000])),
+        (
+            "/order/new",
+            endless_script(&format!("{long_head}{length}"), vec![b'b'; 100_000]),
+        ),
+    ]
+}
+
+/// Sends a request and returns its connection, from which nothing is read.
+async fn send_without_reading(gateway: Gateway, path: &str, n: usize) -> TcpStream {
+    let mut tcp = TcpStream::connect(gateway.callers)
+        .await
+        .expect("the gateway listens");
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: floor.example\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Balsamjunction-Attempt-Id: a{n}\r\nBalsamjunction-Deadline-Ms: 3800\r\n\
+         Balsamjunction-Model: m1\r\nBalsamjunction-Token-Usage: 100,50\r\nContent-Length: 1\r\n\r\nx"
+    );
+    tcp.write_all(request.as_bytes())
+        .await
+        .expect("the request is sent");
+    tcp
+}
+
+// With 200 streams of long events that were not read, a gateway used over 100 MB; the smallest host has 112 MB.
+#[actix_rt::test]
+async fn endless_responses_to_many_callers_fit_into_the_smallest_host() {
+    for (path, script) in endless_responses() {
+        let mut site = TestSite::start().await;
+        site.memory_mb = Some(SMALLEST_HOST_MB);
+        let mut faulty: Vec<ScriptedServer> = Vec::new();
+        let mut options = model_engine_options("", 1, 5);
+        let mut healthy = plain_engine_options("healthy");
+        if path == "/order/new" {
+            std::mem::swap(&mut options, &mut healthy);
+        }
+        healthy.id = "healthy".into();
+        for n in 0..FAULTY_UPSTREAMS {
+            options.id = format!("faulty-{n}").into();
+            let server = site.start_scripted_server(options.clone(), script.clone());
+            faulty.push(server.await);
+        }
+        site.start_engine(healthy).await;
+        let gateway = site.start_gateway("g1", &[]);
+        gateway.wait_until_ready().await;
+        let process = site.processes.pid("g1");
+
+        let mut callers = Vec::new();
+        for n in 0..CONCURRENT_REQUESTS {
+            callers.push(send_without_reading(gateway, path, n).await);
+        }
+        actix_rt::time::sleep(FLOW_TIME).await;
+        let peak = site.peak_memory_bytes("g1");
+        let response = match path {
+            "/order/new" => gateway.generate("ordinary").await,
+            _ => gateway.call("POST", "/order/new", "ordinary").await,
+        };
+
+        let requests: usize = faulty.iter().map(ScriptedServer::requests).sum();
+        println!("{path}: {peak} bytes with {requests} requests");
+        assert!(requests >= CONCURRENT_REQUESTS, "{requests} requests");
+        assert!(peak < MAX_GATEWAY_BYTES, "{peak} bytes");
+        assert_eq!(response.status, 200);
+        assert_eq!(site.processes.pid("g1"), process);
+        drop(callers);
+    }
+}
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod deadly_parts;
 mod departures;
+mod endless_sums;
 mod explained;
 mod faulty_refusals;
 mod hostile;
