Store: a listing whose page is repeated is given up

What was at stake: a store that answers each page of a listing with the same page and `hasMore` took a gateway to 1.1 GB within 4 s.

Cause: pages are collected until one is the last, and nothing looked at whether a page goes on from the one before it.

Change: a page that ends with the key after which it was requested ends the listing with an error, `RepeatedPage`; the reader backs off as after any other failed call and the process receives the facts from its peers.

Evidence: `a_listing_whose_page_is_repeated_without_end_is_given_up`. A store that invents new keys without end is not bounded.

--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -14,6 +14,7 @@
 };
 use balsamjunction_policy::Moment;
 use log::debug;
+use smol_str::SmolStr;
 
 use super::{peers::notify_changes, sleep_with_jitter, ClusterView};
 use crate::events::Event;
@@ -90,7 +91,7 @@
     ) -> Result<(Vec<Change>, Verification), PlatformError> {
         let mut changes = Vec::new();
         let mut first_position = None;
-        let mut after = None;
+        let mut after: Option<SmolStr> = None;
         loop {
             let page = self.store.list(ALL_KEYS_PREFIX, after.as_deref()).await?;
             // Pages are not a snapshot: the listing is only complete up to the first page's position.
@@ -99,15 +100,20 @@
                 return Err(PlatformError::Restored);
             }
             changes.extend(page.changes);
-            after = page.next_after;
-            if after.is_none() {
-                return Ok((
-                    changes,
-                    Verification {
-                        position,
-                        queried_at,
-                    },
-                ));
+            match page.next_after {
+                None => {
+                    return Ok((
+                        changes,
+                        Verification {
+                            position,
+                            queried_at,
+                        },
+                    ))
+                }
+                Some(next) if after.as_ref() == Some(&next) => {
+                    return Err(PlatformError::RepeatedPage { after: next })
+                }
+                next => after = next,
             }
         }
     }
--- a/crates/lab/tests/gateway/endless_sums.rs
+++ b/crates/lab/tests/gateway/endless_sums.rs
@@ -1,8 +1,9 @@
-//! Memory under many endless responses at the same time.
+//! Memory under many endless or overlong responses at the same time, and under long ones that are decoded.
 
 use std::time::Duration;
 
 use balsamjunction_lab::standin::platform::{Script, ScriptedServer};
+use serde_json::json;
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::common::{model_engine_options, plain_engine_options, Gateway, TestSite, API_KEY};
@@ -18,6 +19,8 @@
 /// Memory that a gateway may use with so many unread responses: 148 KiB that it charges for each, and the 40 MB that it
 /// reserves for everything else.
 const MAX_GATEWAY_BYTES: u64 = CONCURRENT_REQUESTS as u64 * 148 * 1_024 + 40_000_000;
+/// Time in which a stager sends several requests.
+const SEVERAL_REQUESTS_TIME: Duration = Duration::from_secs(4);
 
 const OK_HEAD: &str = "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
                   Balsamjunction-Server-Signature: s\r\n";
@@ -129,3 +132,44 @@
         drop(callers);
     }
 }
+
+/// A complete response with `body`.
+fn json_script(body: String) -> Script {
+    let length = body.len();
+    Script {
+        opening: format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
+        ..Script::default()
+    }
+}
+
+// A gateway collected a page that its store repeated without end, until its memory ran out.
+#[actix_rt::test]
+async fn a_listing_whose_page_is_repeated_without_end_is_given_up() {
+    let entries = (0..10_000)
+        .map(|n| json!({"key": format!("servers/removed-{n}"), "revision": n, "deleted": true}));
+    let entries: Vec<_> = entries.collect();
+    let page = json!({"entries": entries, "hasMore": true, "at": 20_000});
+    let mut site = TestSite::start().await;
+    site.start_engine(plain_engine_options("d1")).await;
+    let first = site.start_gateway("g1", &[]);
+    first.wait_until_ready().await;
+    let store = ScriptedServer::start(Script {
+        keep_open: true,
+        ..json_script(page.to_string())
+    });
+    let store = store.await.expect("start the scripted server");
+
+    let gateway = site.start_gateway_with_store("g2", &[first], store.address);
+    gateway.wait_until_ready().await;
+    actix_rt::time::sleep(SEVERAL_REQUESTS_TIME).await;
+    let response = gateway.call("POST", "/order/new", "ordinary").await;
+
+    let peak = site.peak_memory_bytes("g2");
+    println!(
+        "repeated pages: {peak} bytes with {} requests",
+        store.requests()
+    );
+    assert!(store.requests() > 1);
+    assert!(peak < MAX_GATEWAY_BYTES, "{peak} bytes");
+    assert_eq!(response.status, 200);
+}
