Stager: each response has a limit near the longest that is sound

What was at stake: a manifest of 8 MB with 2.7 million empty digests took a stager to 555 MB; staged chunks that an engine sent without end, a list of 8 MB of staged chunks and a report of 8 MB took it to 51 to 64 MB.

A chunk that is too long counts as corrupt, as one with other bytes does.

Evidence: `long_responses_of_an_engine_fit_beside_its_stager` and `long_responses_of_an_origin_fit_beside_a_stager`.

--- a/crates/daemon/src/stager/chunk_cache.rs
+++ b/crates/daemon/src/stager/chunk_cache.rs
@@ -139,10 +139,10 @@
         self.with_version(id, |cached| cached.manifest.clone())
     }
 
-    /// Length of the chunks of a version in bytes; zero if the version is not cached.
-    pub fn chunk_bytes(&self, id: &VersionId) -> usize {
-        let bytes = self.with_version(id, |cached| cached.manifest.chunk_bytes);
-        bytes.map_or(0, |bytes| bytes as usize)
+    /// Length of the longest chunk of a version in bytes; zero if the version is not cached.
+    pub fn max_chunk_bytes(&self, id: &VersionId) -> usize {
+        let bytes = self.with_version(id, |cached| cached.manifest.max_chunk_bytes());
+        bytes.unwrap_or(0)
     }
 
     /// Number of cached chunks and of all chunks of a version; `None` if the version is not cached.
--- a/crates/daemon/src/stager/fetch.rs
+++ b/crates/daemon/src/stager/fetch.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use awc::Client;
-use balsamjunction_platform::{Manifest, PlatformError};
+use awc::{error::PayloadError, Client};
+use balsamjunction_platform::{Manifest, PlatformError, MAX_MANIFEST_BYTES};
 use balsamjunction_policy::{
     fetch::{
         choose_manifest_source, Distribution, FetchAction, FetchFailure, FetchPlan, OwnerState,
@@ -31,8 +31,8 @@
 /// A peer that has not sent a chunk after this time is stalled. A chunk takes 35 ms on an idle link
 /// of 7.6 Mbit/s, and up to three chunks share the link of a sender.
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Longest response body of a peer.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Longest response to a probe: two maps with a bit for each chunk of the longest manifest.
+const MAX_PROBE_BYTES: usize = 16 * 1_024;
 /// After a stalled fetch with at least this many corrupt chunks, its manifest is fetched again.
 const MANIFEST_REFRESH_CORRUPT_CHUNKS: u64 = 4;
 /// Most missing chunks that the log line about a stalled fetch lists.
@@ -104,7 +104,7 @@
         (Source::Peer { address, .. }, _) => {
             let path = paths::MANIFEST;
             let url = format!("http://{address}{path}/{}/{}", id.model, id.version);
-            let (buf, _) = get(&stager.client, url, PROBE_TIMEOUT).await?;
+            let (buf, _) = get(&stager.client, url, PROBE_TIMEOUT, MAX_MANIFEST_BYTES).await?;
             Ok(serde_json::from_slice(&buf)?)
         }
         (Source::Origin, Some(origin)) => {
@@ -194,7 +194,7 @@
         list_participants(stager),
         Pcg64Mcg::from_rng(&mut rand::rng()),
     )
-    .with_origin_rate(manifest.chunk_bytes as usize, stager.origin_kbit_s())
+    .with_origin_rate(manifest.max_chunk_bytes(), stager.origin_kbit_s())
     .with_origin_state(stager.chunk_cache.origin_state());
     let cached = stager.chunk_cache.chunk_map(id);
     for chunk in (0..chunks).filter(|chunk| cached.has(*chunk)) {
@@ -362,6 +362,11 @@
                         PlatformError::Status {
                             status: BUSY_STATUS,
                         } => FetchFailure::Busy,
+                        // The chunk is longer than its manifest states.
+                        PlatformError::Payload(PayloadError::Overflow) => {
+                            stager.metrics.corrupt_chunks.inc();
+                            FetchFailure::Corrupt
+                        }
                         _ => FetchFailure::Unavailable,
                     };
                     plan.record_failure(now, chunk, &source, failure);
@@ -388,21 +393,19 @@
         FetchAction::Probe { host, address } => {
             let path = paths::MODEL_CHUNK_MAP;
             let url = format!("http://{address}{path}/{}/{}", id.model, id.version);
-            let response = get(&stager.client, url, PROBE_TIMEOUT).await.ok();
+            let response = get(&stager.client, url, PROBE_TIMEOUT, MAX_PROBE_BYTES);
+            let response = response.await.ok();
             let chunk_map = response.and_then(|(buf, _)| header::from_bytes(&buf).ok());
             ActionOutcome::Probe { host, chunk_map }
         }
         FetchAction::Fetch { chunk, source } => {
-            let expected_bytes = stager.chunk_cache.chunk_bytes(&id);
-            let wait = stager
-                .pacer
-                .borrow_mut()
-                .reserve(stager.now(), expected_bytes);
+            let max_bytes = stager.chunk_cache.max_chunk_bytes(&id);
+            let wait = stager.pacer.borrow_mut().reserve(stager.now(), max_bytes);
             if !wait.is_zero() {
                 actix_rt::time::sleep(wait).await;
             }
             let started = stager.now();
-            let fetched = fetch_chunk(&stager, &id, chunk, &source).await;
+            let fetched = fetch_chunk(&stager, &id, chunk, &source, max_bytes).await;
             if source == Source::Origin {
                 stager.chunk_cache.set_in_flight(&id, chunk, false);
             }
@@ -440,14 +443,18 @@
     id: &VersionId,
     chunk: usize,
     source: &Source,
+    max_bytes: usize,
 ) -> Result<(Bytes, Option<ChunkMapResponse>), PlatformError> {
     match (source, stager.origin()) {
         (Source::Peer { address, .. }, _) => {
             let url = chunk_url(*address, id, chunk);
-            get(&stager.client, url, CHUNK_TIMEOUT).await
+            get(&stager.client, url, CHUNK_TIMEOUT, max_bytes).await
         }
         (Source::Origin, Some(origin)) => {
-            Ok((origin.chunk(&id.model, id.version, chunk).await?, None))
+            let buf = origin
+                .chunk(&id.model, id.version, chunk, max_bytes)
+                .await?;
+            Ok((buf, None))
         }
         (Source::Origin, None) => Err(PlatformError::Status { status: 404 }),
     }
@@ -462,6 +469,7 @@
     client: &Client,
     url: String,
     timeout: Duration,
+    max_bytes: usize,
 ) -> Result<(Bytes, Option<ChunkMapResponse>), PlatformError> {
     let mut response = client
         .get(url)
@@ -475,5 +483,5 @@
     }
     let chunk_map = response.headers().get(CHUNK_MAP_HEADER);
     let chunk_map = chunk_map.and_then(|value| header::from_header(value.to_str().ok()?).ok());
-    Ok((response.body().limit(MAX_RESPONSE_BYTES).await?, chunk_map))
+    Ok((response.body().limit(max_bytes).await?, chunk_map))
 }
--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -188,7 +188,9 @@
         if chunk >= manifest.digests.len() || cached.has(chunk) {
             continue;
         }
-        let buf = stager.engine.read_staged(&id.model, chunk).await?;
+        let max_bytes = manifest.max_chunk_bytes();
+        let read = stager.engine.read_staged(&id.model, chunk, max_bytes);
+        let buf = read.await?;
         added += usize::from(stager.chunk_cache.put(id, chunk, buf));
     }
     if added > 0 {
@@ -313,7 +315,9 @@
     is_staged: bool,
 ) -> Result<bool, PlatformError> {
     if is_staged {
-        let buf = stager.engine.read_staged(&id.model, chunk).await?;
+        let max_bytes = manifest.max_chunk_bytes();
+        let read = stager.engine.read_staged(&id.model, chunk, max_bytes);
+        let buf = read.await?;
         if matches_digest(manifest, chunk, &buf) {
             return Ok(false);
         }
--- a/crates/lab/src/standin/platform/scripted.rs
+++ b/crates/lab/src/standin/platform/scripted.rs
@@ -33,6 +33,9 @@
     pub keep_open: bool,
     /// Whether the connection is reset after the opening, instead of being closed.
     pub reset: bool,
+    /// A text and a server: requests whose target does not contain the text are passed on to that server. If
+    /// absent, all requests follow the script.
+    pub elsewhere: Option<(&'static str, SocketAddr)>,
 }
 
 #[derive(Debug, Default)]
@@ -97,9 +100,13 @@
 async fn run_script(mut tcp: TcpStream, script: &Script, counts: &Counts) -> std::io::Result<()> {
     tcp.write_all(script.greeting.as_bytes()).await?;
     loop {
-        let Some(head) = read_request(&mut tcp).await? else {
+        let Some((head, buf)) = read_request(&mut tcp).await? else {
             return Ok(());
         };
+        let target = head.lines().next().unwrap_or_default();
+        if let Some((_, server)) = script.elsewhere.filter(|(text, _)| !target.contains(text)) {
+            return pass_on(tcp, &buf[head.len()..], &head, server).await;
+        }
         counts.requests.fetch_add(1, Ordering::AcqRel);
         let id = header(&head, "balsamjunction-attempt-id").unwrap_or_default();
         let opening = script.opening.replace("{id}", &id);
@@ -126,8 +133,24 @@
     }
 }
 
-/// Reads the next request with its body; returns its head, or `None` at the end of the connection.
-async fn read_request(tcp: &mut TcpStream) -> std::io::Result<Option<String>> {
+/// Passes a request on to another server, and its response back. Then both connections close.
+async fn pass_on(
+    mut tcp: TcpStream,
+    rest: &[u8],
+    head: &str,
+    server: SocketAddr,
+) -> std::io::Result<()> {
+    let mut other = TcpStream::connect(server).await?;
+    other.write_all(head.as_bytes()).await?;
+    other.write_all(b"\r\nConnection: close").await?;
+    other.write_all(rest).await?;
+    tokio::io::copy(&mut other, &mut tcp).await?;
+    tcp.shutdown().await
+}
+
+/// Reads the next request with its body; returns its head and all its bytes, or `None` at the end of the
+/// connection.
+async fn read_request(tcp: &mut TcpStream) -> std::io::Result<Option<(String, Vec<u8>)>> {
     let mut buf = Vec::new();
     loop {
         if let Some(end) = memmem::find(&buf, b"\r\n\r\n") {
@@ -139,7 +162,7 @@
                     return Ok(None);
                 }
             }
-            return Ok(Some(head));
+            return Ok(Some((head, buf)));
         }
         if tcp.read_buf(&mut buf).await? == 0 {
             return Ok(None);
--- a/crates/lab/tests/gateway/endless_sums.rs
+++ b/crates/lab/tests/gateway/endless_sums.rs
@@ -6,7 +6,9 @@
 use serde_json::json;
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use crate::common::{model_engine_options, plain_engine_options, Gateway, TestSite, API_KEY};
+use crate::common::{
+    model_engine_options, plain_engine_options, wait_until, Gateway, TestSite, API_KEY,
+};
 
 /// Memory of the smallest host in use, the default of the setting `memory_mb`.
 const SMALLEST_HOST_MB: u64 = 112;
@@ -19,6 +21,9 @@
 /// Memory that a gateway may use with so many unread responses: 148 KiB that it charges for each, and the 40 MB that it
 /// reserves for everything else.
 const MAX_GATEWAY_BYTES: u64 = CONCURRENT_REQUESTS as u64 * 148 * 1_024 + 40_000_000;
+/// Memory that a stager may use beside an engine: 16 MiB at rest, and four reads at a time of the longest chunk, which
+/// has 4 MiB.
+const MAX_STAGER_BYTES: u64 = (16 + 4 * 4) * 1_024 * 1_024;
 /// Time in which a stager sends several requests.
 const SEVERAL_REQUESTS_TIME: Duration = Duration::from_secs(4);
 
@@ -142,6 +147,122 @@
     }
 }
 
+/// `element` repeated as the elements of a JSON array of almost 8 MiB.
+fn long_array(element: &str) -> String {
+    let elements = vec![element; 8_000_000 / (element.len() + 1)];
+    format!("[{}]", elements.join(","))
+}
+
+/// Starts a stager whose engine answers requests for targets that contain `text` by `script`, and all others
+/// soundly; publishes a version and returns the peak memory of the stager.
+async fn run_with_faulty_engine(text: &'static str, script: Script) -> u64 {
+    let mut site = TestSite::start().await;
+    let engine = site.start_engine(model_engine_options("e1", 1, 5)).await;
+    site.start_engine(plain_engine_options("d1")).await;
+    let server = ScriptedServer::start(Script {
+        elsewhere: Some((text, engine.address)),
+        ..script
+    });
+    let server = server.await.expect("start the scripted server");
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let mut faulty_engine = engine.clone();
+    faulty_engine.address = server.address;
+    site.start_stager("s1", &faulty_engine, &[gateway]);
+    site.publish_version(2);
+    wait_until("a request to receive the response", async || {
+        server.requests() > 0
+    })
+    .await;
+    actix_rt::time::sleep(SEVERAL_REQUESTS_TIME).await;
+
+    let response = gateway.call("POST", "/order/new", "ordinary").await;
+    assert_eq!(response.status, 200);
+    let exit = site.processes.exit_success("s1");
+    assert_eq!(exit.expect("the process was started"), None);
+    site.peak_memory_bytes("s1")
+}
+
+// A stager held up to 8 MiB of each staged chunk that its engine sent without end, and decoded 8 MiB of a report or
+// of a list of staged chunks.
+#[actix_rt::test]
+async fn long_responses_of_an_engine_fit_beside_its_stager() {
+    let models = long_array(r#"{"name":"m","version":1}"#);
+    for (text, script) in [
+        (
+            "/stage-get/m1?",
+            endless_script(
+                "Transfer-Encoding: chunked\r\n",
+                b"4\r\naaaa\r\n".repeat(1_000),
+            ),
+        ),
+        (
+            "/stage-get/m1?",
+            endless_script("Content-Length: 8000000\r\n", vec![b'a'; 100_000]),
+        ),
+        (
+            "/stage-get/m1 ",
+            json_script(format!("{{\"held\":{}}}", long_array("0"))),
+        ),
+        ("/report", json_script(format!("{{\"models\":{models}}}"))),
+    ] {
+        let peak = run_with_faulty_engine(text, script).await;
+
+        println!("{text}: {peak} bytes");
+        assert!(peak < MAX_STAGER_BYTES, "{text}: {peak} bytes");
+    }
+}
+
+// A stager decoded a manifest of 8 MiB twice, and kept it; chunks were collected up to 8 MiB each whatever their
+// manifest stated.
+#[actix_rt::test]
+async fn long_responses_of_an_origin_fit_beside_a_stager() {
+    let digests = long_array(r#""""#);
+    let manifest = format!(
+        "{{\"model\":\"m1\",\"version\":2,\"chunkBytes\":4096,\"layers\":4,\"digests\":{digests}}}"
+    );
+    for (text, script) in [
+        ("/manifest/", json_script(manifest)),
+        (
+            "/piece/",
+            endless_script("Content-Length: 8000000\r\n", vec![b'a'; 100_000]),
+        ),
+    ] {
+        let mut site = TestSite::start().await;
+        let healthy_origin = site.origin.address;
+        let faulty = ScriptedServer::start(Script {
+            elsewhere: Some((text, healthy_origin)),
+            ..script
+        });
+        let faulty = faulty.await.expect("start the scripted server");
+        let set_origin = |config: &mut serde_json::Value, address: String| {
+            config["services"][2]["origin"] = json!(address);
+        };
+        site.update_config(|config| set_origin(config, faulty.address.to_string()));
+        let engine = site.start_engine(model_engine_options("e1", 2, 5)).await;
+        let gateway = site.start_gateway("g1", &[]);
+        gateway.wait_until_ready().await;
+        site.start_stager("s1", &engine, &[gateway]);
+        site.publish_version(2);
+        wait_until("a request to receive the response", async || {
+            faulty.requests() > 0
+        })
+        .await;
+
+        actix_rt::time::sleep(SEVERAL_REQUESTS_TIME).await;
+        let peak = site.peak_memory_bytes("s1");
+        site.update_config(|config| set_origin(config, healthy_origin.to_string()));
+
+        println!("{text}: {peak} bytes");
+        assert!(peak < MAX_STAGER_BYTES, "{text}: {peak} bytes");
+        wait_until("the engine to serve the version", async || {
+            engine.version() == Some(2)
+        })
+        .await;
+        assert_eq!(engine.inconsistent_loads(), 0);
+    }
+}
+
 // A gateway collected a page that its store repeated without end, until its memory ran out.
 #[actix_rt::test]
 async fn a_listing_whose_page_is_repeated_without_end_is_given_up() {
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -290,7 +290,7 @@
             .await
             .expect("the engine responds");
         engine
-            .read_staged("m1", 0)
+            .read_staged("m1", 0, 4_096)
             .await
             .expect("the engine responds");
         let ordered = engine.load(&order, || true).await;
