Orders and staged chunks that are given up are not delivered later

Cause: a call is given up by dropping its connection, and that is an orderly close behind the call's own bytes. What is still on its way is delivered after it was given up, however late. The 1.5 s for which nothing of another version is staged after a call without response, and the tolerance for corrupt chunks, both count on the call being void by then.

Change: connections for orders and staged chunks are reset when they are closed, so that what has not reached the engine is lost. Each of these calls has a connection of its own, so that no complete response is lost by it.

Evidence: weights::an_order_that_was_given_up_is_not_delivered_later, whose link holds up one request and loses it if its sender resets the connection, as a network does.

A reset does not void what the engine's host has received already: on Linux, bytes received before a reset are still read.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -38,6 +38,9 @@
     pub connect_timeout: Duration,
     /// Idle connections are closed after this time.
     pub idle_limit: Duration,
+    /// Whether connections are reset when they are closed. What a call that is given up has sent is then lost, unless it
+    /// has reached the server; otherwise it is delivered afterwards, however late.
+    pub reset_on_close: bool,
 }
 
 impl Default for ClientOptions {
@@ -46,6 +49,7 @@
             outbound_ip: None,
             connect_timeout: CONNECT_TIMEOUT,
             idle_limit: CLIENT_IDLE_LIMIT,
+            reset_on_close: false,
         }
     }
 }
@@ -60,7 +64,8 @@
 
 /// Creates a client with `options`.
 pub fn new_client_with(options: ClientOptions) -> Client {
-    let tcp = strict::StrictConnector::new(TcpConnector::default().service());
+    let tcp = TcpConnector::default().service();
+    let tcp = strict::StrictConnector::new(tcp, options.reset_on_close);
     let mut connector = Connector::new()
         .connector(tcp)
         .limit(MAX_CONNECTIONS)
--- a/crates/client/src/strict.rs
+++ b/crates/client/src/strict.rs
@@ -67,12 +67,17 @@
 #[derive(Clone)]
 pub struct StrictConnector {
     inner: ConnectorService,
+    reset_on_close: bool,
 }
 
 impl StrictConnector {
-    /// Creates a connector that wraps the streams opened by `inner`.
-    pub fn new(inner: ConnectorService) -> Self {
-        Self { inner }
+    /// Creates a connector that wraps the streams opened by `inner`, and resets them when they are closed if
+    /// `reset_on_close` is set.
+    pub fn new(inner: ConnectorService, reset_on_close: bool) -> Self {
+        Self {
+            inner,
+            reset_on_close,
+        }
     }
 }
 
@@ -87,11 +92,15 @@
 
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
         let connecting = self.inner.call(info);
+        let reset_on_close = self.reset_on_close;
         async move {
             let connection = connecting.await?;
             let (tcp, without_io) = connection.replace_io(());
             // Without this, small messages wait for the acknowledgement of earlier ones.
             tcp.set_nodelay(true).map_err(ConnectError::Io)?;
+            if reset_on_close {
+                tcp.set_zero_linger().map_err(ConnectError::Io)?;
+            }
             let ((), connection) = without_io.replace_io(StrictStream(tcp));
             Ok(connection)
         }
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -129,7 +129,10 @@
                     idle_limit: STAGING_IDLE_LIMIT,
                     ..ClientOptions::default()
                 }),
-                balsamjunction_client::new_client(None),
+                balsamjunction_client::new_client_with(ClientOptions {
+                    reset_on_close: true,
+                    ..ClientOptions::default()
+                }),
                 settings.engine,
             ),
             origin_client: balsamjunction_client::new_client_with(ClientOptions {
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -255,12 +255,23 @@
 
     /// Starts a stager for an engine.
     pub fn start_stager(&mut self, name: &str, engine: &Engine, seeds: &[Gateway]) {
+        self.start_stager_at(name, engine, engine.address, seeds);
+    }
+
+    /// Starts a stager that reaches its engine at `address`.
+    pub fn start_stager_at(
+        &mut self,
+        name: &str,
+        engine: &Engine,
+        address: SocketAddr,
+        seeds: &[Gateway],
+    ) {
         let ip = self.addresses.next_ip();
         let settings = json!({
             "host": name, "data_centre": engine.options.data_centre.as_str(),
             "inner_listen": SocketAddr::new(ip, 7000).to_string(),
             "store": self.store.address.to_string(), "seeds": mesh_addresses(seeds),
-            "engine": engine.address.to_string(), "service": engine.options.service.as_str(),
+            "engine": address.to_string(), "service": engine.options.service.as_str(),
             "version_within_ms": self.version_deadline.as_millis(),
         });
         self.launch(name, "stager", &settings);
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod explained;
 mod faulty_refusals;
+mod held_link;
 mod hostile;
 mod lifecycle;
 mod limits;
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -7,7 +7,10 @@
 use balsamjunction_policy::rendezvous;
 use nix::sys::signal::Signal;
 
-use crate::common::{model_engine_options, new_client, wait_until, Gateway, TestSite};
+use crate::{
+    common::{model_engine_options, new_client, wait_until, Gateway, TestSite},
+    held_link::{HeldLink, HeldRequest},
+};
 
 /// Time for which the platform tolerates that a chunk was corrupt when it was loaded.
 const CORRUPTION_TOLERANCE: Duration = Duration::from_millis(3_000);
@@ -312,6 +315,34 @@
     assert_eq!(engines[last].inconsistent_loads(), 0);
 }
 
+/// Guards against an order that is delivered after it was given up, and then loads what is staged of a later version.
+#[actix_rt::test]
+async fn an_order_that_was_given_up_is_not_delivered_later() {
+    let mut site = TestSite::start().await;
+    let gateway = site.start_gateway("g1", &[]);
+    let engine = site.start_engine(model_engine_options("e0", 3, 5)).await;
+    let link = HeldLink::start(engine.address).await;
+    site.start_stager_at("s0", &engine, link.address, &[gateway]);
+    gateway.wait_until_ready().await;
+    // Longer than an order is waited for and the next version is held back afterwards.
+    link.hold_next("POST /order", Duration::from_millis(4_500));
+
+    site.publish_version(2);
+    wait_until("the order to be sent", async || link.has_taken()).await;
+    site.publish_version(3);
+    wait_until("the order to leave the link", async || {
+        !link.ended().is_empty()
+    })
+    .await;
+    // Time in which a delivered order is accepted.
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    wait_until_served(std::slice::from_ref(&engine), 3).await;
+
+    let loaded = (engine.received_orders(), engine.inconsistent_loads());
+    assert_eq!(loaded, (vec![3], 0));
+    assert_eq!(link.ended(), [HeldRequest::Lost]);
+}
+
 /// Time after the announcement for which the origin can be reached: shorter than 1.2 s, for which hosts used to wait for
 /// owners that are lost, and several times as long as one of them takes to be replaced.
 const ORIGIN_WINDOW: Duration = Duration::from_millis(1_000);
--- a/crates/policy/src/staged_check.rs
+++ b/crates/policy/src/staged_check.rs
@@ -9,7 +9,7 @@
 /// Time for which the users' platform tolerates a corrupt chunk before an engine that loads it is at fault.
 pub const CORRUPTION_TOLERANCE: Moment = Moment::from_millis(3_000);
 /// An order is sent at most this long after the first read of its comparison. The rest of the tolerance is for
-/// the order on its way: the caller gives it up after a second.
+/// the order on its way: the caller gives it up after a second, and resets its connection.
 pub const MAX_AGE_AT_ORDER: Moment = Moment::from_millis(1_500);
 
 /// A comparison of all staged chunks with their digests.
