A rejected chunk no longer hides that other chunks may still be staged

A chunk of version 2 could replace one of version 3 after that had been staged and compared (WHOLE), if one call failed at the stager of version 2 while others were on their way: the engine rejects a chunk with 503 and carries out the other late.

Cause: chunks are staged several at a time, and the first error drops the calls in progress. Whether nothing of another version may be staged for 1.5 s was decided by that error alone, and a rejection says that its own call was not carried out. The dropped ones may have been.

If one of them may still be carried out, its error counts.

Evidence: weights::no_other_version_is_staged_while_a_dropped_call_may_stage_a_chunk.

--- a/crates/daemon/src/stager/upgrade.rs
+++ b/crates/daemon/src/stager/upgrade.rs
@@ -4,6 +4,7 @@
 //! another one is not delayed. See docs/WEIGHTS.md, "Stagers".
 
 use std::{
+    cell::Cell,
     collections::{HashMap, VecDeque},
     rc::Rc,
     time::Duration,
@@ -14,7 +15,7 @@
     rendezvous, staged_check::StagedCheck, switch_schedule::SwitchTurn,
     version_queue::VersionQueue, Moment,
 };
-use futures_util::{stream, StreamExt, TryStreamExt};
+use futures_util::{stream, StreamExt};
 use log::debug;
 
 use super::{
@@ -287,6 +288,9 @@
 
 /// Stages every chunk that is not staged with its digest, `parallel_chunks` at a time; returns the number of chunks
 /// that it staged.
+///
+/// After a failure no further call is made, but those in progress are awaited: the engine may carry out a call that is
+/// dropped. The error is that of a call which it may still carry out, if there is one.
 async fn stage_missing_chunks(
     stager: &Stager,
     id: &VersionId,
@@ -294,13 +298,30 @@
     parallel_chunks: usize,
 ) -> Result<usize, PlatformError> {
     let staged = stager.engine.staged_chunks(&id.model).await?;
+    let failed = Cell::new(false);
+    let stage = |chunk| {
+        let (failed, is_staged) = (&failed, staged.contains(&chunk));
+        async move {
+            if failed.get() {
+                return Ok(false);
+            }
+            let result = stage_chunk(stager, id, manifest, chunk, is_staged).await;
+            failed.set(failed.get() || result.is_err());
+            result
+        }
+    };
     stream::iter(0..manifest.digests.len())
-        .map(|chunk| stage_chunk(stager, id, manifest, chunk, staged.contains(&chunk)))
+        .map(stage)
         .buffer_unordered(parallel_chunks)
-        .try_fold(
-            0,
-            |added, staged| async move { Ok(added + usize::from(staged)) },
-        )
+        .fold(Ok(0), |added, result| async move {
+            match (added, result) {
+                (Ok(added), Ok(staged)) => Ok(added + usize::from(staged)),
+                (Err(first), Err(e)) if may_be_carried_out(&first) || !may_be_carried_out(&e) => {
+                    Err(first)
+                }
+                (_, Err(e)) | (Err(e), Ok(_)) => Err(e),
+            }
+        })
         .await
 }
 
--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -56,6 +56,22 @@
     Late(Duration),
 }
 
+/// The fault in an engine's handling of the next chunks that it is to stage.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StagingFault {
+    /// It stages chunks and responds at once.
+    #[default]
+    None,
+    /// It stages the next chunk after `delay`, also if the connection is closed meanwhile, and rejects the chunk after it
+    /// with status 503.
+    LateThenRejected {
+        /// The delay.
+        delay: Duration,
+    },
+    /// It rejects the next chunk with status 503.
+    Rejected,
+}
+
 /// The properties of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -107,6 +123,8 @@
     staged_reads: usize,
     staged_read_delay: Duration,
     order_fault: OrderFault,
+    staging_fault: StagingFault,
+    late_overwrites: u32,
     received_orders: Vec<u64>,
     inconsistent_loads: u32,
     longest_loaded_corruption: Duration,
@@ -125,6 +143,12 @@
             .all(|n| self.staged.get(&n) == Some(&super::origin::chunk(version, n)))
     }
 
+    fn stage(&mut self, chunk: usize, buf: Bytes) {
+        self.staged.insert(chunk, buf);
+        self.corrupted_at.remove(&chunk);
+        self.staged_reads = 0;
+    }
+
     fn load(&mut self, version: u64) {
         self.inconsistent_loads += u32::from(!self.has_staged(version));
         let longest = self.corrupted_at.values().map(Instant::elapsed).max();
@@ -290,6 +314,21 @@
         self.state().order_fault = fault;
     }
 
+    /// Sets the fault in the handling of the next chunks that are staged.
+    pub fn set_staging_fault(&self, fault: StagingFault) {
+        self.state().staging_fault = fault;
+    }
+
+    /// The fault in the handling of the next chunk.
+    pub fn staging_fault(&self) -> StagingFault {
+        self.state().staging_fault
+    }
+
+    /// Number of chunks that were staged late and replaced another chunk that had been staged meanwhile.
+    pub fn late_overwrites(&self) -> u32 {
+        self.state().late_overwrites
+    }
+
     /// The versions of the orders that were received, also of those that were lost, in this order.
     pub fn received_orders(&self) -> Vec<u64> {
         self.state().received_orders.clone()
@@ -385,16 +424,7 @@
     match (path.as_str(), chunk) {
         ("/order", _) => handle_order(state, &buf).await,
         (path, Some(chunk)) if path.starts_with("/stage-put/") => {
-            let mut state = lock(state);
-            let corrupt = std::mem::take(&mut state.corrupt_next_staged_chunk);
-            let buf = match corrupt {
-                true => Bytes::from(vec![0; buf.len()]),
-                false => buf,
-            };
-            state.staged.insert(chunk, buf);
-            state.corrupted_at.remove(&chunk);
-            state.staged_reads = 0;
-            Ok(build_response(200, ""))
+            handle_staging(state, chunk, buf).await
         }
         (_, Some(chunk)) => {
             let (staged, delay) = {
@@ -417,6 +447,41 @@
     }
 }
 
+async fn handle_staging(state: &Arc<Mutex<State>>, chunk: usize, buf: Bytes) -> ResponseResult {
+    let (fault, before) = {
+        let mut state = lock(state);
+        let fault = std::mem::take(&mut state.staging_fault);
+        (fault, state.staged.get(&chunk).cloned())
+    };
+    match fault {
+        StagingFault::None => {
+            let mut state = lock(state);
+            let corrupt = std::mem::take(&mut state.corrupt_next_staged_chunk);
+            let buf = match corrupt {
+                true => Bytes::from(vec![0; buf.len()]),
+                false => buf,
+            };
+            state.stage(chunk, buf);
+        }
+        StagingFault::LateThenRejected { delay } => {
+            lock(state).staging_fault = StagingFault::Rejected;
+            // A task of its own, because the server drops this future when the connection closes.
+            let state = state.clone();
+            let staged = actix_rt::spawn(async move {
+                actix_rt::time::sleep(delay).await;
+                let mut state = lock(&state);
+                let present = state.staged.get(&chunk);
+                let is_overwritten = present != before.as_ref() && present != Some(&buf);
+                state.late_overwrites += u32::from(is_overwritten);
+                state.stage(chunk, buf);
+            });
+            staged.await.map_err(io::Error::other)?;
+        }
+        StagingFault::Rejected => return Ok(build_response(503, "")),
+    }
+    Ok(build_response(200, ""))
+}
+
 async fn handle_order(state: &Arc<Mutex<State>>, buf: &[u8]) -> ResponseResult {
     let order: Value = serde_json::from_slice(buf)?;
     let version = order["version"].as_u64().unwrap_or_default();
--- a/crates/lab/src/standin/platform/mod.rs
+++ b/crates/lab/src/standin/platform/mod.rs
@@ -10,7 +10,7 @@
 mod store;
 
 pub use self::{
-    engine::{Engine, EngineFault, EngineOptions, OrderFault, Run},
+    engine::{Engine, EngineFault, EngineOptions, OrderFault, Run, StagingFault},
     origin::{Origin, CHUNK_BYTES, CHUNK_COUNT},
     scripted::{Script, ScriptedServer},
     server::{Body, ResponseResult},
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use balsamjunction_lab::standin::platform::{Engine, OrderFault, CHUNK_COUNT};
+use balsamjunction_lab::standin::platform::{Engine, OrderFault, StagingFault, CHUNK_COUNT};
 use balsamjunction_platform as platform;
 use balsamjunction_policy::rendezvous;
 use nix::sys::signal::Signal;
@@ -343,6 +343,31 @@
     assert_eq!(link.ended(), [HeldRequest::Lost]);
 }
 
+/// Guards against a chunk of an earlier version that replaces one of a later version, because the call that stages it was
+/// dropped when another one was rejected.
+#[actix_rt::test]
+async fn no_other_version_is_staged_while_a_dropped_call_may_stage_a_chunk() {
+    let mut site = TestSite::start().await;
+    let (_, engines) = start_fleet(&mut site, 1).await;
+    let engine = &engines[0];
+    engine.set_staging_fault(StagingFault::LateThenRejected {
+        delay: Duration::from_millis(900),
+    });
+
+    site.publish_version(2);
+    wait_until("a chunk to be rejected", async || {
+        engine.staging_fault() == StagingFault::None
+    })
+    .await;
+    site.publish_version(3);
+    wait_until_served(&engines, 3).await;
+    // The late chunk has been staged by then.
+    actix_rt::time::sleep(Duration::from_millis(1_000)).await;
+
+    assert_eq!(engine.late_overwrites(), 0);
+    assert_eq!(engine.inconsistent_loads(), 0);
+}
+
 /// Time after the announcement for which the origin can be reached: shorter than 1.2 s, for which hosts used to wait for
 /// owners that are lost, and several times as long as one of them takes to be replaced.
 const ORIGIN_WINDOW: Duration = Duration::from_millis(1_000);
