--- a/crates/lab/src/standin/platform/mod.rs
+++ b/crates/lab/src/standin/platform/mod.rs
@@ -4,15 +4,13 @@
 //! docs/PLATFORM.md.
 
 mod engine;
-mod held_link;
 mod origin;
 mod scripted;
 mod server;
 mod store;
 
 pub use self::{
-    engine::{Engine, EngineFault, EngineOptions, OrderFault, Run},
-    held_link::HeldLink,
+    engine::{Engine, EngineFault, EngineOptions, OrderFault, Run, StagingFault},
     origin::{Origin, CHUNK_BYTES, CHUNK_COUNT},
     scripted::{Script, ScriptedServer},
     server::{Body, ResponseResult},
--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -13,16 +13,15 @@
         address::AddressBlock,
         process::{LaunchCommand, Processes},
     },
-    standin::platform::{Engine, EngineOptions, HeldLink, Origin, Script, ScriptedServer, Store},
+    standin::platform::{Engine, EngineOptions, Origin, Script, ScriptedServer, Store},
 };
 use serde_json::{json, Value};
 
+use crate::held_link::HeldLink;
+
 /// The API key that the published configuration assigns to the workspace `selam`.
 pub const API_KEY: &str = "key-of-selam";
 
-/// The longest body that the configuration allows.
-const MAX_BODY_BYTES: usize = 10_000;
-
 /// Stand-ins for the platform, and the daemon processes that a test starts. Dropping it kills the processes.
 pub struct TestSite {
     pub store: Store,
@@ -126,7 +125,7 @@
             {"name": "floor-terminal", "origin": origin.to_string(), "zone": "addis-a",
              "linkMbps": 10.0, "maxConnections": 48},
         ],
-        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": MAX_BODY_BYTES,
+        "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 10000,
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
         "tenants": [{"name": "selam", "apiKeys": [API_KEY], "priority": 1, "allowedRegions": []}],
     })
@@ -191,9 +190,7 @@
     /// Starts an engine that is reached over a link, and registers it.
     pub async fn start_engine_behind_link(&self, options: EngineOptions) -> (Engine, HeldLink) {
         let engine = Engine::start(options).await.expect("start the engine");
-        let link = HeldLink::start(engine.address)
-            .await
-            .expect("start the link");
+        let link = HeldLink::start(engine.address).await;
         let entry = engine.options.registry_entry(link.address, "ready");
         let key = format!("servers/{}", engine.options.id);
         self.store.put(&key, &entry);
@@ -270,12 +267,23 @@
 
     /// Starts a stager for an engine.
     pub fn start_stager(&mut self, name: &str, engine: &Engine, seeds: &[Gateway]) {
+        self.start_stager_at(name, engine, engine.address, seeds);
+    }
+
+    /// Starts a stager that reaches its engine at `address`.
+    pub fn start_stager_at(
+        &mut self,
+        name: &str,
+        engine: &Engine,
+        address: SocketAddr,
+        seeds: &[Gateway],
+    ) {
         let ip = self.addresses.next_ip();
         let settings = json!({
             "host": name, "data_centre": engine.options.data_centre.as_str(),
             "inner_listen": SocketAddr::new(ip, 7000).to_string(),
             "store": self.store.address.to_string(), "seeds": mesh_addresses(seeds),
-            "engine": engine.address.to_string(), "service": engine.options.service.as_str(),
+            "engine": address.to_string(), "service": engine.options.service.as_str(),
             "version_within_ms": self.version_deadline.as_millis(),
         });
         self.launch(name, "stager", &settings);
@@ -404,19 +412,6 @@
         path: &str,
         id: &str,
         headers: &[(&str, &str)],
-    ) -> Result<CallerResponse, SendRequestError> {
-        let body = "body of the call".to_owned();
-        self.try_call_with_body(method, path, id, headers, body)
-            .await
-    }
-
-    async fn try_call_with_body(
-        &self,
-        method: &str,
-        path: &str,
-        id: &str,
-        headers: &[(&str, &str)],
-        body: String,
     ) -> Result<CallerResponse, SendRequestError> {
         let method = method.parse().expect("the method is valid");
         let url = format!("http://{}{path}", self.callers);
@@ -428,7 +423,9 @@
         for (name, value) in headers {
             request = request.insert_header((*name, *value));
         }
-        let sent = request.timeout(Duration::from_secs(10)).send_body(body);
+        let sent = request
+            .timeout(Duration::from_secs(10))
+            .send_body("body of the call");
         let mut response = sent.await?;
         let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
         let retry_after = header("retry-after").and_then(|value| value.parse().ok());
@@ -485,21 +482,6 @@
         ];
         self.call_with("POST", path, id, &headers).await
     }
-
-    /// Sends a generation request whose body is as long as the configuration allows.
-    pub async fn generate_with_longest_body(&self, path: &str, id: &str) -> CallerResponse {
-        let key = format!("Bearer {API_KEY}");
-        let headers = [
-            ("authorization", key.as_str()),
-            ("balsamjunction-model", "m1"),
-            ("balsamjunction-token-usage", "100,50"),
-        ];
-        let body = "x".repeat(MAX_BODY_BYTES);
-        let response = self
-            .try_call_with_body("POST", path, id, &headers, body)
-            .await;
-        response.expect("the gateway responds")
-    }
 }
 
 /// The IDs of the events in the body of a stream, in order of arrival.
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod endless_sums;
 mod explained;
 mod faulty_refusals;
+mod held_link;
 mod hostile;
 mod lifecycle;
 mod limits;
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -9,8 +9,9 @@
 use futures_util::future::{join, join_all};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use crate::common::{
-    event_ids, model_engine_options, wait_until, CallerResponse, Gateway, TestSite,
+use crate::{
+    common::{event_ids, model_engine_options, wait_until, CallerResponse, Gateway, TestSite},
+    held_link::HeldRequest,
 };
 
 /// Time from the publication of a version to its bound; long enough for a busy machine. The gateway
@@ -335,26 +336,19 @@
 
     let published_at = publish_second_version(&site);
     let bound = published_at + VERSION_WITHIN;
-    link.set_held(true);
     actix_rt::time::sleep_until((bound - QUEUE_WAIT).into()).await;
-    gateway
-        .generate_with_longest_body(NON_RESUMABLE_PATH, "a0")
-        .await;
-    wait_until("the request to be cancelled", async || {
-        endings_by_engine(&site, "g1", from_ref(&old_engine)) == [["recalled"]]
+    link.hold_next("POST /once", QUEUE_WAIT + LATENESS);
+    gateway.generate_on(NON_RESUMABLE_PATH, "a0").await;
+    wait_until("the request to leave the link", async || {
+        !link.ended().is_empty()
     })
     .await;
-    actix_rt::time::sleep_until((bound + LATENESS).into()).await;
-    link.set_held(false);
     // A request that is delivered begins at once.
-    actix_rt::time::sleep(QUEUE_WAIT).await;
-    eprintln!(
-        "DBG arrivals {} runs {:?} log {:?}",
-        old_engine.arrival_count(),
-        old_engine.runs().len(),
-        site.log_lines("g1", "attempt-failed")
-    );
+    actix_rt::time::sleep(LATENESS).await;
 
+    let endings = endings_by_engine(&site, "g1", from_ref(&old_engine));
     let late = late_runs(&old_engine.runs(), 1, published_at);
+    assert_eq!(endings, [["recalled"]]);
     assert!(late.is_empty(), "{late:#?}");
+    assert_eq!(link.ended(), [HeldRequest::Lost]);
 }
--- a/crates/lab/tests/gateway/weights.rs
+++ b/crates/lab/tests/gateway/weights.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
-use balsamjunction_lab::standin::platform::{Engine, OrderFault, CHUNK_COUNT};
+use balsamjunction_lab::standin::platform::{Engine, OrderFault, StagingFault, CHUNK_COUNT};
 use balsamjunction_platform as platform;
 use balsamjunction_policy::rendezvous;
 use nix::sys::signal::Signal;
 
-use crate::common::{model_engine_options, new_client, wait_until, Gateway, TestSite};
+use crate::{
+    common::{model_engine_options, new_client, wait_until, Gateway, TestSite},
+    held_link::{HeldLink, HeldRequest},
+};
 
 /// Time for which the platform tolerates that a chunk was corrupt when it was loaded.
 const CORRUPTION_TOLERANCE: Duration = Duration::from_millis(3_000);
@@ -312,6 +315,59 @@
     assert_eq!(engines[last].inconsistent_loads(), 0);
 }
 
+/// Guards against an order that is delivered after it was given up, and then loads what is staged of a later version.
+#[actix_rt::test]
+async fn an_order_that_was_given_up_is_not_delivered_later() {
+    let mut site = TestSite::start().await;
+    let gateway = site.start_gateway("g1", &[]);
+    let engine = site.start_engine(model_engine_options("e0", 3, 5)).await;
+    let link = HeldLink::start(engine.address).await;
+    site.start_stager_at("s0", &engine, link.address, &[gateway]);
+    gateway.wait_until_ready().await;
+    // Longer than an order is waited for and the next version is held back afterwards.
+    link.hold_next("POST /order", Duration::from_millis(4_500));
+
+    site.publish_version(2);
+    wait_until("the order to be sent", async || link.has_taken()).await;
+    site.publish_version(3);
+    wait_until("the order to leave the link", async || {
+        !link.ended().is_empty()
+    })
+    .await;
+    // Time in which a delivered order is accepted.
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    wait_until_served(std::slice::from_ref(&engine), 3).await;
+
+    let loaded = (engine.received_orders(), engine.inconsistent_loads());
+    assert_eq!(loaded, (vec![3], 0));
+    assert_eq!(link.ended(), [HeldRequest::Lost]);
+}
+
+/// Guards against a chunk of an earlier version that replaces one of a later version, because the call that stages it was
+/// dropped when another one was rejected.
+#[actix_rt::test]
+async fn no_other_version_is_staged_while_a_dropped_call_may_stage_a_chunk() {
+    let mut site = TestSite::start().await;
+    let (_, engines) = start_fleet(&mut site, 1).await;
+    let engine = &engines[0];
+    engine.set_staging_fault(StagingFault::LateThenRejected {
+        delay: Duration::from_millis(900),
+    });
+
+    site.publish_version(2);
+    wait_until("a chunk to be rejected", async || {
+        engine.staging_fault() == StagingFault::None
+    })
+    .await;
+    site.publish_version(3);
+    wait_until_served(&engines, 3).await;
+    // The late chunk has been staged by then.
+    actix_rt::time::sleep(Duration::from_millis(1_000)).await;
+
+    assert_eq!(engine.late_overwrites(), 0);
+    assert_eq!(engine.inconsistent_loads(), 0);
+}
+
 /// Time after the announcement for which the origin can be reached: shorter than 1.2 s, for which hosts used to wait for
 /// owners that are lost, and several times as long as one of them takes to be replaced.
 const ORIGIN_WINDOW: Duration = Duration::from_millis(1_000);
