A request that is given up ends its connection at once, and resets it a little later

Now the socket is shut down when the connection is dropped, the task resets it 220 ms later, and a recalled request lets the others run before it takes time for another upstream. An end of the connection that the upstream sends no longer makes an orderly close.

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -198,7 +198,13 @@
             next = match step {
                 Step::Ended(attempt, result) => {
                     let second_copy = attempt.second_copy;
+                    let recalled = matches!(result, PendingResult::Overdue(_));
                     let result = self.conclude(attempt, result);
+                    if recalled {
+                        // Requests are recalled together, and all of them must leave their upstreams before this one
+                        // takes time for another.
+                        tokio::task::yield_now().await;
+                    }
                     if let Some(response) = self.select_response(result, &pending)? {
                         self.record_first_response(second_copy, &pending);
                         return Ok(response);
--- a/crates/daemon/src/gateway/pending.rs
+++ b/crates/daemon/src/gateway/pending.rs
@@ -42,7 +42,7 @@
     pub in_flight: InFlightRequest,
     /// The requested model and the version that the upstream served when the request was sent.
     pub served: Option<(SmolStr, ServedVersion)>,
-    /// The head of the response. Dropping it resets the connection, which makes the upstream cancel the request.
+    /// The head of the response. Dropping it ends the connection, which makes the upstream cancel the request.
     pub response: LocalBoxFuture<'static, Result<UpstreamResponse, SendError>>,
 }
 
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -6,23 +6,27 @@
 //! `hyper`'s connections are used here.
 
 use std::{
+    cell::RefCell,
+    convert::Infallible,
     io,
     net::SocketAddr,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
     time::Duration,
 };
 
-use actix_rt::task::JoinHandle;
 use balsamjunction_platform::headers;
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::TcpStream,
+    sync::oneshot,
 };
 
 /// An upstream that does not accept a connection in this time is skipped; nothing was sent to it.
@@ -32,6 +36,10 @@
 /// holds up to two such buffers: the one that is filled, and the piece that was read last.
 pub const MAX_READ_BUFFER_BYTES: usize = 16 * 1_024;
 
+/// Time from the end of a cancelled connection to its reset, in which the end is repeated once if it was lost: systems wait
+/// 200 ms at least.
+const RESET_DELAY: Duration = Duration::from_millis(220);
+
 /// Why an upstream returned no response.
 #[derive(Debug, Display, Error)]
 pub enum SendError {
@@ -63,81 +71,64 @@
     }
 }
 
-/// A connection that is reset when it is dropped before the response is complete, which makes the upstream cancel the
-/// request.
-pub struct Connection(JoinHandle<()>);
+/// A connection that is cancelled when it is dropped before the response is complete.
+///
+/// The socket is shut down at once and not by the task that uses it, which runs behind all that is due before, such as the
+/// next attempts of other requests that are recalled in the same moment.
+pub struct Connection {
+    socket: SharedSocket,
+    /// Closes when it is dropped, which the task of the connection waits for.
+    _cancellation: oneshot::Sender<Infallible>,
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        // Never waits, and fails if the connection has ended.
+        let _ = self.socket.0.borrow_mut().shutdown().now_or_never();
     }
 }
 
-/// The socket of a connection, which is reset unless both sides have finished with it.
-///
-/// An orderly close would still deliver what the send buffer holds: a request that is cancelled while a congested link
-/// delays it would run afterwards. See docs/ROUTING.md, "Cancellation".
-struct ResettingStream {
-    tcp: TcpStream,
-    /// Whether the response is complete, or the upstream has closed the connection.
-    finished: bool,
-}
+/// A socket that may be shut down while a task uses it.
+#[derive(Clone)]
+struct SharedSocket(Rc<RefCell<TcpStream>>);
 
-impl AsyncRead for ResettingStream {
+impl AsyncRead for SharedSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled = buf.filled().len();
-        let has_room = buf.remaining() > 0;
-        let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
-        if has_room && matches!(polled, Poll::Ready(Ok(()))) && buf.filled().len() == filled {
-            self.finished = true;
-        }
-        polled
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for ResettingStream {
+impl AsyncWrite for SharedSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
+        self.0.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.finished = true;
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
-    }
-}
-
-impl Drop for ResettingStream {
-    fn drop(&mut self) {
-        if self.finished {
-            return;
-        }
-        if let Err(e) = self.tcp.set_zero_linger() {
-            log::debug!("a cancelled connection closes without a reset: {e}");
-        }
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -157,23 +148,43 @@
     tcp: TcpStream,
     req: Request<Full<Bytes>>,
 ) -> Result<UpstreamResponse, SendError> {
+    let socket = SharedSocket(Rc::new(RefCell::new(tcp)));
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(ResettingStream {
-            tcp,
-            finished: false,
-        }))
+        .handshake(TokioIo::new(socket.clone()))
         .await;
-    let (mut sender, connection) = handshake.map_err(SendError::Broken)?;
-    let _connection = Connection(actix_rt::spawn(async move {
-        // Errors of the connection also surface when the body is read.
-        if let Err(e) = connection.await {
-            log::debug!("connection to upstream ended: {e}");
+    let (mut sender, mut connection) = handshake.map_err(SendError::Broken)?;
+    let (_cancellation, cancelled) = oneshot::channel();
+    actix_rt::spawn(async move {
+        tokio::select! {
+            biased;
+            _ = cancelled => reset(connection.into_parts().io.into_inner()).await,
+            ended = &mut connection => {
+                // Errors of the connection also surface when the body is read.
+                if let Err(e) = ended {
+                    log::debug!("connection to upstream ended: {e}");
+                }
+            }
         }
-    }));
+    });
+    let _connection = Connection {
+        socket,
+        _cancellation,
+    };
     let response = sender.send_request(req).await.map_err(SendError::Broken)?;
     Ok(UpstreamResponse {
         inner: response,
         _connection,
     })
 }
+
+/// Resets a connection that was shut down, so that a request that is still on its way is not delivered.
+///
+/// The end of the connection is repeated until the upstream has acknowledged it, but it comes behind the request: what the
+/// send buffer holds would be delivered however late, and run. A reset discards it. See docs/ROUTING.md, "Cancellation".
+async fn reset(socket: SharedSocket) {
+    actix_rt::time::sleep(RESET_DELAY).await;
+    if let Err(e) = socket.0.borrow().set_zero_linger() {
+        log::debug!("a cancelled connection is not reset: {e}");
+    }
+}
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod odd_entries;
 mod planned_stops;
 mod prompt_prefixes;
+mod recalls;
 mod requests;
 mod restored_store;
 mod service_time;
