The start of a request on an older version is estimated again once it is connected

A request was sent to an engine of a superseded version if it was expected to begin in time when the engine was chosen.

Now the estimate is made again once the connection is there, with the time since the selection as the time on the way.

--- a/crates/daemon/src/gateway/context/in_flight.rs
+++ b/crates/daemon/src/gateway/context/in_flight.rs
@@ -91,6 +91,7 @@
         let mut dispatch = lock(&self.context.dispatch);
         let dispatcher = &mut dispatch.dispatcher;
         dispatcher.may_serve(now, self.selected.upstream, requirements)
+            && dispatcher.starts_in_time(now, &self.selected, requirements)
             && dispatcher.confirm_send(now, &self.selected)
     }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -511,6 +511,23 @@
         upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
     }
 
+    /// Whether a request is still expected to start before the start deadline of its upstream's version, now that its
+    /// connection is established.
+    ///
+    /// The connection took about as long as the request will be on its way, which is long if the link is congested.
+    pub fn starts_in_time(
+        &self,
+        now: Moment,
+        selected: &SelectedUpstream,
+        request: &RequestRequirements,
+    ) -> bool {
+        let upstream = self.upstreams.get(selected.upstream);
+        let transit = now.saturating_sub(selected.assigned_at);
+        let expected_ms = selected.expected_ms + transit.as_secs_f64() * 1e3;
+        let cx = self.selection_context(now);
+        upstream.is_some_and(|upstream| pool::starts_in_time(&cx, upstream, request, expected_ms))
+    }
+
     /// The time by which requests must have started on a version, if a newer one is published.
     pub fn start_deadline(&self, model: &str, version: u64) -> Option<Moment> {
         let superseded_at = self.published.superseded_at(model, version)?;
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -370,7 +370,7 @@
 
 /// Whether a request is expected to start before the start deadline of the version that the upstream
 /// serves.
-fn starts_in_time(
+pub fn starts_in_time(
     cx: &SelectionContext<'_>,
     upstream: &Upstream,
     request: &RequestRequirements,
--- a/crates/policy/tests/dispatch/versions.rs
+++ b/crates/policy/tests/dispatch/versions.rs
@@ -70,6 +70,29 @@
     assert_eq!(behind_others, None);
 }
 
+// Guards against requests that start on an overdue version since the link to the engine is congested (abay-deck-large).
+#[test]
+fn a_request_whose_connection_takes_long_is_not_sent_shortly_before_the_start_deadline() {
+    let mut cluster = TestCluster::new();
+    cluster.register(millis(0), engine_record("old", "addis-a"));
+    publish(&mut cluster, millis(1_000), 2);
+    let request = RequestRequirements {
+        first_event_deadline: millis(10_000),
+        prompt_tokens: 8_000.0,
+        ..engine_request(millis(7_690))
+    };
+    let selected = cluster.try_send(millis(7_690), request.clone());
+    let selected = selected.expect("the engine is idle");
+
+    let dispatcher = &cluster.dispatcher;
+    let after_10_ms = dispatcher.starts_in_time(millis(7_700), &selected, &request);
+    let after_300_ms = dispatcher.starts_in_time(millis(7_990), &selected, &request);
+
+    // The start deadline is at 8,600 ms, so that 310 ms are left after 300 ms of connecting and as long on the way.
+    assert!(selected.expected_ms > 310.0, "{}", selected.expected_ms);
+    assert!(after_10_ms && !after_300_ms);
+}
+
 // Guards against windows that begin when an entry learns of a version late, instead of when it was published.
 #[test]
 fn a_version_received_late_does_not_extend_the_windows() {
