--- a/crates/cli/src/command/explain_request.rs
+++ b/crates/cli/src/command/explain_request.rs
@@ -224,7 +224,7 @@
             "Upstreams crashed when they began to respond to requests with part {} of its prompt, so such requests are refused; it has not run.",
             text_field(answered, "part"),
         ),
-        "crashes-upstreams" => "Upstreams that ran it crashed three times; it is not run again.".to_owned(),
+        "crashes-upstreams" => "Upstreams that ran identical requests crashed three times, so it is not sent again until a test of it succeeds.".to_owned(),
         reason => format!("The process itself responded with status {status} because of {reason}, without forwarding it."),
     }
 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -219,6 +219,17 @@
         /// Free text: the reason.
         detail: String,
     },
+    /// Requests that are identical to one that crashes upstreams are refused from now on, or no longer.
+    SuspectedRequest {
+        /// The fingerprint of caller, path and body.
+        fingerprint: String,
+        /// Whether they are refused.
+        refused: bool,
+        /// Number of crashes that they are refused for.
+        crashes: usize,
+        /// Free text: the reason.
+        detail: String,
+    },
     /// A response stated for the first time that its sender is leaving.
     UpstreamLeaves {
         /// Id of the request.
@@ -350,6 +361,7 @@
             Self::UpstreamLimit { id, .. } => id.as_ref(),
             Self::Process { .. }
             | Self::PromptPart { .. }
+            | Self::SuspectedRequest { .. }
             | Self::StoreRestored { .. }
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -32,7 +32,7 @@
     response::{self, FinalResponse, ResponseReason, ResponseRelay},
     send::{self, SendError, UpstreamResponse},
 };
-use crate::events::Event;
+use crate::{events::Event, mesh::SuspectList};
 
 /// Upstreams that are tried for one request, including those that never received it.
 const MAX_UPSTREAMS_TRIED: u32 = 5;
@@ -51,6 +51,15 @@
     Unknown,
 }
 
+/// What of a request crashes upstreams.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum CrashingCause {
+    #[display("the request")]
+    Request,
+    #[display("part {_0} of the prompt")]
+    Part(PromptPart),
+}
+
 /// What happens next to a request.
 enum Step {
     /// The wait for an upstream ended.
@@ -76,6 +85,8 @@
     run_count: u32,
     /// Whether an upstream has received the request, even if it only rejected it.
     reached_upstream: bool,
+    /// Whether it was found that the request does not crash upstreams, or may test whether it does.
+    admitted: bool,
     /// Whether a retry was taken from the budget and not yet used to send the request to an upstream.
     retry_reserved: bool,
     /// The copy that is sent because the first upstream is slow.
@@ -153,6 +164,7 @@
             upstreams_tried: 0,
             run_count: 0,
             reached_upstream: false,
+            admitted: false,
             retry_reserved: false,
             second_copy: SecondCopy::None,
             reselected: false,
@@ -365,9 +377,8 @@
             }
         };
         self.record_tried(&in_flight);
-        let parts = &self.request.prompt_parts;
-        if let Some(part) = self.context.cluster_view.refused_part(parts) {
-            let detail = format!("part {part} of the prompt turned out to crash upstreams");
+        if let Some(cause) = self.crashing_cause() {
+            let detail = format!("{cause} turned out to crash upstreams");
             self.log_failed_attempt(&upstream, "not-sent", detail);
             return Ok(None);
         }
@@ -405,6 +416,18 @@
         }))
     }
 
+    /// Returns what of an admitted request has turned out to crash upstreams since; absent if it may be sent.
+    fn crashing_cause(&self) -> Option<CrashingCause> {
+        let cluster_view = &self.context.cluster_view;
+        let request = [self.request.fingerprint_as_part()];
+        if let Some(_fingerprint) = cluster_view.refused_part(SuspectList::Requests, &request) {
+            return Some(CrashingCause::Request);
+        }
+        let parts = &self.request.prompt_parts;
+        let part = cluster_view.refused_part(SuspectList::Parts, parts)?;
+        Some(CrashingCause::Part(part))
+    }
+
     /// Excludes an upstream from the further attempts.
     fn record_tried(&mut self, in_flight: &InFlightRequest) {
         self.requirements.tried.push(in_flight.upstream_key());
@@ -412,20 +435,47 @@
     }
 
     /// Refuses a request that must not run, or no longer, before it is sent.
-    fn check_may_run(&self) -> Result<(), Failure> {
-        let cluster_view = &self.context.cluster_view;
-        if cluster_view.reaches_crash_limit(self.request.fingerprint) {
-            return Err(self.build_failure(ResponseReason::CrashesUpstreams, RETRY_AFTER));
+    fn check_may_run(&mut self) -> Result<(), Failure> {
+        match self.admitted {
+            true => self.check_still_admitted()?,
+            false => self.admit()?,
         }
-        cluster_view
-            .admit_parts(&self.request.prompt_parts)
-            .map_err(|refused| self.refused_part_failure(refused))?;
+        self.admitted = true;
         if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
             return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
         }
         self.check_time_until_exit(Duration::ZERO)
     }
 
+    /// Refuses a request that crashes upstreams, unless it is to test whether it still does.
+    fn admit(&self) -> Result<(), Failure> {
+        let cluster_view = &self.context.cluster_view;
+        let request = [self.request.fingerprint_as_part()];
+        cluster_view
+            .admit(SuspectList::Requests, &request)
+            .map_err(|refused| {
+                let retry_after = refused.retry_after.max(RETRY_AFTER);
+                self.build_failure(ResponseReason::CrashesUpstreams, retry_after)
+            })?;
+        cluster_view
+            .admit(SuspectList::Parts, &self.request.prompt_parts)
+            .map_err(|refused| self.refused_part_failure(refused))
+    }
+
+    /// Refuses an admitted request that has turned out to crash upstreams since, also by the test that it is.
+    fn check_still_admitted(&self) -> Result<(), Failure> {
+        match self.crashing_cause() {
+            None => Ok(()),
+            Some(CrashingCause::Request) => {
+                Err(self.build_failure(ResponseReason::CrashesUpstreams, RETRY_AFTER))
+            }
+            Some(CrashingCause::Part(part)) => {
+                let retry_after = RETRY_AFTER;
+                Err(self.refused_part_failure(RefusedPart { part, retry_after }))
+            }
+        }
+    }
+
     /// Refuses a request that a stopping process may leave without a complete response, if the next upstream is
     /// expected to respond after `expected`.
     fn check_time_until_exit(&self, expected: Duration) -> Result<(), Failure> {
@@ -488,7 +538,7 @@
             PendingResult::Overdue => self.cancel_overdue(&mut in_flight, &upstream),
             PendingResult::Broken(e) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
-                    self.report_crash(&upstream);
+                    self.report_crash(&upstream, false);
                     self.report_break(&upstream, BrokenAttempt::WITHOUT_HEAD);
                 }
                 in_flight.set_outcome(AttemptOutcome::Failed);
--- a/crates/daemon/src/gateway/caller_request.rs
+++ b/crates/daemon/src/gateway/caller_request.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns the request's only part in the list of requests that crash upstreams.
+    pub fn fingerprint_as_part(&self) -> PromptPart {
+        PromptPart(self.fingerprint)
+    }
+
     /// Returns the time at which the request times out.
     pub fn deadline(&self) -> Moment {
         self.arrived_at + self.timeout
--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -1,10 +1,9 @@
 //! Observations that show which requests crash upstreams. See docs/ROUTING.md, "Requests that crash upstreams".
 
 use balsamjunction_directory::UpstreamRecord;
-use balsamjunction_protocol::Crash;
 
 use super::attempts::RequestAttempts;
-use crate::{events::Event, mesh};
+use crate::{events::Event, mesh::SuspectList};
 
 /// Most parts of a prompt that a log line names; callers choose how many there are.
 const MAX_LOGGED_PARTS: usize = 32;
@@ -27,21 +26,12 @@
 }
 
 impl RequestAttempts {
-    /// Records a request whose upstream crashed while running it, and notifies the other entries.
-    pub fn report_crash(&self, upstream: &UpstreamRecord) {
-        let crash = Crash {
-            fingerprint: self.request.fingerprint,
-            upstream: upstream.id.clone(),
-        };
-        let new_crashes = self.context.cluster_view.record_crashes(vec![crash]);
-        if new_crashes.is_empty() {
-            return;
-        }
-        let context = self.context.clone();
-        actix_rt::spawn(async move {
-            let client = balsamjunction_client::new_client(None);
-            mesh::notify_crashes(&context.cluster_view, &client, new_crashes).await;
-        });
+    /// Records that an upstream probably crashed while running this request.
+    pub fn report_crash(&self, upstream: &UpstreamRecord, began: bool) {
+        let upstream = (upstream.id.clone(), upstream.started_at_ms);
+        let cluster_view = &self.context.cluster_view;
+        let request = [self.request.fingerprint_as_part()];
+        cluster_view.record_break(SuspectList::Requests, &upstream, &request, began);
     }
 
     /// Records that the connection to an upstream broke under this request.
@@ -65,7 +55,7 @@
             let upstream = (upstream.id.clone(), upstream.started_at_ms);
             let parts = &self.request.prompt_parts;
             let cluster_view = &self.context.cluster_view;
-            cluster_view.record_break(&upstream, parts, broken.began);
+            cluster_view.record_break(SuspectList::Parts, &upstream, parts, broken.began);
         }
     }
 }
--- a/crates/daemon/src/gateway/reader.rs
+++ b/crates/daemon/src/gateway/reader.rs
@@ -13,6 +13,7 @@
     attempts::RequestAttempts, context::InFlightRequest, crash_evidence::BrokenAttempt,
     event_stream::EventSplitter, send::UpstreamResponse,
 };
+use crate::mesh::SuspectList;
 
 /// Comments of a stream that are held until an event follows. They only keep the connection alive, so further
 /// ones are dropped.
@@ -216,8 +217,12 @@
             true => AttemptOutcome::Failed,
             false => AttemptOutcome::Served,
         });
-        let fingerprint = attempts.request.fingerprint;
-        attempts.context.cluster_view.record_success(fingerprint);
+        if !server_error {
+            // Only a complete response shows that the request does not crash its upstream: it may do so late.
+            let request = [attempts.request.fingerprint_as_part()];
+            let cluster_view = &attempts.context.cluster_view;
+            cluster_view.record_sound(SuspectList::Requests, &request);
+        }
         self.record_sound(attempts);
     }
 
@@ -229,7 +234,8 @@
         self.sound = true;
         let parts = &attempts.request.prompt_parts;
         if !parts.is_empty() {
-            attempts.context.cluster_view.record_sound(parts);
+            let cluster_view = &attempts.context.cluster_view;
+            cluster_view.record_sound(SuspectList::Parts, parts);
         }
     }
 
@@ -253,9 +259,9 @@
                 sound: self.sound,
             };
             attempts.report_break(upstream, broken);
-        }
-        if self.splitter.is_some() {
-            attempts.report_crash(upstream);
+            if self.splitter.is_some() {
+                attempts.report_crash(upstream, true);
+            }
         }
     }
 }
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -13,19 +13,18 @@
     VerificationAge,
 };
 use balsamjunction_policy::{
-    crash::CrashList,
     crash_suspects::CrashSuspects,
     membership::Membership,
     stated_limits::{StatedLimits, UpstreamId},
     Moment,
 };
-use balsamjunction_protocol::{
-    mesh::{EngineStatus, LimitReport, MemberRecord, ProcessRole, WeightsUpdate},
-    Crash,
+use balsamjunction_protocol::mesh::{
+    EngineStatus, LimitReport, MemberRecord, ProcessRole, WeightsUpdate,
 };
 use strum::IntoEnumIterator;
 use tokio::sync::{watch, Notify};
 
+use super::crash_evidence::SuspectList;
 use crate::{
     clock::Clock,
     events::{Event, EventLog},
@@ -33,9 +32,6 @@
     sync::lock,
 };
 
-/// Crashes after which a request is refused.
-const CRASH_LIMIT: u64 = 3;
-
 /// Exchanges after a restoration of the store that ask for all facts.
 const COMPLETE_PULLS: u32 = 3;
 
@@ -48,8 +44,8 @@
     replica: Mutex<Replica>,
     directory: Mutex<Arc<Directory>>,
     members: Mutex<Membership>,
-    crashes: Mutex<CrashList>,
-    pub(super) suspects: Mutex<CrashSuspects>,
+    pub(super) suspected_parts: Mutex<CrashSuspects>,
+    pub(super) suspected_requests: Mutex<CrashSuspects>,
     pub(super) crash_push_needed: Notify,
     limits: Mutex<StatedLimits>,
     limit_changes: watch::Sender<u64>,
@@ -72,14 +68,14 @@
         contact_after: Duration,
     ) -> Self {
         Self {
-            suspects: Mutex::new(CrashSuspects::new(contact_after / 2)),
+            suspected_parts: Mutex::new(CrashSuspects::new(contact_after / 2)),
+            suspected_requests: Mutex::new(CrashSuspects::of_requests(contact_after / 2)),
             crash_push_needed: Notify::new(),
             clock,
             events,
             replica: Mutex::default(),
             directory: Mutex::default(),
             members: Mutex::new(Membership::new(own)),
-            crashes: Mutex::default(),
             limits: Mutex::default(),
             limit_changes: watch::channel(0).0,
             limit_push_needed: Notify::new(),
@@ -325,23 +321,6 @@
         engines
     }
 
-    /// Records crashes; returns those that were not known before.
-    pub fn record_crashes(&self, crashes: Vec<Crash>) -> Vec<Crash> {
-        let mut list = lock(&self.crashes);
-        let new_crashes = crashes.into_iter().filter(|crash| list.add(crash.clone()));
-        new_crashes.collect()
-    }
-
-    /// Clears the crashes of a request that was served, unless it has reached the limit.
-    pub fn record_success(&self, fingerprint: u64) {
-        lock(&self.crashes).record_success(fingerprint, CRASH_LIMIT);
-    }
-
-    /// Whether a request has crashed so many upstreams that it must not run again.
-    pub fn reaches_crash_limit(&self, fingerprint: u64) -> bool {
-        lock(&self.crashes).reaches_limit(fingerprint, CRASH_LIMIT)
-    }
-
     /// Records the limit that a response states, or that it states none, for a request sent at `sent_at`;
     /// returns whether the limit changed.
     pub fn record_limit(&self, sent_at: Moment, upstream: &UpstreamId, per_s: Option<f64>) -> bool {
@@ -416,7 +395,9 @@
         metrics
             .store_restorations
             .inc_by(restorations.saturating_sub(counted));
-        metrics.refused_parts.set(self.refused_part_count() as i64);
+        let refused = |list: SuspectList| self.refused_count(list) as i64;
+        metrics.refused_parts.set(refused(SuspectList::Parts));
+        metrics.refused_requests.set(refused(SuspectList::Requests));
         let own = self.with_members(|members, _| members.own().engine.clone());
         if let Some((model, version)) = own.and_then(|engine| engine.serving) {
             let state = format!("serving-{model}");
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -11,8 +11,7 @@
 use balsamjunction_protocol::{
     header,
     mesh::{
-        ChangeNotification, CrashEvidenceNotification, CrashNotification, LimitNotification,
-        SyncRequest, SyncResponse,
+        ChangeNotification, CrashEvidenceNotification, LimitNotification, SyncRequest, SyncResponse,
     },
     paths,
 };
@@ -31,7 +30,6 @@
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
         .route(paths::SYNC, web::post().to(handle_sync))
         .route(paths::CHANGES, web::post().to(handle_changes))
-        .route(paths::MESH_CRASHES, web::post().to(handle_crashes))
         .route(
             paths::MESH_CRASH_EVIDENCE,
             web::post().to(handle_crash_evidence),
@@ -65,11 +63,11 @@
     cluster_view: Data<ClusterView>,
     body: Bytes,
 ) -> Result<HttpResponse, InnerError> {
-    let request: SyncRequest = header::from_bytes(&body)?;
+    let mut request: SyncRequest = header::from_bytes(&body)?;
     check_protocol_version(request.v)?;
-    cluster_view.merge_members(request.members);
-    let limits = request.limits.map(|limits| {
-        cluster_view.merge_limits(&limits);
+    cluster_view.merge_members(std::mem::take(&mut request.members));
+    let limits = request.limits.as_ref().map(|limits| {
+        cluster_view.merge_limits(limits);
         cluster_view.limit_reports()
     });
     let peer_heartbeats = request.live_members.as_deref();
@@ -90,22 +88,23 @@
             )
         });
     let pull = request.pull.as_ref();
-    message_response(&SyncResponse {
+    let mut response = SyncResponse {
         members: records,
         heartbeats,
         unknown_keys,
         same_members,
         verification: cluster_view.verification_age(),
         limits: limits.unwrap_or_default(),
-        crash_evidence: request
-            .crash_digest
-            .and_then(|digest| cluster_view.crash_evidence_unless(digest)),
+        crash_evidence: None,
+        request_crash_evidence: None,
         update: pull.and_then(|pull| cluster_view.update_for(pull)),
         weights: request
             .include_weights
             .then(|| cluster_view.weights_update())
             .flatten(),
-    })
+    };
+    cluster_view.add_crash_evidence(&request, &mut response);
+    message_response(&response)
 }
 
 async fn handle_changes(
@@ -122,23 +121,13 @@
     message_response(&EmptyResponse {})
 }
 
-async fn handle_crashes(
-    cluster_view: Data<ClusterView>,
-    body: Bytes,
-) -> Result<HttpResponse, InnerError> {
-    let notification: CrashNotification = header::from_bytes(&body)?;
-    check_protocol_version(notification.v)?;
-    cluster_view.record_crashes(notification.crashes);
-    message_response(&EmptyResponse {})
-}
-
 async fn handle_crash_evidence(
     cluster_view: Data<ClusterView>,
     body: Bytes,
 ) -> Result<HttpResponse, InnerError> {
     let notification: CrashEvidenceNotification = header::from_bytes(&body)?;
     check_protocol_version(notification.v)?;
-    cluster_view.merge_crash_evidence(cluster_view.clock.now(), &notification.evidence);
+    cluster_view.merge_crash_notification(&notification);
     message_response(&EmptyResponse {})
 }
 
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -16,8 +16,9 @@
 
 pub use self::{
     cluster_view::ClusterView,
+    crash_evidence::SuspectList,
     peers::{
-        exchange_loop, exchange_once, notify_crashes, push_crash_evidence_loop, push_limits_loop,
+        exchange_loop, exchange_once, push_crash_evidence_loop, push_limits_loop,
         push_target_versions, refresh_facts_loop, ExchangePurpose,
     },
     reader::read_store_loop,
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -5,11 +5,8 @@
 use awc::Client;
 use balsamjunction_directory::{Position, ReplicaPull};
 use balsamjunction_protocol::{
-    mesh::{
-        ChangeNotification, CrashEvidenceNotification, CrashNotification, LimitNotification,
-        ProcessRole, SyncRequest, SyncResponse,
-    },
-    paths, Crash, PROTOCOL_VERSION,
+    mesh::{ChangeNotification, LimitNotification, ProcessRole, SyncRequest, SyncResponse},
+    paths, PROTOCOL_VERSION,
 };
 use log::debug;
 use rand::{seq::IteratorRandom, Rng};
@@ -140,9 +137,8 @@
     purpose: ExchangePurpose,
 ) -> Result<SyncResponse, PeerError> {
     let include_weights = matches!(purpose, ExchangePurpose::Weights);
-    let crash_digest =
-        matches!(purpose, ExchangePurpose::Views(_)).then(|| cluster_view.crash_digest());
-    let request = cluster_view.with_members(|members, now| SyncRequest {
+    let exchanges_views = matches!(purpose, ExchangePurpose::Views(_));
+    let mut request = cluster_view.with_members(|members, now| SyncRequest {
         v: PROTOCOL_VERSION,
         members: vec![members.own().clone()],
         member_digest: members.digest(now),
@@ -155,10 +151,14 @@
             ExchangePurpose::Facts(pull) => Some(pull),
             ExchangePurpose::Weights | ExchangePurpose::Members => None,
         },
-        limits: matches!(purpose, ExchangePurpose::Views(_)).then(|| cluster_view.limit_reports()),
-        crash_digest,
+        limits: exchanges_views.then(|| cluster_view.limit_reports()),
+        crash_digest: None,
+        request_crash_digest: None,
         include_weights,
     });
+    if exchanges_views {
+        cluster_view.request_crash_evidence(&mut request);
+    }
     let queried_at = cluster_view.clock.now();
     let mut response: SyncResponse =
         client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
@@ -172,10 +172,8 @@
         }
     });
     cluster_view.merge_limits(&response.limits);
-    if let Some(evidence) = response.crash_evidence.take() {
-        cluster_view.merge_crash_evidence(queried_at, &evidence);
-    }
-    if matches!(purpose, ExchangePurpose::Views(_)) && !response.unknown_keys.is_empty() {
+    cluster_view.take_crash_evidence(queried_at, &mut response);
+    if exchanges_views && !response.unknown_keys.is_empty() {
         send_members(cluster_view, client, address, &response.unknown_keys).await?;
     }
     if let Some(update) = response.update.take() {
@@ -200,6 +198,7 @@
         pull: None,
         limits: None,
         crash_digest: None,
+        request_crash_digest: None,
         include_weights: false,
     });
     let _: SyncResponse =
@@ -255,14 +254,6 @@
     futures_util::future::join_all(calls).await;
 }
 
-/// Notifies all entries of requests that crashed upstreams, since callers may retry them immediately at
-/// another entry.
-pub async fn notify_crashes(cluster_view: &ClusterView, client: &Client, crashes: Vec<Crash>) {
-    let v = PROTOCOL_VERSION;
-    let message = CrashNotification { v, crashes };
-    send_to_entries(cluster_view, client, paths::MESH_CRASHES, &message).await;
-}
-
 /// Pushes limits that this process observes to all other entries, so that they keep a limit before they have
 /// sent anything to the upstream, and learn that it has ended although they have no share of it.
 ///
@@ -285,10 +276,7 @@
 /// Entries that miss a push learn of it by an exchange.
 pub async fn push_crash_evidence_loop(cluster_view: Arc<ClusterView>, client: Client) {
     loop {
-        let message = CrashEvidenceNotification {
-            v: PROTOCOL_VERSION,
-            evidence: cluster_view.next_crash_news().await,
-        };
+        let message = cluster_view.next_crash_news().await;
         send_to_entries(&cluster_view, &client, paths::MESH_CRASH_EVIDENCE, &message).await;
         let entries = cluster_view.with_members(|m, now| m.share_count(now, ProcessRole::Entry));
         actix_rt::time::sleep(crash_push_interval(entries)).await;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -83,6 +83,8 @@
     pub store_restorations: Counter,
     /// Parts of prompts for which requests are refused, since they crash upstreams.
     pub refused_parts: Gauge,
+    /// Requests that are refused, since identical ones crash upstreams.
+    pub refused_requests: Gauge,
     /// Connections of upstreams that broke under a request.
     pub broken_connections: Counter,
     /// Requests that were sent to another upstream because the limit of the best one was used up.
@@ -132,6 +134,7 @@
             limit_responses: Counter::default(),
             store_restorations: Counter::default(),
             refused_parts: Gauge::default(),
+            refused_requests: Gauge::default(),
             broken_connections: Counter::default(),
             limit_detours: Counter::default(),
             expected_cached_tokens: Counter::default(),
@@ -187,6 +190,8 @@
         r.register("store_restorations", restored, m.store_restorations.clone());
         let refused = "Parts of prompts that are refused, since they crash upstreams";
         r.register("refused_prompt_parts", refused, m.refused_parts.clone());
+        let refused = "Requests that are refused, since identical ones crash upstreams";
+        r.register("refused_requests", refused, m.refused_requests.clone());
         let broken = "Connections of upstreams that broke under a request";
         r.register("broken_connections", broken, m.broken_connections.clone());
         let detours = "Requests sent elsewhere because of a limit";
--- a/crates/lab/src/standin/platform/engine.rs
+++ b/crates/lab/src/standin/platform/engine.rs
@@ -115,6 +115,7 @@
     limit: Option<SmolStr>,
     service_time_percent: Option<u32>,
     deadly_parts: Vec<SmolStr>,
+    deadly_path: Option<SmolStr>,
     crash_times: Vec<Instant>,
     arrival_times: Vec<Instant>,
 }
@@ -231,6 +232,12 @@
         self.state().deadly_parts = ids.iter().map(SmolStr::new).collect();
     }
 
+    /// Makes the engine crash, which breaks all its streams, when it begins a stream of a request to `path`. It is back at
+    /// once with a later start time.
+    pub fn set_deadly_path(&self, path: &str) {
+        self.state().deadly_path = Some(path.into());
+    }
+
     /// Crashes the engine, which breaks all its streams. It is back at once with a later start time.
     pub fn crash(&self) {
         self.state().crash_times.push(Instant::now());
@@ -582,8 +589,11 @@
     state.runs.len() - 1
 }
 
-/// Whether a request's prompt contains a deadly part, other than as its last one.
+/// Whether a request's path is deadly, or its prompt contains a deadly part, other than as its last one.
 fn is_deadly(state: &State, req: &Request<Incoming>) -> bool {
+    if state.deadly_path.as_deref() == Some(req.uri().path()) {
+        return true;
+    }
     let parts = header(req, "balsamjunction-prefix-hash").unwrap_or_default();
     let Some((shared, _)) = parts.rsplit_once(',') else {
         return false;
--- a/crates/lab/tests/gateway/deadly_parts.rs
+++ b/crates/lab/tests/gateway/deadly_parts.rs
@@ -18,15 +18,15 @@
 
 /// Time after the fifth crash from which requests that reach engines are counted: the gateways' default of
 /// `contact_after_ms`.
-const CONTACT_AFTER: Duration = Duration::from_secs(3);
+pub const CONTACT_AFTER: Duration = Duration::from_secs(3);
 /// Crashes after which a part must be known.
 const CRASHES: usize = 5;
 /// Requests with a deadly part that may reach engines later than that.
-const MAX_LATE: usize = 3;
+pub const MAX_LATE: usize = 3;
 /// Time for which the tests send requests: the time until sound requests must be served again, and 3 s more.
-const LOAD_TIME: Duration = Duration::from_secs(11);
+pub const LOAD_TIME: Duration = Duration::from_secs(11);
 /// Interval between requests with a deadly part.
-const DEADLY_INTERVAL: Duration = Duration::from_millis(200);
+pub const DEADLY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The first part of every prompt.
 const FIRST: &str = "a1:40";
@@ -36,13 +36,13 @@
 const DOWNTIME: Duration = Duration::from_millis(300);
 
 /// Gateways that know each other, and engines that crash on the parts that a test chooses.
-struct Fleet {
-    site: RefCell<TestSite>,
-    gateways: Vec<Gateway>,
-    engines: Vec<Engine>,
+pub struct Fleet {
+    pub site: RefCell<TestSite>,
+    pub gateways: Vec<Gateway>,
+    pub engines: Vec<Engine>,
 }
 
-async fn start_fleet(gateways: usize, engines: usize) -> Fleet {
+pub async fn start_fleet(gateways: usize, engines: usize) -> Fleet {
     let mut site = TestSite::start().await;
     site.retry_slack = 1_000.0;
     let mut fleet_engines = Vec::new();
@@ -66,9 +66,9 @@
 }
 
 /// A sound request: when it was sent, and whether it was served without a break.
-struct SoundRequest {
-    sent_at: Instant,
-    served: bool,
+pub struct SoundRequest {
+    pub sent_at: Instant,
+    pub served: bool,
 }
 
 impl Fleet {
@@ -79,7 +79,7 @@
     }
 
     /// Registers each engine again after it has crashed, for as long as `running` is set.
-    async fn keep_registered(&self, running: &Cell<bool>) {
+    pub async fn keep_registered(&self, running: &Cell<bool>) {
         let mut crashes = vec![0; self.engines.len()];
         while running.get() {
             for (engine, registered) in self.engines.iter().zip(&mut crashes) {
@@ -94,7 +94,7 @@
     }
 
     /// Sends sound requests through a gateway, four at a time.
-    async fn send_sound(&self, gateway: &Gateway, started: Instant) -> Vec<SoundRequest> {
+    pub async fn send_sound(&self, gateway: &Gateway, started: Instant) -> Vec<SoundRequest> {
         let mut sent = Vec::new();
         let mut round = 0;
         while started.elapsed() < LOAD_TIME {
@@ -134,7 +134,7 @@
     }
 
     /// When engines crashed, in order.
-    fn crash_times(&self) -> Vec<Instant> {
+    pub fn crash_times(&self) -> Vec<Instant> {
         let mut times: Vec<Instant> = self.engines.iter().flat_map(Engine::crash_times).collect();
         times.sort();
         times
@@ -170,7 +170,7 @@
 
 /// Asserts that sound requests which were sent from `from` on are served; without a deadly part, all are.
 #[track_caller]
-fn assert_served(sound: &[SoundRequest], from: Instant) {
+pub fn assert_served(sound: &[SoundRequest], from: Instant) {
     let late: Vec<&SoundRequest> = sound.iter().filter(|s| s.sent_at >= from).collect();
     let served = late.iter().filter(|s| s.served).count();
     assert!(
--- a/crates/lab/tests/gateway/hostile.rs
+++ b/crates/lab/tests/gateway/hostile.rs
@@ -434,7 +434,7 @@
     all.push([b"GET /".to_vec(), vec![b'a'; 300_000]].concat());
     // The MessagePack header of an array that claims more elements than the body contains.
     let array_header = [0xdd, 0xff, 0xff, 0xff, 0xff];
-    for path in [paths::SYNC, paths::CHANGES, paths::MESH_CRASHES] {
+    for path in [paths::SYNC, paths::CHANGES, paths::MESH_CRASH_EVIDENCE] {
         let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n");
         all.push([head.as_bytes(), &array_header[..]].concat());
     }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod deadly_parts;
+mod deadly_requests;
 mod departures;
 mod explained;
 mod faulty_refusals;
--- a/crates/policy/src/crash_suspects/evidence.rs
+++ b/crates/policy/src/crash_suspects/evidence.rs
@@ -5,7 +5,7 @@
 
 use balsamjunction_protocol::mesh::{CrashEvidence, CrashReport, PromptPart, Sighting, SoundPart};
 
-use super::{Confidence, CrashSuspects, Outbox, Sound, BEFORE_START, RETENTION};
+use super::{Confidence, CrashSuspects, Outbox, Sound, SuspectKind, BEFORE_START, RETENTION};
 use crate::{rendezvous::weight, stated_limits::UpstreamId, Moment};
 
 /// Most sightings in one message, and most sound parts; about 6 KB together.
@@ -49,6 +49,15 @@
         }
         for part in evidence.refused.iter().take(MAX_ACCEPTED) {
             changed |= self.refused_elsewhere.insert(*part);
+            if self.kind == SuspectKind::Request {
+                // An entry with few responses of its own cannot tell that a test failed while upstreams worked.
+                self.make_firm(*part, now);
+            }
+        }
+        for part in evidence.testing.iter().take(MAX_ACCEPTED) {
+            if let Some(retest) = self.retests.get_mut(part) {
+                retest.leave_to_other(now);
+            }
         }
         if changed {
             self.trim_sound(now);
@@ -87,10 +96,12 @@
             }
         }
         let refused = outbox.refused.into_iter().take(MAX_REPORTED).collect();
+        let testing = outbox.testing.into_iter().take(MAX_REPORTED).collect();
         let news = CrashEvidence {
             crashes,
             sound,
             refused,
+            testing,
         };
         (news != CrashEvidence::default()).then_some(news)
     }
@@ -101,8 +112,9 @@
             sightings,
             sound,
             refused,
+            testing,
         } = &self.outbox;
-        !(sightings.is_empty() && sound.is_empty() && refused.is_empty())
+        !(sightings.is_empty() && sound.is_empty() && refused.is_empty() && testing.is_empty())
     }
 
     fn reports(
@@ -177,6 +189,7 @@
             crashes,
             sound: sound.collect(),
             refused: firm.map(|(part, _)| *part).take(MAX_REPORTED).collect(),
+            testing: Vec::new(),
         }
     }
 
--- a/crates/policy/src/crash_suspects/mod.rs
+++ b/crates/policy/src/crash_suspects/mod.rs
@@ -1,4 +1,6 @@
-//! Detection of parts of prompts that crash every upstream which begins to respond to them.
+//! Detection of parts of prompts, and of identical requests, that crash every upstream which begins to respond to them.
+//!
+//! A list of suspects is of one [`SuspectKind`]. In one of requests, the fingerprint of a request is its only part.
 //!
 //! Each entry observes which parts were at an upstream when its connections broke, and which parts an upstream
 //! responded to without a crash. Entries exchange these observations, and each draws the same conclusions from
@@ -13,7 +15,7 @@
 use balsamjunction_protocol::mesh::PromptPart;
 
 pub use self::verdict::{Confidence, VerdictChange};
-use self::verdict::{Retest, Verdict};
+use self::verdict::{Retest, Verdict, MIN_CRASHES};
 use crate::{stated_limits::UpstreamId, Moment};
 
 /// Most crashes that are remembered. Those that support no verdict are dropped first, the oldest first.
@@ -34,6 +36,15 @@
 /// its start keep their order.
 const BEFORE_START: Moment = Moment::from_secs(24 * 3_600);
 
+/// What the suspects of a list are, which decides how many crashes speak against one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SuspectKind {
+    /// A part of a prompt, which requests share that are sound otherwise.
+    Part,
+    /// The fingerprint of a request. Fewer crashes suffice, since nothing but the request is refused.
+    Request,
+}
+
 /// When a part was at an upstream whose connections broke.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
@@ -70,11 +81,13 @@
     sightings: HashSet<(UpstreamId, PromptPart)>,
     sound: HashSet<PromptPart>,
     refused: HashSet<PromptPart>,
+    testing: HashSet<PromptPart>,
 }
 
-/// The parts of prompts that are suspected of crashing upstreams.
+/// The parts of prompts, or the requests, that are suspected of crashing upstreams.
 #[derive(Debug)]
 pub struct CrashSuspects {
+    kind: SuspectKind,
     /// Time after the last necessary crash within which a part must be refused even if no response shows that
     /// the upstreams work otherwise.
     decide_within: Moment,
@@ -103,11 +116,21 @@
 }
 
 impl CrashSuspects {
-    /// Creates a list without observations.
+    /// Creates a list of parts without observations.
     ///
     /// `decide_within` is the time within which a part must be refused after the last necessary crash.
     pub fn new(decide_within: Moment) -> Self {
+        Self::of_kind(SuspectKind::Part, decide_within)
+    }
+
+    /// Creates a list of identical requests without observations; `decide_within` is as for [`Self::new`].
+    pub fn of_requests(decide_within: Moment) -> Self {
+        Self::of_kind(SuspectKind::Request, decide_within)
+    }
+
+    fn of_kind(kind: SuspectKind, decide_within: Moment) -> Self {
         Self {
+            kind,
             decide_within,
             crashes: HashMap::new(),
             sound: HashMap::new(),
@@ -149,8 +172,17 @@
                 self.outbox.sightings.insert((upstream.clone(), *part));
             }
         }
+        let known = self.crashes.len();
         self.trim_crashes(now);
-        self.evaluate(now);
+        let dropped = self.crashes.len() < known;
+        let often_seen = |part: &PromptPart| {
+            let crashes = self.crashes.values();
+            let seen = crashes.filter(|crash| crash.sightings.contains_key(part));
+            seen.take(MIN_CRASHES).count() == MIN_CRASHES
+        };
+        if dropped || parts.iter().any(often_seen) {
+            self.evaluate(now);
+        }
     }
 
     /// Adds a sighting; returns whether it adds anything to what is known.
@@ -285,7 +317,12 @@
         if tested {
             let tested = self.retests.iter_mut();
             let tested = tested.filter(|(part, _)| refused.contains(part));
-            tested.for_each(|(_, retest)| retest.start(now));
+            for (part, retest) in tested {
+                retest.start(now);
+                if self.kind == SuspectKind::Request {
+                    self.outbox.testing.insert(*part);
+                }
+            }
             return Ok(());
         }
         let due_at = self.retests.get(&part).map_or(now, |retest| retest.due_at);
--- a/crates/policy/src/crash_suspects/verdict.rs
+++ b/crates/policy/src/crash_suspects/verdict.rs
@@ -4,7 +4,7 @@
 
 use balsamjunction_protocol::mesh::PromptPart;
 
-use super::{CrashSuspects, RETENTION};
+use super::{CrashSuspects, SuspectKind, RETENTION};
 use crate::{stated_limits::UpstreamId, Moment};
 
 /// Weight of a crash while the upstream had begun to respond to a request with the part.
@@ -17,8 +17,13 @@
 const EPISODE: Moment = Moment::from_millis(150);
 /// Weight of separate episodes that suffices for a verdict: three, or five if no response began.
 const ENOUGH_EPISODES: u32 = 3 * BEGAN_WEIGHT;
-/// Weight of all crashes that suffices for a verdict, however close to each other.
+/// Weight of all crashes of a part that suffices for a verdict, however close to each other.
 const ENOUGH_CRASHES: u32 = 5 * BEGAN_WEIGHT;
+/// The same for an identical request, whose verdict stays tentative until a test of it fails. A request that was sound
+/// needs as many in separate episodes.
+const ENOUGH_CRASHES_OF_REQUEST: u32 = 3 * BEGAN_WEIGHT;
+/// Fewest crashes that may suffice for a verdict.
+pub(super) const MIN_CRASHES: usize = 3;
 /// Time from enough episodes to the verdict, in which other entries may report that the part is sound.
 const EPISODES_GRACE: Moment = Moment::from_millis(300);
 /// The same if only the number of crashes is enough, or if the part was sound before.
@@ -37,13 +42,77 @@
 const FIRM_RETEST_AFTER: Moment = Moment::from_secs(60);
 /// The same for a verdict that no response to another request supports.
 const TENTATIVE_RETEST_AFTER: Moment = Moment::from_secs(3);
-/// Factor by which the time until the next test grows.
+/// Time after a tentative verdict on a request before which it is not tested, so that one disruption ends before.
+const REQUEST_TESTED_AFTER: Moment = Moment::from_secs(1);
+/// Factor by which the time until the next test of a part grows.
 const RETEST_GROWTH: u32 = 4;
-/// Time after which one entry more may make a test that is due.
+/// The same for a request: of those that crash upstreams, three may reach one later than the time of contact.
+const RETEST_GROWTH_OF_REQUEST: u32 = 16;
+/// Time after which one entry more may make a test of a part that is due.
 const FURTHER_TESTER_AFTER: Moment = Moment::from_secs(4);
+/// Time after which twice as many entries may make a test of a request that is due.
+const TESTERS_DOUBLE_AFTER: Moment = Moment::from_secs(2);
+/// Most doublings of the number of entries that may make a test.
+const MAX_TESTER_DOUBLINGS: u128 = 16;
 /// Time that a test takes at most.
 const RETEST_DURATION: Moment = Moment::from_secs(2);
 
+impl SuspectKind {
+    fn crash_weight(self, began: bool) -> u32 {
+        match self {
+            // A response that is no stream does not show when it begins.
+            Self::Request => BEGAN_WEIGHT,
+            Self::Part if began => BEGAN_WEIGHT,
+            Self::Part => WAITING_WEIGHT,
+        }
+    }
+
+    /// Whether crashes in separate episodes suffice for a verdict.
+    fn counts_episodes(self, was_sound: bool) -> bool {
+        self == Self::Request || !was_sound
+    }
+
+    /// Weight of crashes that suffices however close to each other they are, if any does.
+    fn enough_crashes(self, was_sound: bool) -> Option<u32> {
+        match self {
+            Self::Part => Some(ENOUGH_CRASHES),
+            Self::Request if was_sound => None,
+            Self::Request => Some(ENOUGH_CRASHES_OF_REQUEST),
+        }
+    }
+
+    /// Number of entries that may make a test which has been due for some time, since few requests that could may come to
+    /// an entry.
+    ///
+    /// A request comes to an entry less often than a part, so more entries join at a time. Where none of them has had it until
+    /// then, hardly two get it at once, and the first one tells the others.
+    fn testers(self, due_for: Moment) -> usize {
+        match self {
+            Self::Part => 1 + (due_for.as_millis() / FURTHER_TESTER_AFTER.as_millis()) as usize,
+            Self::Request => {
+                let doublings = due_for.as_millis() / TESTERS_DOUBLE_AFTER.as_millis();
+                1 << doublings.min(MAX_TESTER_DOUBLINGS)
+            }
+        }
+    }
+
+    /// Factor by which the time until the next test grows with each that fails.
+    fn retest_growth(self) -> u32 {
+        match self {
+            Self::Part => RETEST_GROWTH,
+            Self::Request => RETEST_GROWTH_OF_REQUEST,
+        }
+    }
+
+    /// Time after a tentative verdict from which it may be tested if upstreams respond to other requests.
+    fn tested_after(self) -> Moment {
+        match self {
+            Self::Part => Moment::ZERO,
+            Self::Request => REQUEST_TESTED_AFTER,
+        }
+    }
+}
+
 /// How well a verdict is supported.
 #[derive(Clone, Copy, Debug, strum::Display, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -80,6 +149,8 @@
     pub due_at: Moment,
     interval: Moment,
     started_at: Option<Moment>,
+    /// End of a test by another entry.
+    tested_elsewhere_until: Moment,
 }
 
 impl Retest {
@@ -92,9 +163,15 @@
             due_at: now + interval,
             interval,
             started_at: None,
+            tested_elsewhere_until: Moment::ZERO,
         }
     }
 
+    /// Leaves the test to another entry, which has started one.
+    pub fn leave_to_other(&mut self, now: Moment) {
+        self.tested_elsewhere_until = now + RETEST_DURATION;
+    }
+
     /// Starts a test. It is repeated soon unless the part crashes an upstream or turns out to be sound.
     pub fn start(&mut self, now: Moment) {
         self.started_at = Some(now);
@@ -102,9 +179,9 @@
     }
 
     /// Postpones the next test after a further crash, and makes tests rarer if that was a test's, here or elsewhere.
-    pub fn postpone(&mut self, now: Moment) {
+    pub fn postpone(&mut self, now: Moment, growth: u32) {
         if self.started_at.take().is_some() || now >= self.due_at {
-            self.interval = self.interval.saturating_mul(RETEST_GROWTH).min(RETENTION);
+            self.interval = self.interval.saturating_mul(growth).min(RETENTION);
         }
         self.due_at = self.due_at.max(now + self.interval);
     }
@@ -129,7 +206,7 @@
     }
 
     /// When the crashes sufficed for a verdict, and the time that must pass from then on.
-    fn reached_at(&mut self, was_sound: bool) -> Option<(Moment, Moment)> {
+    fn reached_at(&mut self, kind: SuspectKind, was_sound: bool) -> Option<(Moment, Moment)> {
         self.crashes.sort();
         let (mut all, mut episodes) = (0, 0);
         let mut episode: Option<(Moment, u32)> = None;
@@ -145,10 +222,10 @@
                     episode = Some((*at, *weight));
                 }
             }
-            if !was_sound && episodes >= ENOUGH_EPISODES {
+            if kind.counts_episodes(was_sound) && episodes >= ENOUGH_EPISODES {
                 return Some((*at, EPISODES_GRACE));
             }
-            if all >= ENOUGH_CRASHES {
+            if kind.enough_crashes(was_sound).is_some_and(|w| all >= w) {
                 return Some((*at, CRASHES_GRACE));
             }
         }
@@ -245,10 +322,7 @@
                 if !self.is_unrefuted(*part, sighting.at) {
                     continue;
                 }
-                let weight = match sighting.began {
-                    true => BEGAN_WEIGHT,
-                    false => WAITING_WEIGHT,
-                };
+                let weight = self.kind.crash_weight(sighting.began);
                 let score = scores.entry(*part).or_default();
                 score.crashes.push((sighting.at, weight));
                 score.position = score.position.max(sighting.position);
@@ -256,7 +330,7 @@
         }
         let candidates = scores.into_iter().filter_map(|(part, mut score)| {
             let was_sound = self.sound.contains_key(&part);
-            let (reached_at, grace) = score.reached_at(was_sound)?;
+            let (reached_at, grace) = score.reached_at(self.kind, was_sound)?;
             Some(Candidate {
                 part,
                 was_sound,
@@ -293,6 +367,10 @@
         if candidate.latest + FRESH_CRASH < since {
             return Conclusion::Wait(Moment::MAX);
         }
+        if self.kind == SuspectKind::Request {
+            // Nothing else is refused with it, and a test tells soon.
+            return Conclusion::Refuse(Confidence::Tentative);
+        }
         let earliest = since + candidate.grace;
         if now < earliest {
             return Conclusion::Wait(earliest);
@@ -321,7 +399,7 @@
     /// Number of entries that may test the verdict on a part now; absent if no test is due.
     ///
     /// A test is due at its time, or as soon as upstreams respond to other requests if they did not when the verdict
-    /// was drawn. One entry more may make it after each [`FURTHER_TESTER_AFTER`], since few requests with the part may come to an entry.
+    /// was drawn.
     pub(super) fn count_testers(&self, now: Moment, part: PromptPart) -> Option<usize> {
         let verdict = self.verdicts.get(&part)?;
         let retest = self.retests.get(&part)?;
@@ -329,11 +407,15 @@
         let since = match retest.due_at <= now {
             true => retest.due_at,
             false if retest.is_running(now) => return None,
-            false if tentative && self.upstreams_work_since(verdict.drawn_at) => verdict.drawn_at,
+            false if tentative && self.upstreams_work_since(verdict.drawn_at) => {
+                verdict.drawn_at + self.kind.tested_after()
+            }
             false => return None,
         };
-        let waited = now.saturating_sub(since).as_millis() / FURTHER_TESTER_AFTER.as_millis();
-        Some(1 + waited as usize)
+        if now < since || now < retest.tested_elsewhere_until {
+            return None;
+        }
+        Some(self.kind.testers(now.saturating_sub(since)))
     }
 
     fn upstreams_work_since(&self, since: Moment) -> bool {
@@ -346,20 +428,29 @@
             return;
         };
         let tentative = verdict.confidence == Confidence::Tentative;
-        if tentative && self.upstreams_work_since(verdict.drawn_at) {
-            let confidence = Confidence::Firm;
-            let firm = Verdict {
-                confidence,
-                ..verdict
-            };
-            self.verdicts.insert(part, firm);
-            self.retests
-                .insert(part, Retest::new(crashed_at, confidence));
+        // An earlier crash is one of those that led to the verdict, however late it was heard of.
+        let later = crashed_at >= verdict.drawn_at + self.kind.tested_after();
+        if tentative && later && self.upstreams_work_since(verdict.drawn_at) {
+            self.make_firm(part, crashed_at);
+            if self.kind == SuspectKind::Request {
+                self.outbox.refused.insert(part);
+            }
         } else if let Some(retest) = self.retests.get_mut(&part) {
-            retest.postpone(crashed_at);
+            retest.postpone(crashed_at, self.kind.retest_growth());
         }
     }
 
+    /// Makes a tentative verdict firm, so that it is tested as seldom as one.
+    pub(super) fn make_firm(&mut self, part: PromptPart, now: Moment) {
+        let verdict = self.verdicts.get_mut(&part);
+        let Some(verdict) = verdict.filter(|v| v.confidence == Confidence::Tentative) else {
+            return;
+        };
+        verdict.confidence = Confidence::Firm;
+        let retest = Retest::new(now, Confidence::Firm);
+        self.retests.insert(part, retest);
+    }
+
     fn set_verdicts(&mut self, now: Moment, next: &HashMap<PromptPart, (Confidence, usize)>) {
         // An entry that withdrew a verdict draws it again only from what it knows itself.
         let verdicts = &self.verdicts;
--- a/crates/policy/tests/crash_suspects/exchange.rs
+++ b/crates/policy/tests/crash_suspects/exchange.rs
@@ -136,6 +136,7 @@
             9_000
         ],
         refused: vec![FIRST; 9_000],
+        testing: vec![FIRST; 9_000],
     };
     let mut suspects = new_suspects();
 
--- a/crates/policy/tests/crash_suspects/fleet_model.rs
+++ b/crates/policy/tests/crash_suspects/fleet_model.rs
@@ -98,6 +98,10 @@
     pub sound: Vec<(Moment, bool)>,
     /// Crashes a second of other causes, one engine at a time.
     pub other_crashes_per_s: f64,
+    /// Members that each entry does not know of.
+    pub unknown: Vec<HashSet<usize>>,
+    /// Whether identical requests are suspected instead of parts of prompts.
+    identical: bool,
     next_id: u64,
 }
 
@@ -117,11 +121,13 @@
             crashes: Vec::new(),
             sound: Vec::new(),
             other_crashes_per_s: 0.0,
+            unknown: vec![HashSet::new(); entries],
+            identical: false,
             next_id: 0x1_0000_0000,
         };
         fleet
             .entries
-            .extend((0..entries).map(|_| new_entry(Moment::ZERO, 0)));
+            .extend((0..entries).map(|_| new_entry(Moment::ZERO, 0, new_suspects())));
         fleet.engines.extend((0..engines).map(|_| Engine {
             incarnation: 1,
             up_at: Moment::ZERO,
@@ -130,9 +136,23 @@
         fleet
     }
 
+    /// A fleet that finds identical requests which crash upstreams. Of the sound ones, a tenth is [`FIRST`].
+    pub fn of_requests(entries: usize, engines: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(entries, engines, seed);
+        fleet.identical = true;
+        for entry in &mut fleet.entries {
+            entry.suspects = new_request_suspects();
+        }
+        fleet
+    }
+
     /// Restarts an entry, which forgets everything.
     pub fn restart(&mut self, n: usize) {
-        let mut entry = new_entry(self.now, self.entries[n].incarnation + 1);
+        let suspects = match self.identical {
+            true => new_request_suspects(),
+            false => new_suspects(),
+        };
+        let mut entry = new_entry(self.now, self.entries[n].incarnation + 1, suspects);
         entry.disturbed_at = Some(self.now);
         self.entries[n] = entry;
         self.exchange(n);
@@ -203,6 +223,14 @@
             // As on the platform: sound requests with the same first part exist, but are the fewer ones.
             parts = vec![FIRST, sorted[self.rng.random_range(0..sorted.len())]];
         }
+        if self.identical && deadly {
+            parts.remove(0);
+        } else if self.identical {
+            parts = match self.rng.random_bool(0.1) {
+                true => vec![FIRST],
+                false => vec![PromptPart(self.next_id)],
+            };
+        }
         let request = Request {
             entry,
             incarnation: self.entries[entry].incarnation,
@@ -219,17 +247,20 @@
 
     fn send(&mut self, mut request: Request) {
         let now = self.now;
-        let hosts: Vec<String> = (0..self.entries.len()).map(|n| n.to_string()).collect();
-        let own = hosts[request.entry].as_str();
+        let own = request.entry.to_string();
+        let unknown = &self.unknown[request.entry];
+        let known = (0..self.entries.len()).filter(|n| !unknown.contains(n));
+        let hosts: Vec<String> = known.map(|n| n.to_string()).collect();
         let is_tester = |part: PromptPart, count: usize| {
             let hosts = hosts.iter().map(String::as_str);
             let ranked = rendezvous::rank(&part.0.to_le_bytes(), hosts);
             ranked.iter().take(count).any(|host| *host == own)
         };
         let entry = &mut self.entries[request.entry];
+        let clock = entry.clock(now);
         let refused = entry
             .suspects
-            .admit(now, &request.parts, is_tester)
+            .admit(clock, &request.parts, is_tester)
             .is_err();
         if !request.deadly && request.attempt == 0 {
             self.sound.push((now, refused));
@@ -245,7 +276,7 @@
                 .disturbed_at
                 .is_none_or(|at| now >= at + CONTACT_AFTER);
             self.reaches.push(Reach {
-                part: request.parts[1],
+                part: request.parts[request.parts.len() - 1],
                 at: now,
                 in_contact,
             });
@@ -258,12 +289,16 @@
 
     fn run_engines(&mut self) {
         let now = self.now;
+        let response_time = match self.identical {
+            true => SOUND_AFTER,
+            false => RESPONSE_TIME,
+        };
         for n in 0..self.engines.len() {
             let crashing = self.engines[n].requests.iter().find(|request| {
                 let deadly = request.parts.iter().any(|part| self.deadly.contains(part));
                 deadly && now >= request.begins_at + CRASH_AFTER
             });
-            if let Some(part) = crashing.map(|request| request.parts[1]) {
+            if let Some(part) = crashing.and_then(|request| request.parts.last().copied()) {
                 self.crashes.push((part, now));
                 self.crash_engine(n);
                 continue;
@@ -281,7 +316,7 @@
             }
             engine
                 .requests
-                .retain(|request| now < request.begins_at + RESPONSE_TIME);
+                .retain(|request| now < request.begins_at + response_time);
         }
     }
 
@@ -379,7 +414,7 @@
         let scale = (self.entries.len() as f64 / 64.0).max(1.0);
         self.entries[n].next_push = now + PUSH_INTERVAL.mul_f64(scale);
         for to in (0..self.entries.len()).filter(|to| *to != n) {
-            if self.is_lost() {
+            if self.unknown[n].contains(&to) || self.is_lost() {
                 continue;
             }
             let at = now + ms(self.rng.random_range(1..60));
@@ -400,7 +435,8 @@
         }
         let now = self.now;
         let peer = (n + self.rng.random_range(1..self.entries.len())) % self.entries.len();
-        let reachable = self.connected(n, peer) && now >= self.entries[peer].frozen_until;
+        let known = !self.unknown[n].contains(&peer);
+        let reachable = known && self.connected(n, peer) && now >= self.entries[peer].frozen_until;
         if !reachable || self.is_lost() {
             return;
         }
@@ -415,7 +451,8 @@
         }
     }
 
-    /// Requests with a part that undisturbed entries sent later than [`CONTACT_AFTER`] after its fifth crash.
+    /// Requests with a part that undisturbed entries sent later than [`CONTACT_AFTER`] after its fifth crash, or identical
+    /// requests after their third.
     pub fn late_reaches(&self, part: PromptPart) -> usize {
         let crashes: Vec<Moment> = self
             .crashes
@@ -423,11 +460,12 @@
             .filter(|(by, _)| *by == part)
             .map(|(_, at)| *at)
             .collect();
-        let Some(fifth) = crashes.get(4) else {
+        let counted = if self.identical { 3 } else { 5 };
+        let Some(last) = crashes.get(counted - 1) else {
             return 0;
         };
         let late = self.reaches.iter().filter(|reach| {
-            reach.part == part && reach.in_contact && reach.at > *fifth + CONTACT_AFTER
+            reach.part == part && reach.in_contact && reach.at > *last + CONTACT_AFTER
         });
         late.count()
     }
@@ -452,9 +490,9 @@
     }
 }
 
-fn new_entry(started_at: Moment, incarnation: u64) -> Entry {
+fn new_entry(started_at: Moment, incarnation: u64, suspects: CrashSuspects) -> Entry {
     Entry {
-        suspects: new_suspects(),
+        suspects,
         started_at,
         incarnation,
         frozen_until: Moment::ZERO,
--- a/crates/policy/tests/crash_suspects/main.rs
+++ b/crates/policy/tests/crash_suspects/main.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod fleet;
 mod fleet_model;
+mod requests;
 
 use balsamjunction_policy::{
     crash_suspects::{CrashSuspects, RefusedPart},
@@ -28,6 +29,10 @@
     CrashSuspects::new(CONTACT_AFTER / 2)
 }
 
+fn new_request_suspects() -> CrashSuspects {
+    CrashSuspects::of_requests(CONTACT_AFTER / 2)
+}
+
 fn upstream(n: u64) -> UpstreamId {
     (format!("e{n}").into(), 1)
 }
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -8,8 +8,6 @@
 use smol_str::SmolStr;
 use strum::EnumIter;
 
-use crate::Crash;
-
 /// A part of a prompt, by the hash that callers state for it.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -114,6 +112,9 @@
     /// Digest of the sender's observations of crashes. Present if the sender wants those of the peer.
     #[serde(default)]
     pub crash_digest: Option<u64>,
+    /// The same for identical requests.
+    #[serde(default)]
+    pub request_crash_digest: Option<u64>,
     /// Whether the response is to contain a [`WeightsUpdate`].
     #[serde(rename = "weights", default)]
     pub include_weights: bool,
@@ -145,6 +146,9 @@
     /// Observations of crashes, if the request has a digest that differs from the peer's.
     #[serde(default)]
     pub crash_evidence: Option<CrashEvidence>,
+    /// The same for identical requests.
+    #[serde(default)]
+    pub request_crash_evidence: Option<CrashEvidence>,
     /// Facts for sidecars, if they were requested and the peer has them.
     #[serde(default)]
     pub weights: Option<WeightsUpdate>,
@@ -273,7 +277,9 @@
     pub age_ms: u64,
 }
 
-/// Observations from which each entry concludes which parts of prompts crash upstreams.
+/// Observations from which each entry concludes which parts of prompts, or which requests, crash upstreams.
+///
+/// In observations of requests, the fingerprint of a request is its only part.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvidence {
     /// What was at upstreams when their connections broke.
@@ -282,6 +288,9 @@
     pub sound: Vec<SoundPart>,
     /// Parts that the sender refuses since upstreams respond to requests without them.
     pub refused: Vec<PromptPart>,
+    /// Refused parts that a request of the sender tests at this moment, so that no other entry does.
+    #[serde(default)]
+    pub testing: Vec<PromptPart>,
 }
 
 /// Pushes observations of crashes to a peer without waiting for the next exchange.
@@ -289,15 +298,9 @@
 pub struct CrashEvidenceNotification {
     /// Protocol version of the sender.
     pub v: u16,
-    /// Observations of the sender itself.
+    /// Observations of the sender itself about parts of prompts.
     pub evidence: CrashEvidence,
-}
-
-/// Pushes crashes of upstreams and the requests that caused them to a peer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CrashNotification {
-    /// Protocol version of the sender.
-    pub v: u16,
-    /// The crashes.
-    pub crashes: Vec<Crash>,
+    /// The same about identical requests.
+    #[serde(default)]
+    pub requests: CrashEvidence,
 }
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -14,9 +14,7 @@
 pub const CHANGES: &str = "/mesh/changes";
 /// Pushes target versions from an entry to sidecars.
 pub const WEIGHTS_UPDATE: &str = "/mesh/news";
-/// Reports requests that crashed upstreams to entries that were discovered through seeds.
-pub const MESH_CRASHES: &str = "/mesh/broken";
-/// Reports which parts of prompts were at upstreams that crashed, to entries that were discovered through seeds.
+/// Reports which parts of prompts, and which requests, were at upstreams that crashed, to entries that were discovered through seeds.
 pub const MESH_CRASH_EVIDENCE: &str = "/mesh/crash-evidence";
 /// Reports limits that upstreams stated to entries that were discovered through seeds.
 pub const MESH_LIMITS: &str = "/mesh/limits";
