An entry without all fields of an engine's names no upstream

What callers saw: another writer replaced the entry of an engine by one of another service that lacked `version` and `sequence`, and orders ran at an engine to which no route leads, with a success as the response.

Cause: the decoder read neither field and gave `born` a default, so such an entry passed for an engine's.

--- a/crates/lab/tests/gateway/odd_entries.rs
+++ b/crates/lab/tests/gateway/odd_entries.rs
@@ -56,6 +56,11 @@
         entry_with(sound, "born", "18446744073709551615"),
         entry_with(sound, "born", "36893488147419103232"),
         entry_with(sound, "sequence", &huge),
+        entry_with(sound, "sequence", "null"),
+        entry_with(sound, "sequence", "\"1\""),
+        entry_with(sound, "version", "null"),
+        entry_with(sound, "version", "[]"),
+        entry_with(sound, "born", "null"),
         entry_with(
             sound,
             "models",
