--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod deadly_parts;
+mod deadly_requests;
 mod departures;
 mod endless_sums;
 mod explained;
