--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -17,8 +17,6 @@
 };
 use serde_json::{json, Value};
 
-use crate::held_link::HeldLink;
-
 /// The API key that the published configuration assigns to the workspace `selam`.
 pub const API_KEY: &str = "key-of-selam";
 
@@ -187,16 +185,6 @@
         self.store.put(&key, &engine.registry_entry(state));
     }
 
-    /// Starts an engine that is reached over a link, and registers it.
-    pub async fn start_engine_behind_link(&self, options: EngineOptions) -> (Engine, HeldLink) {
-        let engine = Engine::start(options).await.expect("start the engine");
-        let link = HeldLink::start(engine.address).await;
-        let entry = engine.options.registry_entry(link.address, "ready");
-        let key = format!("servers/{}", engine.options.id);
-        self.store.put(&key, &entry);
-        (engine, link)
-    }
-
     /// Starts a server whose responses follow `script`, and registers it.
     pub async fn start_scripted_server(
         &self,
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     common::{event_ids, model_engine_options, wait_until, CallerResponse, Gateway, TestSite},
-    held_link::HeldRequest,
+    held_link::{HeldLink, HeldRequest},
 };
 
 /// Time from the publication of a version to its bound; long enough for a busy machine. The gateway
@@ -53,6 +53,16 @@
     (site, gateway, old_engines)
 }
 
+/// Starts an engine that is reached over a link, and registers it.
+async fn start_engine_behind_link(site: &TestSite, options: EngineOptions) -> (Engine, HeldLink) {
+    let engine = Engine::start(options).await.expect("start the engine");
+    let link = HeldLink::start(engine.address).await;
+    let entry = engine.options.registry_entry(link.address, "ready");
+    let key = format!("servers/{}", engine.options.id);
+    site.store.put(&key, &entry);
+    (engine, link)
+}
+
 /// Publishes version 2 and returns the time at which the store had it.
 fn publish_second_version(site: &TestSite) -> Instant {
     site.publish_version(2);
@@ -330,7 +340,7 @@
     let mut site = TestSite::start().await;
     site.version_deadline = VERSION_WITHIN;
     let options = model_engine_options("e0", EVENT_COUNT, 5);
-    let (old_engine, link) = site.start_engine_behind_link(options).await;
+    let (old_engine, link) = start_engine_behind_link(&site, options).await;
     let gateway = site.start_gateway("g1", &[]);
     gateway.wait_until_ready().await;
 
