--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -14,6 +14,7 @@
 };
 use balsamjunction_protocol::mesh::PromptPart;
 use bytes::Bytes;
+use derive_more::Display;
 use futures_util::{future, FutureExt};
 use http_body_util::Full;
 use hyper::{
@@ -52,7 +53,7 @@
 }
 
 /// What of a request crashes upstreams.
-#[derive(Clone, Copy, Debug, derive_more::Display)]
+#[derive(Clone, Copy, Debug, Display)]
 enum CrashingCause {
     #[display("the request")]
     Request,
@@ -588,7 +589,7 @@
         metrics.cancelled_requests.inc();
         metrics.recall_delay.observe(overdue_for.as_secs_f64());
         let detail = format!(
-            "cancelled {} ms after it was sent, the upstream's version is overdue for {} ms",
+            "cancelled {} ms after it was sent, the upstream's version has been overdue for {} ms",
             waited.as_millis(),
             overdue_for.as_millis()
         );
