Log each failed read of the store, and who told when a version was published

That a gateway takes a version for later than it was published was visible in its version-named line, why was not: the time comes from the last read that verified the facts, or from the last one that failed, and only the first failure of a row was logged. Now each failed read leaves a line with its cause, when it was sent and when the facts were last verified; version-named names its source, and is written again if a peer knew the version earlier. A metric counts reads by outcome.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -66,9 +66,11 @@
         /// Number of facts that were added, changed or removed.
         changed: usize,
     },
-    /// A target version of the weights was published.
+    /// A target version of the weights was published, or another time of its publication became known.
     #[serde(rename = "version-named")]
     VersionPublished {
+        /// Where the change was received from.
+        source: String,
         /// Name of the model.
         model: SmolStr,
         /// The version of its weights.
@@ -80,6 +82,18 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         since_ms: Option<u64>,
     },
+    /// A read of the store failed.
+    StoreReadFailed {
+        /// How it failed; see [`balsamjunction_platform::FailureKind`].
+        cause: &'static str,
+        /// Time in milliseconds since the read was sent.
+        sent_ms: u64,
+        /// Time in milliseconds since the last read that verified the facts was sent, here or at a peer.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        verified_ms: Option<u64>,
+        /// Free text: the error.
+        detail: String,
+    },
     /// A dependency became unreachable or reachable again.
     Dependency {
         /// Name of the dependency.
@@ -366,6 +380,7 @@
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
             | Self::VersionPublished { .. }
+            | Self::StoreReadFailed { .. }
             | Self::Dependency { .. }
             | Self::StreamBroken { .. }
             | Self::CallersClosed { .. }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -104,6 +104,7 @@
         cluster_view.clone(),
         store,
         client.clone(),
+        metrics.clone(),
     ));
     actix_rt::spawn(mesh::refresh_facts_loop(
         cluster_view.clone(),
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -196,7 +196,7 @@
             let previous = std::mem::replace(&mut *directory, next);
             (summary, replica.position(), previous)
         };
-        if self.log_new_target_versions(now, &previous) {
+        if self.log_new_target_versions(now, source, &previous) {
             // A peer may know an earlier time at which the version was published.
             self.pull_needed.notify_one();
         }
@@ -244,18 +244,21 @@
         });
     }
 
-    /// Logs each target version that differs from the one in `previous`; returns whether there is any.
-    fn log_new_target_versions(&self, now: Moment, previous: &Directory) -> bool {
+    /// Logs each target version that differs from the one in `previous`, or counts from another time; returns whether any
+    /// version differs.
+    fn log_new_target_versions(&self, now: Moment, source: &str, previous: &Directory) -> bool {
         let age = |at: Moment| now.saturating_sub(at).as_millis() as u64;
         let directory = self.directory();
-        let changed = directory.target_versions.iter().filter(|(model, target)| {
-            let previous_target = previous.target_versions.get(*model);
-            previous_target.is_none_or(|previous_target| previous_target.version != target.version)
-        });
         let mut any_changed = false;
-        for (model, target) in changed {
-            any_changed = true;
+        for (model, target) in &directory.target_versions {
+            let known = previous.target_versions.get(model);
+            let same_version = known.is_some_and(|known| known.version == target.version);
+            if same_version && known.is_some_and(|known| known.not_before == target.not_before) {
+                continue;
+            }
+            any_changed |= !same_version;
             self.events.emit(&Event::VersionPublished {
+                source: source.to_owned(),
                 model: model.clone(),
                 version: target.version,
                 known_ms: age(target.known_since),
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -17,7 +17,10 @@
 use smol_str::SmolStr;
 
 use super::{peers::notify_changes, sleep_with_jitter, ClusterView};
-use crate::events::Event;
+use crate::{
+    events::Event,
+    metrics::{Metrics, StateLabels},
+};
 
 /// How long the store holds a watch that has no changes to return. Changes that a watch misses are found
 /// by the verification queries.
@@ -48,16 +51,23 @@
     cluster_view: Arc<ClusterView>,
     store: Store,
     client: Client,
+    metrics: Arc<Metrics>,
     outage_cause: RefCell<Option<String>>,
     last_failure: Cell<Option<Moment>>,
 }
 
 /// Keeps the facts up to date with the store for as long as the process runs.
-pub async fn read_store_loop(cluster_view: Arc<ClusterView>, store: Store, client: Client) {
+pub async fn read_store_loop(
+    cluster_view: Arc<ClusterView>,
+    store: Store,
+    client: Client,
+    metrics: Arc<Metrics>,
+) {
     let reader = Reader {
         cluster_view,
         store,
         client,
+        metrics,
         outage_cause: RefCell::default(),
         last_failure: Cell::default(),
     };
@@ -256,7 +266,19 @@
     /// Records the outcome of a call to the store that was sent at `queried_at`, and logs an event when the
     /// store becomes unreachable or reachable again.
     fn record_outcome(&self, queried_at: Moment, e: Option<&PlatformError>) {
-        if e.is_some() {
+        let outcome = e.map_or("ok", |e| e.kind().into());
+        let state = outcome.to_owned();
+        let reads = &self.metrics.mesh.store_reads;
+        reads.get_or_create(&StateLabels { state }).inc();
+        if let Some(e) = e {
+            let sent = self.cluster_view.clock.now().saturating_sub(queried_at);
+            let verified = self.cluster_view.facts_age();
+            self.cluster_view.events.emit(&Event::StoreReadFailed {
+                cause: outcome,
+                sent_ms: sent.as_millis() as u64,
+                verified_ms: verified.map(|age| age.as_millis() as u64),
+                detail: e.to_string(),
+            });
             self.cluster_view.record_failed_read(queried_at);
         }
         self.last_failure
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -81,6 +81,8 @@
     pub backoff_responses: Counter,
     /// Responses that stated a limit of their sender (`Server-Limit`).
     pub limit_responses: Counter,
+    /// Reads of the store by outcome: `ok`, or how they failed.
+    pub store_reads: Family<StateLabels, Counter>,
     /// Restorations of the store from a copy.
     pub store_restorations: Counter,
     /// Parts of prompts for which requests are refused, since they crash upstreams.
@@ -135,6 +137,7 @@
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
             limit_responses: Counter::default(),
+            store_reads: Family::default(),
             store_restorations: Counter::default(),
             refused_parts: Gauge::default(),
             refused_requests: Gauge::default(),
@@ -192,6 +195,8 @@
         r.register("rests", rests, m.backoff_responses.clone());
         let limits = "Responses that stated a limit of their upstream";
         r.register("limit_responses", limits, m.limit_responses.clone());
+        let reads = "Reads of the store by outcome";
+        r.register("store_reads", reads, m.store_reads.clone());
         let restored = "Restorations of the store from a copy";
         r.register("store_restorations", restored, m.store_restorations.clone());
         let refused = "Parts of prompts that are refused, since they crash upstreams";
