--- a/crates/lab/src/standin/platform/store.rs
+++ b/crates/lab/src/standin/platform/store.rs
@@ -28,6 +28,8 @@
     Down,
     /// Watches are not notified of changes, and the history of those changes is then lost.
     LostWatchEvents,
+    /// Rejects every read because there are too many, while operators and upstreams can write.
+    TooManyReads,
 }
 
 #[derive(Clone, Debug)]
@@ -111,10 +113,13 @@
             None => state.entries.remove(key),
         };
         state.log.push(event);
-        if state.fault == StoreFault::LostWatchEvents {
-            state.compacted_revision = state.revision;
-        } else {
-            self.revision_tx.send_replace(state.revision);
+        match state.fault {
+            StoreFault::LostWatchEvents => state.compacted_revision = state.revision,
+            // Watches that wait end by their timeout; the changes remain in the history.
+            StoreFault::TooManyReads => {}
+            StoreFault::None | StoreFault::Down => {
+                self.revision_tx.send_replace(state.revision);
+            }
         }
     }
 
@@ -196,8 +201,10 @@
         state.calls += 1;
         state.fault
     };
-    if fault == StoreFault::Down {
-        return Err(io::ErrorKind::ConnectionReset.into());
+    match fault {
+        StoreFault::Down => return Err(io::ErrorKind::ConnectionReset.into()),
+        StoreFault::TooManyReads => return Ok(build_response(429, "")),
+        StoreFault::None | StoreFault::LostWatchEvents => {}
     }
     let era = lock(state).era;
     let mut response = respond(state, revision_tx, req).await?;
--- a/crates/lab/tests/gateway/versions.rs
+++ b/crates/lab/tests/gateway/versions.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use balsamjunction_lab::standin::platform::{Engine, EngineOptions, Run};
+use balsamjunction_lab::standin::platform::{Engine, EngineOptions, Run, StoreFault};
 use futures_util::future::{join, join_all};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
@@ -21,6 +21,8 @@
 const QUEUE_WAIT: Duration = Duration::from_millis(1_400);
 /// How long after the bound of the version a request begins if it waits for all of [`QUEUE_WAIT`].
 const LATENESS: Duration = Duration::from_millis(100);
+/// Time for which the store rejects reads; shorter than the age at which a gateway refuses callers' keys.
+const READS_REJECTED: Duration = Duration::from_millis(1_500);
 /// Interval between requests, of which some begin before the bound of the version and some after it.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Events per stream.
@@ -362,3 +364,31 @@
     assert!(late.is_empty(), "{late:#?}");
     assert_eq!(link.ended(), [HeldRequest::Lost]);
 }
+
+// Guards against a gateway that takes its failed reads of the store for an outage, and a version that was published
+// meanwhile for later than it was (zvh-vorbestell-grown, behind a large configuration).
+#[actix_rt::test]
+async fn a_version_published_while_reads_of_the_store_fail_is_in_force_in_time() {
+    let mut site = TestSite::start().await;
+    site.version_deadline = VERSION_WITHIN;
+    let old_engine = site
+        .start_engine(model_engine_options("e0", EVENT_COUNT, 5))
+        .await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+
+    site.store.set_fault(StoreFault::TooManyReads);
+    let published_at = publish_second_version(&site);
+    actix_rt::time::sleep(READS_REJECTED).await;
+    site.store.set_fault(StoreFault::None);
+    let bound = published_at + VERSION_WITHIN;
+    let first_at = bound - REQUEST_INTERVAL * 10;
+    let calls = (0..25).map(|n| {
+        let at = first_at + REQUEST_INTERVAL * n;
+        generate_at(gateway, at, RESUMABLE_PATH, format!("a{n}"))
+    });
+    join_all(calls).await;
+
+    let late = late_runs(&old_engine.runs(), 1, published_at);
+    assert!(late.is_empty(), "{late:#?}");
+}
