Transfer codec of declarations: ids, encodings, parts, downloads

A changed declaration is sent whole to every gateway and pulled whole, so that small changes behind it wait. The codec names a declaration by the digest of its content, encodes it as a whole or as a difference from one that the receiver holds, and splits the encoding into parts that can come from any peer. Differences keep items in their encoded form, so that nothing is decoded before the digest of the result is right.

--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,6 +6,7 @@
 //! See docs/DESIGN.md, "Cluster view".
 
 mod declaration;
+mod document;
 mod fact;
 mod lookup;
 mod replica;
@@ -15,6 +16,10 @@
         CallerLimits, Declaration, EngineProfile, Origin, Route, RouteKind, ServedModel, Service,
         Target, Workspace,
     },
+    document::{
+        DeclarationId, Digest, DocumentError, Download, Encoding, Part, Progress,
+        MAX_DECODED_BYTES, MAX_ENCODED_BYTES, MAX_ITEMS,
+    },
     fact::{Fact, LoadedModel, Subject, UpstreamRecord, UpstreamState},
     lookup::{ApiKeyOwner, Directory, RouteTable, TargetVersion},
     replica::{
