A version counts from the last read that verified the facts, not from the last that failed

Cause: a read of the store that failed counted as an outage of the store, in which nothing is acknowledged, so a version that was found afterwards counted from the last failed read. The class: a failure of the reader is taken for proof about the source.

Now a version counts from the last read that verified the facts. This holds whatever made later reads fail. Its price: a version that is acknowledged at the end of an outage counts from before it.

--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -140,11 +140,6 @@
         lock(&self.replica).mark_verified(verification);
     }
 
-    /// Records that a query to the store, sent at `queried_at`, failed.
-    pub fn record_failed_read(&self, queried_at: Moment) {
-        lock(&self.replica).record_failed_read(queried_at);
-    }
-
     /// Returns the age of the last verification, in the form that is sent to peers.
     pub fn verification_age(&self) -> Option<VerificationAge> {
         lock(&self.replica).verification_age(self.clock.now())
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -279,7 +279,6 @@
                 verified_ms: verified.map(|age| age.as_millis() as u64),
                 detail: e.to_string(),
             });
-            self.cluster_view.record_failed_read(queried_at);
         }
         self.last_failure
             .set(e.map(|_| self.cluster_view.clock.now()));
--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -179,16 +179,21 @@
         }
     }
 
-    /// Merges what is known of the same change; returns whether the time before which it cannot have been published
-    /// changed.
+    /// Merges what is known of the same change; returns whether a bound on the time of its publication changed.
     fn merge_same(&mut self, provenance: Provenance, known_since: Duration) -> bool {
         if self.provenance.copied && !provenance.copied {
             self.provenance = provenance;
         }
+        let previous = (self.not_before, self.known_since);
         self.known_since = self.known_since.min(known_since);
-        let previous = self.not_before;
-        self.not_before = previous.map(|not_before| not_before.min(known_since));
-        self.not_before != previous
+        match self.not_before {
+            Some(not_before) => {
+                self.not_before = Some(not_before.min(known_since));
+                self.not_before != previous.0
+            }
+            // Without a lower bound the time counts from which any process has known the fact.
+            None => self.known_since != previous.1,
+        }
     }
 }
 
@@ -215,7 +220,6 @@
     position: Position,
     era: Era,
     verified_at: Option<Duration>,
-    last_failed_read: Option<Duration>,
     entries: BTreeMap<Subject, Entry>,
     /// The latest removals.
     removals: VecDeque<(Subject, Provenance)>,
@@ -248,15 +252,6 @@
         })
     }
 
-    /// Records that a query to the source, sent at `queried_at`, got no response.
-    ///
-    /// Nothing is acknowledged while the source is down, so a change that is found after an outage
-    /// counts as published after its end. If only this process was disconnected, peers have an
-    /// earlier time for the change.
-    pub fn record_failed_read(&mut self, queried_at: Duration) {
-        self.last_failed_read = self.last_failed_read.max(Some(queried_at));
-    }
-
     /// Applies changes that follow the known position, and the verification received with them.
     ///
     /// Changes that are older than the stored facts are ignored, so responses may arrive out of order. Changes of
@@ -469,12 +464,9 @@
             Some(e) if unchanged => e.known_since.min(known_since),
             _ => known_since,
         };
-        // The first facts of a process come without a time before which they cannot have been published.
-        let last_read = self.verified_at.map(|verified| {
-            self.last_failed_read
-                .map_or(verified, |failed| failed.max(verified))
-        });
-        let not_before = last_read.map(|read| read.min(known_since));
+        // The first facts of a process come without a time before which they cannot have been published. A read that
+        // failed gives none either: the source may have acknowledged changes all the while.
+        let not_before = self.verified_at.map(|read| read.min(known_since));
         let not_before = match stored {
             Some(e) if unchanged => e.not_before.min(not_before),
             _ => not_before,
