--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pause;
 pub mod prompt_cache;
 pub mod queue;
+pub mod relay;
 pub mod rendezvous;
 pub mod retry;
 pub mod retry_window;
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -51,7 +51,7 @@
 ///
 /// Plain rendezvous hashing gives some node about 1.5 times the mean, and the slowest uploader
 /// determines when a burst ends. A key whose first node has its full share goes to the next in rank.
-pub fn balanced_owners_of(keys: &[impl AsRef<str>], nodes: &[&str]) -> Vec<usize> {
+pub fn balanced_owners_of(keys: &[impl AsRef<[u8]>], nodes: &[&str]) -> Vec<usize> {
     if nodes.is_empty() {
         return Vec::new();
     }
@@ -59,7 +59,7 @@
     let mut owned: HashMap<usize, usize> = HashMap::new();
     let mut owners = Vec::with_capacity(keys.len());
     for key in keys {
-        let key = key.as_ref().as_bytes();
+        let key = key.as_ref();
         let available = (0..nodes.len()).filter(|n| owned.get(n).copied().unwrap_or(0) < share);
         let best = available.max_by_key(|n| (weight(key, nodes[*n]), nodes[*n]));
         let best = best.unwrap_or(0);
