Simulation of the dissemination of a large declaration; timeouts of sources that serve

Nothing showed what the relay costs links at 100 or 300 gateways. The lab simulates it in virtual time with policy::relay itself, beside a rough model of the pushes that it replaces, and balsamjunction-lab dissemination prints it as a table, JSON or SVG (plotters).

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -23,6 +23,10 @@
           [--policy drr|fifo]
   once --seed S                 resends requests with idempotency keys under faults
   config --seed S               publishes declarations during an outage, stale reads and restarts
+  dissemination [--gateways N,N] [--regions N] [--bytes N] [--whole-bytes N] [--seed S]
+          [--host-kbit N] [--region-kbit N] [--loss PERCENT] [--svg FILE]
+          [--fault none|kill-reader|kill-root|freeze-root]
+                                simulates how a large declaration reaches all gateways
   slopes                        measures the cost of decisions by fleet size
   overhead                      compares requests through the system with direct requests
 
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -90,6 +90,15 @@
     /// JSON cannot be encoded or decoded.
     #[display("{_0}")]
     Json(serde_json::Error),
+    /// A plot cannot be drawn or written.
+    #[display("cannot write the plot {}: {why}", path.display())]
+    #[from(ignore)]
+    Plot {
+        /// The file to write.
+        path: PathBuf,
+        /// The cause.
+        why: String,
+    },
     /// A signal cannot be sent.
     #[display("cannot send a signal: {_0}")]
     Signal(nix::Error),
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -1,8 +1,15 @@
 //! Converts the split command line into a validated command.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    num::{NonZeroU16, NonZeroU32, ParseIntError},
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
 
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 use strum::{Display, EnumString};
 
 use crate::{
@@ -83,6 +90,61 @@
     Fifo,
 }
 
+/// Numbers of gateways, separated by commas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayCounts(pub Vec<usize>);
+
+impl FromStr for GatewayCounts {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let counts = text.split(',').map(|count| {
+            let count: NonZeroU16 = count.trim().parse()?;
+            Ok(usize::from(count.get()))
+        });
+        counts.collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// The fault that is injected while a change reaches the gateways.
+#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DisseminationFault {
+    /// No fault.
+    None,
+    /// A reader of the store is killed.
+    KillReader,
+    /// The gateway through which a region without a reader receives the change is killed.
+    KillRoot,
+    /// That gateway no longer responds.
+    FreezeRoot,
+}
+
+/// Options of the experiment `dissemination`.
+#[derive(Clone, Debug)]
+pub struct DisseminationOptions {
+    /// Numbers of gateways of the fleets to simulate.
+    pub gateways: GatewayCounts,
+    /// Number of regions.
+    pub regions: usize,
+    /// Size of the change as the relay transfers it, in bytes.
+    pub bytes: usize,
+    /// Size of the whole declaration as it was pushed in the former way, in bytes.
+    pub whole_bytes: usize,
+    /// Rate of a host's link, in bits per second.
+    pub host_rate: u64,
+    /// Rate of the link from one region to another, in bits per second.
+    pub region_rate: u64,
+    /// Percentage of parts that are lost.
+    pub loss_percent: u32,
+    /// The injected fault.
+    pub fault: DisseminationFault,
+    /// Seed of the random number generators.
+    pub seed: u64,
+    /// Where to write a plot.
+    pub svg: Option<PathBuf>,
+}
+
 /// An experiment to run.
 #[derive(Clone, Debug)]
 pub enum Experiment {
@@ -134,6 +196,8 @@
         /// Number of sidecars.
         hosts: usize,
     },
+    /// A large declaration reaches all gateways, in virtual time.
+    Dissemination(DisseminationOptions),
     /// Latency and resource use, compared with direct requests.
     Overhead,
     /// Cost of the policy's decisions by fleet size.
@@ -185,6 +249,11 @@
         Ok(self.get(option, "a whole number")?.unwrap_or(default))
     }
 
+    fn get_positive(&mut self, option: &'static str, default: u32) -> Result<u32, LabError> {
+        let value: Option<NonZeroU32> = self.get(option, "a whole number above zero")?;
+        Ok(value.map_or(default, NonZeroU32::get))
+    }
+
     fn get_millis(&mut self, option: &'static str, default: u64) -> Result<Duration, LabError> {
         Ok(Duration::from_millis(self.get_u64(option, default)?))
     }
@@ -259,12 +328,44 @@
             seed,
             hosts: options.get_u64("--hosts", 12)? as usize,
         },
+        "dissemination" => Experiment::Dissemination(parse_dissemination(seed, options)?),
         "overhead" => Experiment::Overhead,
         "slopes" => Experiment::Slopes,
         _ => return Err(LabError::Command { command }),
     })
 }
 
+fn parse_dissemination(seed: u64, options: &mut Options) -> Result<DisseminationOptions, LabError> {
+    const COUNTS: &str = "whole numbers from 1 to 65535, separated by commas";
+    const PERCENT: &str = "a whole number from 0 to 99";
+    let bytes = options.get_positive("--bytes", 1 << 20)?;
+    let loss: Option<u32> = options.get("--loss", PERCENT)?;
+    let loss_percent = loss.unwrap_or(0);
+    if loss_percent > 99 {
+        return Err(LabError::Value {
+            option: "--loss",
+            value: format_smolstr!("{loss_percent}"),
+            expected: PERCENT,
+        });
+    }
+    Ok(DisseminationOptions {
+        gateways: options
+            .get("--gateways", COUNTS)?
+            .unwrap_or(GatewayCounts(vec![14, 24, 35, 100, 300])),
+        regions: options.get_positive("--regions", 3)? as usize,
+        bytes: bytes as usize,
+        whole_bytes: options.get_positive("--whole-bytes", bytes)? as usize,
+        host_rate: u64::from(options.get_positive("--host-kbit", 28_000)?) * 1_000,
+        region_rate: u64::from(options.get_positive("--region-kbit", 26_000)?) * 1_000,
+        loss_percent,
+        fault: options
+            .get("--fault", "none, kill-reader, kill-root or freeze-root")?
+            .unwrap_or(DisseminationFault::None),
+        seed,
+        svg: options.get("--svg", "a path")?,
+    })
+}
+
 fn parse_standin(kind: SmolStr, options: &mut Options) -> Result<Standin, LabError> {
     const ADDRESS: &str = "an IP address and port";
     const PATH: &str = "a path";
--- a/crates/policy/src/relay/transfer.rs
+++ b/crates/policy/src/relay/transfer.rs
@@ -20,11 +20,15 @@
 pub const MAX_TIMEOUT: Moment = Moment::from_millis(3_200);
 /// The time limit of a request is at least this multiple of the time that the last part took.
 const TIMEOUT_RATIO: u32 = 4;
+/// Number of requests in a row that a source may leave without a response after it has sent a part.
+///
+/// Lost parts would otherwise move all gateways up the tree, and in the end to other regions.
+const TOLERATED_TIMEOUTS: u32 = 1;
 /// Time without progress after which a source that lacks the next part is passed over.
 ///
-/// It is longer than [`PART_TIMEOUT`], so that where a source fails only those that pull from it change to another one,
-/// and not all below them in the tree.
-pub const PENDING_LIMIT: Moment = Moment::from_millis(500);
+/// It is longer than the source itself needs to pass over one that no longer responds, so that only those that pull from
+/// that one change to another, and not all below them in the tree.
+pub const PENDING_LIMIT: Moment = Moment::from_millis(1_000);
 /// Time between two requests for a part that the source lacks, for the first time.
 const MIN_PENDING_INTERVAL: Moment = Moment::from_millis(5);
 /// Longest time between two requests for a part that the source lacks.
@@ -74,6 +78,8 @@
     current: usize,
     /// When `current` last changed.
     current_since: Moment,
+    /// Whether `current` has sent a part since it was selected.
+    served: bool,
     /// Whether `current` was passed over before and is being tried again.
     on_trial: bool,
     /// Time of progress with another source before one that was passed over is tried again.
@@ -100,6 +106,7 @@
             sources,
             current: 0,
             current_since: now,
+            served: false,
             on_trial: false,
             return_after: MIN_RETURN,
             request: None,
@@ -160,6 +167,7 @@
         }
         self.last_took = took;
         self.timeouts_in_row = 0;
+        self.served = true;
         self.backoff = MIN_BACKOFF;
         self.reset_pending();
         self.timely_parts += 1;
@@ -204,7 +212,8 @@
         self.timely_parts = 0;
         self.part_bytes = (self.part_bytes / 2).max(MIN_PART_BYTES);
         self.timeouts_in_row = self.timeouts_in_row.saturating_add(1);
-        if self.is_current(source) {
+        let tolerated = self.served && self.timeouts_in_row <= TOLERATED_TIMEOUTS;
+        if self.is_current(source) && !tolerated {
             self.pass_over(now);
         }
     }
@@ -259,6 +268,7 @@
     fn select(&mut self, now: Moment, position: usize) {
         self.current = position;
         self.current_since = now;
+        self.served = false;
         self.reset_pending();
     }
 
--- a/crates/policy/tests/relay/transfer.rs
+++ b/crates/policy/tests/relay/transfer.rs
@@ -134,6 +134,35 @@
     assert_eq!((at, second), (ms(1), source(1)));
 }
 
+// Guards against gateways that all move up the tree where parts are lost now and then.
+#[test]
+fn one_timeout_of_a_source_that_has_sent_parts_leaves_it_in_use_and_two_do_not() {
+    let mut transfer = transfer(2);
+    let (mut now, first, bytes, _) = next_request(&mut transfer, ms(0));
+    now += ms(4);
+    transfer.record_part(now, ms(4), bytes);
+    let mut asked = Vec::new();
+
+    for _ in 0..3 {
+        let (at, source, _, timeout) = next_request(&mut transfer, now);
+        asked.push(source);
+        now = at + timeout;
+        transfer.record_timeout(now, source);
+    }
+
+    assert_eq!(asked, [first, first, source(1)]);
+}
+
+#[test]
+fn a_source_that_never_responds_is_passed_over_at_its_first_timeout() {
+    let mut transfer = transfer(2);
+    let (at, first, _, timeout) = next_request(&mut transfer, ms(0));
+
+    transfer.record_timeout(at + timeout, first);
+
+    assert_eq!(next_request(&mut transfer, at + timeout).1, source(1));
+}
+
 #[test]
 fn a_source_without_the_next_part_is_passed_over_in_time_but_not_before() {
     let mut transfer = transfer(2);
