--- a/crates/lab/src/experiment/dissemination/network.rs
+++ b/crates/lab/src/experiment/dissemination/network.rs
@@ -82,9 +82,8 @@
 }
 
 impl<T> Network<T> {
-    /// Creates a network of hosts, which are given by their region.
-    pub fn new(spec: &LinkSpec, region_of: Vec<usize>) -> Self {
-        let regions = region_of.iter().max().map_or(0, |max| max + 1);
+    /// Creates a network of hosts, which are given by their region; regions are numbered from zero.
+    pub fn new(spec: &LinkSpec, regions: usize, region_of: Vec<usize>) -> Self {
         let link = |rate, in_order| Link {
             rate,
             in_order,
--- a/crates/lab/src/experiment/dissemination/push.rs
+++ b/crates/lab/src/experiment/dissemination/push.rs
@@ -73,7 +73,7 @@
 
 impl<'s> Simulation<'s> {
     fn new(scenario: &'s Scenario) -> Self {
-        let mut network = Network::new(&scenario.links, scenario.region_of());
+        let mut network = Network::new(&scenario.links, scenario.regions, scenario.region_of());
         let mut rng = Pcg64Mcg::seed_from_u64(scenario.seed);
         for reader in &scenario.readers {
             for to in (0..scenario.gateways).filter(|to| to != reader) {
--- a/crates/lab/src/experiment/dissemination/relay.rs
+++ b/crates/lab/src/experiment/dissemination/relay.rs
@@ -112,7 +112,7 @@
 
 impl<'s> Simulation<'s> {
     fn new(scenario: &'s Scenario) -> Self {
-        let mut network = Network::new(&scenario.links, scenario.region_of());
+        let mut network = Network::new(&scenario.links, scenario.regions, scenario.region_of());
         for fault in &scenario.faults {
             let Fault { gateway, kind, at } = *fault;
             network.set_timer(at, Event::Fault { gateway, kind });
--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -1,16 +1,13 @@
 //! Converts the split command line into a validated command.
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    num::{NonZeroU16, NonZeroU32, ParseIntError},
-    path::PathBuf,
-    str::FromStr,
+    collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::PathBuf, str::FromStr,
     time::Duration,
 };
 
+use derive_more::{Display, Error};
 use smol_str::{format_smolstr, SmolStr};
-use strum::{Display, EnumString};
+use strum::EnumString;
 
 use crate::{
     cli::Args,
@@ -45,7 +42,7 @@
 }
 
 /// How hosts fetch the chunks of a version.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WeightsPolicy {
     /// Owners fetch chunks from the origin, and other hosts from their peers.
@@ -55,7 +52,7 @@
 }
 
 /// The fault that is injected while a version is distributed.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WeightsFault {
     /// No fault.
@@ -71,7 +68,7 @@
 }
 
 /// Upstream selection and admission in the experiment `zone`.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum ZonePolicy {
     /// Power-of-two-choices selection and a concurrency gate before each upstream.
@@ -81,7 +78,7 @@
 }
 
 /// The queueing discipline of sidecars.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum QueuePolicy {
     /// Deficit round robin over workspaces.
@@ -90,24 +87,33 @@
     Fifo,
 }
 
+/// Largest fleet of gateways that is simulated; the time of a simulation grows with the square of the number.
+const MAX_GATEWAYS: usize = 1_000;
+
 /// Numbers of gateways, separated by commas.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewayCounts(pub Vec<usize>);
 
+/// A text is not a list of numbers of gateways.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("not numbers of gateways, separated by commas")]
+pub struct InvalidGatewayCounts;
+
 impl FromStr for GatewayCounts {
-    type Err = ParseIntError;
+    type Err = InvalidGatewayCounts;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let counts = text.split(',').map(|count| {
-            let count: NonZeroU16 = count.trim().parse()?;
-            Ok(usize::from(count.get()))
+            let count: Option<usize> = count.trim().parse().ok();
+            let count = count.filter(|count| (1..=MAX_GATEWAYS).contains(count));
+            count.ok_or(InvalidGatewayCounts)
         });
         counts.collect::<Result<_, _>>().map(Self)
     }
 }
 
 /// The fault that is injected while a change reaches the gateways.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DisseminationFault {
     /// No fault.
@@ -249,9 +255,22 @@
         Ok(self.get(option, "a whole number")?.unwrap_or(default))
     }
 
-    fn get_positive(&mut self, option: &'static str, default: u32) -> Result<u32, LabError> {
-        let value: Option<NonZeroU32> = self.get(option, "a whole number above zero")?;
-        Ok(value.map_or(default, NonZeroU32::get))
+    fn get_within(
+        &mut self,
+        option: &'static str,
+        default: u32,
+        range: RangeInclusive<u32>,
+        expected: &'static str,
+    ) -> Result<u32, LabError> {
+        let value = self.get(option, expected)?.unwrap_or(default);
+        match range.contains(&value) {
+            true => Ok(value),
+            false => Err(LabError::Value {
+                option,
+                value: format_smolstr!("{value}"),
+                expected,
+            }),
+        }
     }
 
     fn get_millis(&mut self, option: &'static str, default: u64) -> Result<Duration, LabError> {
@@ -336,28 +355,27 @@
 }
 
 fn parse_dissemination(seed: u64, options: &mut Options) -> Result<DisseminationOptions, LabError> {
-    const COUNTS: &str = "whole numbers from 1 to 65535, separated by commas";
-    const PERCENT: &str = "a whole number from 0 to 99";
-    let bytes = options.get_positive("--bytes", 1 << 20)?;
-    let loss: Option<u32> = options.get("--loss", PERCENT)?;
-    let loss_percent = loss.unwrap_or(0);
-    if loss_percent > 99 {
-        return Err(LabError::Value {
-            option: "--loss",
-            value: format_smolstr!("{loss_percent}"),
-            expected: PERCENT,
-        });
-    }
+    const COUNTS: &str = "whole numbers from 1 to 1000, separated by commas";
+    const REGIONS: &str = "a whole number from 1 to 100";
+    const BYTES: &str = "a whole number from 1 to 100000000";
+    const KBIT: &str = "a whole number from 100 to 1000000";
+    const PERCENT: &str = "a whole number from 0 to 90";
+    let bytes_range = 1..=100_000_000;
+    let rate_range = 100..=1_000_000;
+    let bytes = options.get_within("--bytes", 1 << 20, bytes_range.clone(), BYTES)?;
+    let whole_bytes = options.get_within("--whole-bytes", bytes, bytes_range, BYTES)?;
+    let host_kbit = options.get_within("--host-kbit", 28_000, rate_range.clone(), KBIT)?;
+    let region_kbit = options.get_within("--region-kbit", 26_000, rate_range, KBIT)?;
     Ok(DisseminationOptions {
         gateways: options
             .get("--gateways", COUNTS)?
             .unwrap_or(GatewayCounts(vec![14, 24, 35, 100, 300])),
-        regions: options.get_positive("--regions", 3)? as usize,
+        regions: options.get_within("--regions", 3, 1..=100, REGIONS)? as usize,
         bytes: bytes as usize,
-        whole_bytes: options.get_positive("--whole-bytes", bytes)? as usize,
-        host_rate: u64::from(options.get_positive("--host-kbit", 28_000)?) * 1_000,
-        region_rate: u64::from(options.get_positive("--region-kbit", 26_000)?) * 1_000,
-        loss_percent,
+        whole_bytes: whole_bytes as usize,
+        host_rate: u64::from(host_kbit) * 1_000,
+        region_rate: u64::from(region_kbit) * 1_000,
+        loss_percent: options.get_within("--loss", 0, 0..=90, PERCENT)?,
         fault: options
             .get("--fault", "none, kill-reader, kill-root or freeze-root")?
             .unwrap_or(DisseminationFault::None),
--- a/crates/lab/tests/dissemination/calm.rs
+++ b/crates/lab/tests/dissemination/calm.rs
@@ -34,13 +34,15 @@
     }
 }
 
-// Guards against a download that takes more than half of a link that it has for itself.
+// Guards against a download that takes more than half of a link that it has for itself. The link is slow, so that pauses
+// and not round trips determine the time.
 #[test]
 fn a_download_takes_at_least_twice_the_time_of_the_link() {
-    let scenario = Scenario {
+    let mut scenario = Scenario {
         readers: vec![0],
         ..Scenario::new(2, 1, CHANGE)
     };
+    scenario.links.host_rate = 2_000_000;
 
     let last = simulate(&scenario).last(&scenario);
 
--- a/crates/lab/tests/dissemination/main.rs
+++ b/crates/lab/tests/dissemination/main.rs
@@ -2,6 +2,8 @@
 
 mod bounds;
 mod calm;
+mod command;
 mod faults;
 mod former;
 mod network;
+mod report;
--- a/crates/lab/tests/dissemination/network.rs
+++ b/crates/lab/tests/dissemination/network.rs
@@ -15,7 +15,7 @@
         latency: ms(2),
         sharing,
     };
-    Network::new(&spec, vec![0, 0, 1])
+    Network::new(&spec, 2, vec![0, 0, 1])
 }
 
 fn arrivals(network: &mut Network<&'static str>) -> Vec<(Moment, &'static str)> {
