Dissemination: restarts halfway, and random histories of whole fleets

Nothing showed that a gateway that loses its parts, or several faults at the same time, leave no other without the change.

--- a/crates/lab/src/experiment/dissemination/outcome.rs
+++ b/crates/lab/src/experiment/dissemination/outcome.rs
@@ -2,7 +2,10 @@
 
 use balsamjunction_policy::Moment;
 
-use super::{network::Network, scenario::Scenario};
+use super::{
+    network::Network,
+    scenario::{FaultKind, Scenario},
+};
 
 /// What a simulated dissemination came to.
 #[derive(Clone, Debug)]
@@ -37,11 +40,12 @@
         }
     }
 
-    /// When the last gateway had the change, apart from those that failed; none if one of them never had it.
+    /// When the last gateway had the change, apart from those that were killed or frozen; none if one of them never had it.
     pub fn last(&self, scenario: &Scenario) -> Option<Moment> {
         let mut last = Moment::ZERO;
         for (gateway, received) in self.received.iter().enumerate() {
-            if scenario.faults.iter().all(|f| f.gateway != gateway) {
+            let mut faults = scenario.faults.iter().filter(|f| f.gateway == gateway);
+            if faults.all(|f| f.kind == FaultKind::Restarted) {
                 last = last.max((*received)?);
             }
         }
--- a/crates/lab/src/experiment/dissemination/relay.rs
+++ b/crates/lab/src/experiment/dissemination/relay.rs
@@ -184,7 +184,10 @@
                     d.transfer.record_timeout(now, address_of(source));
                 });
             }
-            Event::Fault { gateway, kind } => self.faults[gateway] = Some(kind),
+            Event::Fault { gateway, kind } => match kind {
+                FaultKind::Killed | FaultKind::Frozen => self.faults[gateway] = Some(kind),
+                FaultKind::Restarted => self.restart(now, gateway),
+            },
             Event::Probe => self.probe(now),
             Event::ProbeArrived { sent_at } => self.probe_max = self.probe_max.max(now - sent_at),
             Event::SmallChange => {
@@ -220,6 +223,14 @@
         self.advance(now, gateway);
     }
 
+    fn restart(&mut self, now: Moment, gateway: usize) {
+        if !self.scenario.readers.contains(&gateway) {
+            self.received[gateway] = None;
+            self.downloads[gateway] = None;
+            self.begin(now, gateway);
+        }
+    }
+
     /// Performs the next action of a gateway's download.
     fn advance(&mut self, now: Moment, gateway: usize) {
         let failed = self.faults[gateway].is_some();
@@ -290,7 +301,7 @@
                 self.network.send(to, from, SMALL_BYTES, refused);
                 return;
             }
-            None => {}
+            Some(FaultKind::Restarted) | None => {}
         }
         let has = match (self.received[to], &self.downloads[to]) {
             (Some(_), _) => self.scenario.bytes,
--- a/crates/lab/src/experiment/dissemination/scenario.rs
+++ b/crates/lab/src/experiment/dissemination/scenario.rs
@@ -30,6 +30,8 @@
     Killed,
     /// It no longer responds.
     Frozen,
+    /// Its process is replaced by one that has nothing of the change; a reader reads it again at once.
+    Restarted,
 }
 
 /// A fault of one gateway.
--- a/crates/lab/tests/dissemination/faults.rs
+++ b/crates/lab/tests/dissemination/faults.rs
@@ -60,6 +60,18 @@
     }
 }
 
+#[test]
+fn all_have_the_change_although_the_root_of_a_region_restarts_halfway() {
+    for scenario in fleets() {
+        let root = scenario.root_without_reader().expect("a root");
+
+        let last = last_after(&scenario, root, FaultKind::Restarted);
+
+        assert!(last <= last_gateway(&scenario) * FAULT_RATIO, "{last:?}");
+        assert!(last <= IN_FORCE, "{last:?}");
+    }
+}
+
 #[test]
 fn all_have_the_change_although_a_reader_is_killed_halfway() {
     for scenario in fleets() {
--- a/crates/lab/tests/dissemination/main.rs
+++ b/crates/lab/tests/dissemination/main.rs
@@ -5,5 +5,6 @@
 mod command;
 mod faults;
 mod former;
+mod histories;
 mod network;
 mod report;
