--- a/crates/lab/src/options.rs
+++ b/crates/lab/src/options.rs
@@ -1,9 +1,13 @@
 //! Converts the split command line into a validated command.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{
+    collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, path::PathBuf, str::FromStr,
+    time::Duration,
+};
 
-use smol_str::SmolStr;
-use strum::{Display, EnumString};
+use derive_more::{Display, Error};
+use smol_str::{format_smolstr, SmolStr};
+use strum::EnumString;
 
 use crate::{
     cli::Args,
@@ -38,7 +42,7 @@
 }
 
 /// How hosts fetch the chunks of a version.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WeightsPolicy {
     /// Owners fetch chunks from the origin, and other hosts from their peers.
@@ -48,7 +52,7 @@
 }
 
 /// The fault that is injected while a version is distributed.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum WeightsFault {
     /// No fault.
@@ -64,7 +68,7 @@
 }
 
 /// Upstream selection and admission in the experiment `zone`.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum ZonePolicy {
     /// Power-of-two-choices selection and a concurrency gate before each upstream.
@@ -74,7 +78,7 @@
 }
 
 /// The queueing discipline of sidecars.
-#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum QueuePolicy {
     /// Deficit round robin over workspaces.
@@ -83,6 +87,70 @@
     Fifo,
 }
 
+/// Largest fleet of gateways that is simulated; the time of a simulation grows with the square of the number.
+const MAX_GATEWAYS: usize = 1_000;
+
+/// Numbers of gateways, separated by commas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewayCounts(pub Vec<usize>);
+
+/// A text is not a list of numbers of gateways.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("not numbers of gateways, separated by commas")]
+pub struct InvalidGatewayCounts;
+
+impl FromStr for GatewayCounts {
+    type Err = InvalidGatewayCounts;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let counts = text.split(',').map(|count| {
+            let count: Option<usize> = count.trim().parse().ok();
+            let count = count.filter(|count| (1..=MAX_GATEWAYS).contains(count));
+            count.ok_or(InvalidGatewayCounts)
+        });
+        counts.collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// The fault that is injected while a change reaches the gateways.
+#[derive(Clone, Copy, Debug, strum::Display, EnumString, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DisseminationFault {
+    /// No fault.
+    None,
+    /// A reader of the store is killed.
+    KillReader,
+    /// The gateway through which a region without a reader receives the change is killed.
+    KillRoot,
+    /// That gateway no longer responds.
+    FreezeRoot,
+}
+
+/// Options of the experiment `dissemination`.
+#[derive(Clone, Debug)]
+pub struct DisseminationOptions {
+    /// Numbers of gateways of the fleets to simulate.
+    pub gateways: GatewayCounts,
+    /// Number of regions.
+    pub regions: usize,
+    /// Size of the change as the relay transfers it, in bytes.
+    pub bytes: usize,
+    /// Size of the whole declaration as it was pushed in the former way, in bytes.
+    pub whole_bytes: usize,
+    /// Rate of a host's link, in bits per second.
+    pub host_rate: u64,
+    /// Rate of the link from one region to another, in bits per second.
+    pub region_rate: u64,
+    /// Percentage of parts that are lost.
+    pub loss_percent: u32,
+    /// The injected fault.
+    pub fault: DisseminationFault,
+    /// Seed of the random number generators.
+    pub seed: u64,
+    /// Where to write a plot.
+    pub svg: Option<PathBuf>,
+}
+
 /// An experiment to run.
 #[derive(Clone, Debug)]
 pub enum Experiment {
@@ -134,6 +202,8 @@
         /// Number of sidecars.
         hosts: usize,
     },
+    /// A large declaration reaches all gateways, in virtual time.
+    Dissemination(DisseminationOptions),
     /// Latency and resource use, compared with direct requests.
     Overhead,
     /// Cost of the policy's decisions by fleet size.
@@ -185,6 +255,24 @@
         Ok(self.get(option, "a whole number")?.unwrap_or(default))
     }
 
+    fn get_within(
+        &mut self,
+        option: &'static str,
+        default: u32,
+        range: RangeInclusive<u32>,
+        expected: &'static str,
+    ) -> Result<u32, LabError> {
+        let value = self.get(option, expected)?.unwrap_or(default);
+        match range.contains(&value) {
+            true => Ok(value),
+            false => Err(LabError::Value {
+                option,
+                value: format_smolstr!("{value}"),
+                expected,
+            }),
+        }
+    }
+
     fn get_millis(&mut self, option: &'static str, default: u64) -> Result<Duration, LabError> {
         Ok(Duration::from_millis(self.get_u64(option, default)?))
     }
@@ -259,12 +347,43 @@
             seed,
             hosts: options.get_u64("--hosts", 12)? as usize,
         },
+        "dissemination" => Experiment::Dissemination(parse_dissemination(seed, options)?),
         "overhead" => Experiment::Overhead,
         "slopes" => Experiment::Slopes,
         _ => return Err(LabError::Command { command }),
     })
 }
 
+fn parse_dissemination(seed: u64, options: &mut Options) -> Result<DisseminationOptions, LabError> {
+    const COUNTS: &str = "whole numbers from 1 to 1000, separated by commas";
+    const REGIONS: &str = "a whole number from 1 to 100";
+    const BYTES: &str = "a whole number from 1 to 100000000";
+    const KBIT: &str = "a whole number from 100 to 1000000";
+    const PERCENT: &str = "a whole number from 0 to 90";
+    let bytes_range = 1..=100_000_000;
+    let rate_range = 100..=1_000_000;
+    let bytes = options.get_within("--bytes", 1 << 20, bytes_range.clone(), BYTES)?;
+    let whole_bytes = options.get_within("--whole-bytes", bytes, bytes_range, BYTES)?;
+    let host_kbit = options.get_within("--host-kbit", 28_000, rate_range.clone(), KBIT)?;
+    let region_kbit = options.get_within("--region-kbit", 26_000, rate_range, KBIT)?;
+    Ok(DisseminationOptions {
+        gateways: options
+            .get("--gateways", COUNTS)?
+            .unwrap_or(GatewayCounts(vec![14, 24, 35, 100, 300])),
+        regions: options.get_within("--regions", 3, 1..=100, REGIONS)? as usize,
+        bytes: bytes as usize,
+        whole_bytes: whole_bytes as usize,
+        host_rate: u64::from(host_kbit) * 1_000,
+        region_rate: u64::from(region_kbit) * 1_000,
+        loss_percent: options.get_within("--loss", 0, 0..=90, PERCENT)?,
+        fault: options
+            .get("--fault", "none, kill-reader, kill-root or freeze-root")?
+            .unwrap_or(DisseminationFault::None),
+        seed,
+        svg: options.get("--svg", "a path")?,
+    })
+}
+
 fn parse_standin(kind: SmolStr, options: &mut Options) -> Result<Standin, LabError> {
     const ADDRESS: &str = "an IP address and port";
     const PATH: &str = "a path";
