--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -40,8 +40,36 @@
     message: &Q,
     timeout: Duration,
 ) -> Result<A, PeerError> {
-    let buf = post(client, address, path, message, timeout).await?;
-    Ok(header::from_bytes(&buf)?)
+    let exchange = call_counted(client, address, path, message, timeout).await?;
+    Ok(exchange.response)
+}
+
+/// A response of a peer, with what the call has cost.
+pub struct Exchange<A> {
+    /// The response.
+    pub response: A,
+    /// Length of the request's body.
+    pub sent_bytes: usize,
+    /// Length of the response's body.
+    pub received_bytes: usize,
+}
+
+/// Does the same as [`call`], and tells the lengths of the bodies.
+pub async fn call_counted<Q: Serialize, A: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    message: &Q,
+    timeout: Duration,
+) -> Result<Exchange<A>, PeerError> {
+    let request = header::to_bytes(message)?;
+    let sent_bytes = request.len();
+    let buf = post(client, address, path, request, timeout).await?;
+    Ok(Exchange {
+        response: header::from_bytes(&buf)?,
+        sent_bytes,
+        received_bytes: buf.len(),
+    })
 }
 
 /// Requests the fleet state of a peer; the response body is compressed.
@@ -51,20 +79,20 @@
     request: &PullRequest,
     timeout: Duration,
 ) -> Result<PullResponse, PeerError> {
+    let request = header::to_bytes(request)?;
     let buf = post(client, address, paths::PULL, request, timeout).await?;
     Ok(header::from_compressed(&buf, MAX_MESSAGE_BYTES as u64)?)
 }
 
-async fn post<Q: Serialize>(
+async fn post(
     client: &Client,
     address: SocketAddr,
     path: &str,
-    message: &Q,
+    message: Vec<u8>,
     timeout: Duration,
 ) -> Result<Bytes, PeerError> {
-    let buf = header::to_bytes(message)?;
     let request = client.post(format!("http://{address}{path}"));
-    let mut response = request.timeout(timeout).send_body(buf).await?;
+    let mut response = request.timeout(timeout).send_body(message).await?;
     if !response.status().is_success() {
         let status = response.status().as_u16();
         return Err(PeerError::Status { status });
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -82,6 +82,21 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         since_ms: Option<u64>,
     },
+    /// The content of an announced configuration was received from peers.
+    DeclarationReceived {
+        /// Where its last part was received from.
+        source: String,
+        /// The version of the configuration.
+        configuration: u64,
+        /// Bytes received, compressed.
+        bytes: usize,
+        /// Parts received.
+        parts: u32,
+        /// Requests that failed, or brought nothing usable.
+        failures: u32,
+        /// Time in milliseconds from the announcement.
+        took_ms: u64,
+    },
     /// A read of the store failed.
     StoreReadFailed {
         /// How it failed; see [`balsamjunction_platform::FailureKind`].
@@ -380,6 +395,7 @@
             | Self::UpstreamLeaves { .. }
             | Self::ClusterViewChanged { .. }
             | Self::VersionPublished { .. }
+            | Self::DeclarationReceived { .. }
             | Self::StoreReadFailed { .. }
             | Self::Dependency { .. }
             | Self::StreamBroken { .. }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -142,7 +142,7 @@
     }
 
     fn facts_fresher_than(&self, fraction: f64) -> bool {
-        let Some(age) = self.cluster_view.facts_age() else {
+        let Some(age) = self.cluster_view.declaration_age() else {
             return false;
         };
         let max_age = self.revoke_within.map(|limit| limit.mul_f64(fraction));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -42,7 +42,7 @@
     clock::Clock,
     error::DaemonError,
     events::{Event, EventLog},
-    mesh::{self, ClusterView},
+    mesh::{self, ClusterView, Documents, Downloader, PeerClient},
     metrics::{Metrics, RefreshGauges},
     process,
     reload::{reload_loop, Seeds, SettingsFile},
@@ -100,10 +100,21 @@
     });
 
     let store = Store::new(client.clone(), settings.mesh.store);
+    let client = PeerClient::new(client, &metrics);
+    let documents = Arc::new(Documents::new(cluster_view.clone()));
+    let downloader = Downloader {
+        cluster_view: cluster_view.clone(),
+        documents: documents.clone(),
+        client: client.clone(),
+        regions: settings.regions.clone(),
+        metrics: metrics.clone(),
+    };
+    actix_rt::spawn(downloader.run());
     actix_rt::spawn(mesh::read_store_loop(
         cluster_view.clone(),
         store,
         client.clone(),
+        documents.clone(),
         metrics.clone(),
     ));
     actix_rt::spawn(mesh::refresh_facts_loop(
@@ -139,6 +150,7 @@
         Data::from(cluster_view),
         Data::new(metrics),
         Data::from(gauges),
+        Data::from(documents),
     );
     let metrics_data = (inner_data.1.clone(), inner_data.2.clone());
     let inner_server = HttpServer::new(move || {
@@ -146,7 +158,9 @@
             .app_data(inner_data.0.clone())
             .app_data(inner_data.1.clone())
             .app_data(inner_data.2.clone())
+            .app_data(inner_data.3.clone())
             .configure(mesh::http::routes)
+            .configure(mesh::http::document_routes)
     })
     .workers(1)
     .max_connections(process::MAX_INNER_CONNECTIONS)
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -9,8 +9,8 @@
 };
 
 use balsamjunction_directory::{
-    ApplySummary, Change, Directory, Position, Replica, ReplicaUpdate, Verification,
-    VerificationAge,
+    ApplySummary, Change, Declaration, DeclarationId, Digest, Directory, Position, Replica,
+    ReplicaUpdate, Verification, VerificationAge,
 };
 use balsamjunction_policy::{
     crash_suspects::CrashSuspects,
@@ -52,6 +52,10 @@
     limit_push_needed: Notify,
     changes: watch::Sender<u64>,
     pull_needed: Notify,
+    /// The announced configuration whose content is missing.
+    wanted_declaration: watch::Sender<Option<DeclarationId>>,
+    /// When a peer last responded.
+    last_peer_response: Mutex<Option<Moment>>,
     /// Exchanges that should still ask for all facts.
     complete_pulls: AtomicU32,
     restorations: AtomicU64,
@@ -81,6 +85,8 @@
             limit_push_needed: Notify::new(),
             changes: watch::channel(0).0,
             pull_needed: Notify::new(),
+            wanted_declaration: watch::channel(None).0,
+            last_peer_response: Mutex::default(),
             complete_pulls: AtomicU32::new(0),
             restorations: AtomicU64::new(0),
         }
@@ -107,6 +113,64 @@
         Some(self.clock.now().saturating_sub(verified_at))
     }
 
+    /// Returns the time since the configuration in force was last known to be the latest; `None` if it never was.
+    pub fn declaration_age(&self) -> Option<Duration> {
+        let verified_at = lock(&self.replica).declaration_verified_at()?;
+        Some(self.clock.now().saturating_sub(verified_at))
+    }
+
+    /// Returns a receiver of the announced configuration whose content is missing.
+    pub fn subscribe_to_wanted_declaration(&self) -> watch::Receiver<Option<DeclarationId>> {
+        self.wanted_declaration.subscribe()
+    }
+
+    /// Returns the digests of the latest configurations whose contents are there.
+    pub fn held_declarations(&self) -> Vec<Digest> {
+        let replica = lock(&self.replica);
+        let held = replica.held_declarations();
+        held.map(|id| id.digest).collect()
+    }
+
+    /// Returns the content of one of the latest configurations.
+    pub fn declaration(&self, digest: Digest) -> Option<Arc<Declaration>> {
+        lock(&self.replica).declaration(digest).cloned()
+    }
+
+    /// Puts the content of the announced configuration in force.
+    pub fn supply_declaration(
+        &self,
+        id: DeclarationId,
+        declaration: Arc<Declaration>,
+        source: &str,
+    ) {
+        self.update_replica(source, |replica, now| {
+            replica.supply_declaration(now, id, declaration)
+        });
+    }
+
+    /// Applies changes that were read from the store, which do not verify the facts. Changes of an era that has ended are
+    /// ignored.
+    pub fn apply_unverified(&self, changes: Vec<Change>, era: u64, source: &str) {
+        let verification = Verification {
+            position: Position { era, revision: 0 },
+            queried_at: Moment::ZERO,
+        };
+        self.update_replica(source, |replica, now| {
+            replica.apply(now, changes, verification)
+        });
+    }
+
+    /// Records that a peer has responded.
+    pub fn record_peer_response(&self) {
+        *lock(&self.last_peer_response) = Some(self.clock.now());
+    }
+
+    /// Returns the time since a peer last responded; `None` if none has yet.
+    pub fn peer_silence(&self) -> Option<Duration> {
+        let last = (*lock(&self.last_peer_response))?;
+        Some(self.clock.now().saturating_sub(last))
+    }
+
     /// Returns the version of the configuration in force; zero if none is known.
     pub fn configuration_version(&self) -> u64 {
         let directory = self.directory();
@@ -183,6 +247,9 @@
             let known = replica.position();
             let summary = change(&mut replica, now);
             self.note_restoration(known, replica.position(), source);
+            let wanted = replica.wanted_declaration();
+            self.wanted_declaration
+                .send_if_modified(|known| std::mem::replace(known, wanted) != wanted);
             if summary.changed == 0 {
                 return;
             }
@@ -377,6 +444,9 @@
         if let Some(age) = self.facts_age() {
             metrics.facts_age.set(age.as_secs_f64());
         }
+        if let Some(age) = self.declaration_age() {
+            metrics.declaration_age.set(age.as_secs_f64());
+        }
         for role in ProcessRole::iter() {
             let live = self.with_members(|members, now| members.live(now, role).count());
             let state = role.to_string();
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -11,12 +11,13 @@
 use balsamjunction_protocol::{
     header,
     mesh::{
-        ChangeNotification, CrashEvidenceNotification, LimitNotification, SyncRequest, SyncResponse,
+        ChangeNotification, CrashEvidenceNotification, LimitNotification, PartRequest, SyncRequest,
+        SyncResponse,
     },
     paths,
 };
 
-use super::ClusterView;
+use super::{ClusterView, Documents};
 use crate::{
     error::DaemonError,
     fleet::dissemination::EmptyResponse,
@@ -25,6 +26,11 @@
     process::MAX_PROBE_CONNECTIONS,
 };
 
+/// Adds the route of [`Documents`], which it requires as application data.
+pub fn document_routes(cfg: &mut ServiceConfig) {
+    cfg.route(paths::MESH_PART, web::post().to(handle_part));
+}
+
 /// Adds the routes; they require [`ClusterView`], [`Metrics`] and [`Gauges`] as application data.
 pub fn routes(cfg: &mut ServiceConfig) {
     cfg.app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
@@ -121,6 +127,12 @@
     message_response(&EmptyResponse {})
 }
 
+async fn handle_part(documents: Data<Documents>, body: Bytes) -> Result<HttpResponse, InnerError> {
+    let request: PartRequest = header::from_bytes(&body)?;
+    check_protocol_version(request.v)?;
+    message_response(&documents.serve(&request).await)
+}
+
 async fn handle_crash_evidence(
     cluster_view: Data<ClusterView>,
     body: Bytes,
--- a/crates/daemon/src/mesh/mod.rs
+++ b/crates/daemon/src/mesh/mod.rs
@@ -6,7 +6,10 @@
 
 mod cluster_view;
 mod crash_evidence;
+mod documents;
+mod download;
 pub mod http;
+mod peer_client;
 mod peers;
 mod reader;
 
@@ -17,6 +20,9 @@
 pub use self::{
     cluster_view::ClusterView,
     crash_evidence::SuspectList,
+    documents::Documents,
+    download::Downloader,
+    peer_client::PeerClient,
     peers::{
         exchange_loop, exchange_once, push_crash_evidence_loop, push_limits_loop,
         push_target_versions, refresh_facts_loop, ExchangePurpose,
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use awc::Client;
 use balsamjunction_directory::{Position, ReplicaPull};
 use balsamjunction_protocol::{
     mesh::{ChangeNotification, LimitNotification, ProcessRole, SyncRequest, SyncResponse},
@@ -12,12 +11,8 @@
 use rand::{seq::IteratorRandom, Rng};
 use serde::Serialize;
 
-use super::{sleep_with_jitter, ClusterView};
-use crate::{
-    client::{self, PeerError},
-    fleet::dissemination::EmptyResponse,
-    reload::Seeds,
-};
+use super::{sleep_with_jitter, ClusterView, PeerClient};
+use crate::{client::PeerError, fleet::dissemination::EmptyResponse, reload::Seeds};
 
 /// Mean interval between exchanges of views, with a jitter of ±50%.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
@@ -31,14 +26,18 @@
 const CRASH_PUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of entries above which crashes are pushed less often.
 const CRASH_PUSH_FLEET: f64 = 64.0;
+/// Age of the facts from which on they are pulled from entries that do not read the store as often as from those that do.
+const READERS_LATE_AFTER: Duration = Duration::from_millis(1_200);
+/// Most changes in a push. Where there are more, the others pull them, each at its own time.
+const MAX_PUSHED_CHANGES: usize = 256;
 /// Time limit of a call to a peer; one that does not respond in this time is skipped.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The data that an exchange requests.
 #[derive(Clone, Copy, Debug)]
 pub enum ExchangePurpose {
-    /// The members that are live, and optionally facts.
-    Views(Option<ReplicaPull>),
+    /// The members that are live, and facts.
+    Views(ReplicaPull),
     /// Facts.
     Facts(ReplicaPull),
     /// The target versions and settings for a sidecar.
@@ -48,10 +47,10 @@
 }
 
 /// Exchanges views with entries for as long as the process runs.
-pub async fn exchange_loop(cluster_view: Arc<ClusterView>, client: Client, seeds: Seeds) {
+pub async fn exchange_loop(cluster_view: Arc<ClusterView>, client: PeerClient, seeds: Seeds) {
     // A process that has just started may have facts from the store, but no times at which its peers
     // first received them; a full pull adds those times.
-    let mut pull = Some(ReplicaPull::default());
+    let mut complete = true;
     loop {
         let target = cluster_view.with_members(|members, now| {
             members.increment_heartbeat();
@@ -59,18 +58,15 @@
             members.exchange_target(now, ProcessRole::Entry, &seeds.get(), &mut rand::rng())
         });
         if let Some(address) = target {
-            if cluster_view.take_complete_pull() {
-                pull = Some(ReplicaPull::default());
-            }
-            match exchange_once(
-                &cluster_view,
-                &client,
-                address,
-                ExchangePurpose::Views(pull),
-            )
-            .await
-            {
-                Ok(_) => pull = None,
+            complete |= cluster_view.take_complete_pull();
+            // Each exchange also brings what the peer knows better: target versions come with their times.
+            let pull = match complete {
+                true => ReplicaPull::complete(),
+                false => ReplicaPull::from(cluster_view.position()),
+            };
+            let purpose = ExchangePurpose::Views(pull);
+            match exchange_once(&cluster_view, &client, address, purpose).await {
+                Ok(_) => complete = false,
                 Err(e) => debug!("exchange with {address} failed: {e}"),
             }
         }
@@ -79,7 +75,7 @@
 }
 
 /// Pulls facts from entries whenever the own ones are not fresh, for as long as the process runs.
-pub async fn refresh_facts_loop(cluster_view: Arc<ClusterView>, client: Client) {
+pub async fn refresh_facts_loop(cluster_view: Arc<ClusterView>, client: PeerClient) {
     let mut pull_needed = false;
     loop {
         let fresh = cluster_view
@@ -112,10 +108,13 @@
 /// Chooses the entry to pull facts from.
 ///
 /// This is mostly one that reads the store; one time in four it is any entry, in case the view of which
-/// entries read the store is wrong.
+/// entries read the store is wrong, and every other time once they are late.
 fn choose_fact_source(cluster_view: &ClusterView) -> Option<SocketAddr> {
     let rng = &mut rand::rng();
-    let any_entry = rng.random_ratio(1, 4);
+    let late = cluster_view
+        .facts_age()
+        .is_none_or(|age| age >= READERS_LATE_AFTER);
+    let any_entry = rng.random_ratio(1, if late { 2 } else { 4 });
     cluster_view.with_members(|members, now| {
         let own = members.own().address;
         let readers = members.store_readers(now).into_iter().map(|r| r.address);
@@ -132,7 +131,7 @@
 /// Exchanges views with one peer, and merges what is newer in its response.
 pub async fn exchange_once(
     cluster_view: &ClusterView,
-    client: &Client,
+    client: &PeerClient,
     address: SocketAddr,
     purpose: ExchangePurpose,
 ) -> Result<SyncResponse, PeerError> {
@@ -147,8 +146,7 @@
             ExchangePurpose::Facts(_) | ExchangePurpose::Weights => None,
         },
         pull: match purpose {
-            ExchangePurpose::Views(pull) => pull,
-            ExchangePurpose::Facts(pull) => Some(pull),
+            ExchangePurpose::Views(pull) | ExchangePurpose::Facts(pull) => Some(pull),
             ExchangePurpose::Weights | ExchangePurpose::Members => None,
         },
         limits: exchanges_views.then(|| cluster_view.limit_reports()),
@@ -160,8 +158,10 @@
         cluster_view.request_crash_evidence(&mut request);
     }
     let queried_at = cluster_view.clock.now();
-    let mut response: SyncResponse =
-        client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
+    let mut response: SyncResponse = client
+        .call(address, paths::SYNC, &request, PEER_TIMEOUT)
+        .await?;
+    cluster_view.record_peer_response();
     cluster_view.merge_members(std::mem::take(&mut response.members));
     cluster_view.with_members(|members, now| {
         // Members that were not known here are in the table by now: their records came in the response.
@@ -186,7 +186,7 @@
 /// Sends a peer the records of members that it lacks.
 async fn send_members(
     cluster_view: &ClusterView,
-    client: &Client,
+    client: &PeerClient,
     address: SocketAddr,
     keys: &[u64],
 ) -> Result<(), PeerError> {
@@ -201,20 +201,22 @@
         request_crash_digest: None,
         include_weights: false,
     });
-    let _: SyncResponse =
-        client::call(client, address, paths::SYNC, &request, PEER_TIMEOUT).await?;
+    let _: SyncResponse = client
+        .call(address, paths::SYNC, &request, PEER_TIMEOUT)
+        .await?;
     Ok(())
 }
 
 /// Notifies all other entries of the changes after `since`.
-pub async fn notify_changes(cluster_view: Arc<ClusterView>, client: Client, since: Position) {
+pub async fn notify_changes(cluster_view: Arc<ClusterView>, client: PeerClient, since: Position) {
     let Some(mut update) = cluster_view.update_for(&ReplicaPull::from(since)) else {
         return;
     };
     if update.position() == since {
         return;
     }
-    if update.complete {
+    if update.complete || update.changes.len() > MAX_PUSHED_CHANGES {
+        update.complete = true;
         // The others pull a complete copy, which also tells them how old it is.
         update.changes.clear();
     }
@@ -231,7 +233,7 @@
 /// Sends a message to all other entries concurrently.
 async fn send_to_entries<Q: Serialize>(
     cluster_view: &ClusterView,
-    client: &Client,
+    client: &PeerClient,
     path: &str,
     message: &Q,
 ) {
@@ -243,10 +245,15 @@
 }
 
 /// Sends a message to several processes concurrently; those that do not respond are skipped.
-async fn send_to_all<Q: Serialize>(client: &Client, to: Vec<SocketAddr>, path: &str, message: &Q) {
+async fn send_to_all<Q: Serialize>(
+    client: &PeerClient,
+    to: Vec<SocketAddr>,
+    path: &str,
+    message: &Q,
+) {
     let calls = to.into_iter().map(|address| async move {
         let sent: Result<EmptyResponse, _> =
-            client::call(client, address, path, message, PEER_TIMEOUT).await;
+            client.call(address, path, message, PEER_TIMEOUT).await;
         if let Err(e) = sent {
             debug!("sending {path} to {address} failed: {e}");
         }
@@ -258,7 +265,7 @@
 /// sent anything to the upstream, and learn that it has ended although they have no share of it.
 ///
 /// Entries that miss a push learn the limit by an exchange.
-pub async fn push_limits_loop(cluster_view: Arc<ClusterView>, client: Client) {
+pub async fn push_limits_loop(cluster_view: Arc<ClusterView>, client: PeerClient) {
     loop {
         cluster_view.wait_until_limit_push_needed().await;
         let message = LimitNotification {
@@ -274,7 +281,7 @@
 /// before they have seen it themselves.
 ///
 /// Entries that miss a push learn of it by an exchange.
-pub async fn push_crash_evidence_loop(cluster_view: Arc<ClusterView>, client: Client) {
+pub async fn push_crash_evidence_loop(cluster_view: Arc<ClusterView>, client: PeerClient) {
     loop {
         let message = cluster_view.next_crash_news().await;
         send_to_entries(&cluster_view, &client, paths::MESH_CRASH_EVIDENCE, &message).await;
@@ -290,7 +297,7 @@
 }
 
 /// Notifies the sidecars of the own data centre whenever the target versions change.
-pub async fn push_target_versions(cluster_view: Arc<ClusterView>, client: Client) {
+pub async fn push_target_versions(cluster_view: Arc<ClusterView>, client: PeerClient) {
     let mut changes = cluster_view.subscribe();
     let mut last_sent = Vec::new();
     while changes.changed().await.is_ok() {
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -6,17 +6,15 @@
     time::Duration,
 };
 
-use awc::Client;
 use balsamjunction_directory::{Change, Position, Verification};
 use balsamjunction_platform::{
-    store::{ALL_KEYS_PREFIX, EVACUATIONS_PREFIX},
+    store::{ALL_KEYS_PREFIX, CONFIGURATION_PREFIX, EVACUATIONS_PREFIX},
     PlatformError, Store,
 };
 use balsamjunction_policy::Moment;
-use log::debug;
 use smol_str::SmolStr;
 
-use super::{peers::notify_changes, sleep_with_jitter, ClusterView};
+use super::{peers::notify_changes, sleep_with_jitter, ClusterView, Documents, PeerClient};
 use crate::{
     events::Event,
     metrics::{Metrics, StateLabels},
@@ -27,9 +25,17 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// A reader verifies its facts again when the last verification is older than this.
 const READER_VERIFY_AFTER: Duration = Duration::from_millis(600);
-/// Any other entry reads the store itself when its facts are older than this, since the readers provide
-/// nothing fresh.
+/// Any other entry reads the store itself when its facts are older than this and no peer responds, or it is the next to
+/// read.
 const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
+/// Additional age for each entry that is to read before. While peers respond, the readers are late and not gone, and
+/// reads of all entries at once would fill the links.
+const FALLBACK_STEP: Duration = Duration::from_millis(200);
+/// An entry reads the configuration from the store if none of its parts has come from peers for this long; the steps of
+/// the entries before it are added.
+const CONTENT_READ_AFTER: Duration = Duration::from_millis(1_200);
+/// The store counts as lost if calls have failed for this long, and peers provide nothing fresh either.
+const LOST_AFTER: Duration = Duration::from_millis(1_000);
 /// Interval between checks of the facts' age.
 const VERIFY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval at which an entry without a watch checks whether it should start one.
@@ -42,7 +48,10 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(60);
 /// Mean backoff of a reader after a failed call, and of any entry until its first listing succeeds; with a
 /// jitter of ±50%.
-const READER_BACKOFF: Duration = Duration::from_millis(250);
+///
+/// A version that is acknowledged at the end of an outage counts from the last read that verified the facts, so the first
+/// read afterwards should not be late.
+const READER_BACKOFF: Duration = Duration::from_millis(150);
 /// Mean backoff of any other entry after a failed call, with a jitter of ±50%: while the store is down for
 /// all processes, each of many entries would otherwise call it several times a second.
 const FALLBACK_BACKOFF: Duration = Duration::from_millis(1_000);
@@ -50,8 +59,11 @@
 struct Reader {
     cluster_view: Arc<ClusterView>,
     store: Store,
-    client: Client,
+    client: PeerClient,
+    documents: Arc<Documents>,
     metrics: Arc<Metrics>,
+    /// Since when all calls have failed.
+    failing_since: Cell<Option<Moment>>,
     outage_cause: RefCell<Option<String>>,
     last_failure: Cell<Option<Moment>>,
 }
@@ -60,14 +72,17 @@
 pub async fn read_store_loop(
     cluster_view: Arc<ClusterView>,
     store: Store,
-    client: Client,
+    client: PeerClient,
+    documents: Arc<Documents>,
     metrics: Arc<Metrics>,
 ) {
     let reader = Reader {
         cluster_view,
         store,
         client,
+        documents,
         metrics,
+        failing_since: Cell::default(),
         outage_cause: RefCell::default(),
         last_failure: Cell::default(),
     };
@@ -133,9 +148,21 @@
             .with_members(|members, now| members.is_store_reader(now))
     }
 
-    /// Whether this entry must read the store: it is a reader, or the readers provide nothing fresh.
+    /// Whether this entry must read the store: it is a reader, or those before it provide nothing fresh.
     fn is_needed(&self) -> bool {
-        self.is_reader() || self.facts_older_than(FALLBACK_READ_AFTER)
+        self.is_reader() || self.facts_older_than(FALLBACK_READ_AFTER + self.turn_delay())
+    }
+
+    /// How much longer than the next one this entry waits before it reads what the readers do not provide.
+    fn turn_delay(&self) -> Duration {
+        let silence = self.cluster_view.peer_silence();
+        if silence.is_none_or(|silence| silence >= FALLBACK_READ_AFTER) {
+            return Duration::ZERO;
+        }
+        let before = self
+            .cluster_view
+            .with_members(|members, now| members.reading_rank(now));
+        FALLBACK_STEP * before as u32
     }
 
     fn facts_older_than(&self, max_age: Duration) -> bool {
@@ -205,10 +232,16 @@
             actix_rt::time::sleep(VERIFY_CHECK_INTERVAL).await;
             let max_age = match self.is_reader() {
                 true => READER_VERIFY_AFTER,
-                false => FALLBACK_READ_AFTER,
+                false => FALLBACK_READ_AFTER + self.turn_delay(),
             };
             self.offer_as_reader();
             self.cluster_view.drop_unconfirmed();
+            let stalled = self.documents.stalled_for();
+            if stalled.is_some_and(|stalled| stalled >= CONTENT_READ_AFTER + self.turn_delay())
+                && !self.read_declaration().await
+            {
+                self.back_off().await;
+            }
             if !self.facts_older_than(max_age) {
                 continue;
             }
@@ -248,6 +281,20 @@
         true
     }
 
+    /// Reads the content of an announced configuration that peers do not provide; returns whether the store could be read.
+    async fn read_declaration(&self) -> bool {
+        let queried_at = self.cluster_view.clock.now();
+        let listed = self.store.list(CONFIGURATION_PREFIX, None).await;
+        self.record_outcome(queried_at, listed.as_ref().err());
+        let Ok(page) = listed else {
+            return false;
+        };
+        let era = page.position.era;
+        self.cluster_view
+            .apply_unverified(page.changes, era, "store listing");
+        true
+    }
+
     /// Notifies the other entries of changes after `since`.
     fn notify_entries(&self, since: Position) {
         let notification = notify_changes(self.cluster_view.clone(), self.client.clone(), since);
@@ -264,7 +311,7 @@
     }
 
     /// Records the outcome of a call to the store that was sent at `queried_at`, and logs an event when the
-    /// store becomes unreachable or reachable again.
+    /// store becomes unreachable or reachable again. A call that failed proves neither: the link of this process may be full.
     fn record_outcome(&self, queried_at: Moment, e: Option<&PlatformError>) {
         let outcome = e.map_or("ok", |e| e.kind().into());
         let state = outcome.to_owned();
@@ -280,18 +327,18 @@
                 detail: e.to_string(),
             });
         }
-        self.last_failure
-            .set(e.map(|_| self.cluster_view.clock.now()));
+        let now = self.cluster_view.clock.now();
+        self.last_failure.set(e.map(|_| now));
+        let failing_since = self.failing_since.get().unwrap_or(queried_at);
+        self.failing_since.set(e.map(|_| failing_since));
         self.offer_as_reader();
+        let is_lost = now.saturating_sub(failing_since) >= LOST_AFTER
+            && self.facts_older_than(FALLBACK_READ_AFTER);
         let mut outage_cause = self.outage_cause.borrow_mut();
         let (change, detail) = match (e, outage_cause.is_some()) {
-            (Some(e), false) => ("lost", e.to_string()),
+            (Some(e), false) if is_lost => ("lost", e.to_string()),
             (None, true) => ("regained", outage_cause.take().unwrap_or_default()),
-            (Some(e), true) => {
-                debug!("store call failed: {e}");
-                return;
-            }
-            (None, false) => return,
+            (Some(_), _) | (None, false) => return,
         };
         *outage_cause = e.map(ToString::to_string);
         self.cluster_view.events.emit(&Event::Dependency {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -81,6 +81,12 @@
     pub backoff_responses: Counter,
     /// Responses that stated a limit of their sender (`Server-Limit`).
     pub limit_responses: Counter,
+    /// Parts of configurations that were requested from peers: `received`, `repeated` or `failed`.
+    pub declaration_parts: Family<StateLabels, Counter>,
+    /// Age of the configuration in force: time since it was last known to be the latest, in seconds.
+    pub declaration_age: Gauge<f64, AtomicU64>,
+    /// Bytes of messages to peers, by the path of the call.
+    pub peer_bytes: Family<StateLabels, Counter>,
     /// Reads of the store by outcome: `ok`, or how they failed.
     pub store_reads: Family<StateLabels, Counter>,
     /// Restorations of the store from a copy.
@@ -137,6 +143,9 @@
             leaving_upstreams: Counter::default(),
             backoff_responses: Counter::default(),
             limit_responses: Counter::default(),
+            declaration_parts: Family::default(),
+            declaration_age: Gauge::default(),
+            peer_bytes: Family::default(),
             store_reads: Family::default(),
             store_restorations: Counter::default(),
             refused_parts: Gauge::default(),
@@ -188,13 +197,18 @@
         r.register("recalls", recalls, m.cancelled_requests.clone());
         let delays = "Time by which recalls are late";
         let delay = m.recall_delay.clone();
-        r.register_with_unit("recall_delay", delays, seconds, delay);
+        r.register_with_unit("recall_delay", delays, seconds.clone(), delay);
         let leaving = "Upstreams that said that they leave";
         r.register("leaving_upstreams", leaving, m.leaving_upstreams.clone());
         let rests = "Answers by which an upstream wanted nothing for a while";
         r.register("rests", rests, m.backoff_responses.clone());
         let limits = "Responses that stated a limit of their upstream";
         r.register("limit_responses", limits, m.limit_responses.clone());
+        let parts = "Parts of configurations requested from peers, by outcome";
+        r.register("declaration_parts", parts, m.declaration_parts.clone());
+        let age = "Age of the configuration in force";
+        let ages = m.declaration_age.clone();
+        r.register_with_unit("declaration_age", age, seconds, ages);
         let reads = "Reads of the store by outcome";
         r.register("store_reads", reads, m.store_reads.clone());
         let restored = "Restorations of the store from a copy";
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -10,10 +10,10 @@
 
 use awc::Client;
 use balsamjunction_client::ClientOptions;
-use balsamjunction_directory::{Fact, Subject};
+use balsamjunction_directory::{Change, Fact, Subject};
 use balsamjunction_platform::{
-    store::ALL_KEYS_PREFIX, Engine, EngineReport, PlatformError, Store, WeightOrigin,
-    STAGING_IDLE_LIMIT,
+    store::{CONFIGURATION_PREFIX, VERSIONS_PREFIX},
+    Engine, EngineReport, PlatformError, Store, WeightOrigin, STAGING_IDLE_LIMIT,
 };
 use balsamjunction_policy::{pace::Pacer, version_queue::versions_to_fetch, Moment};
 use balsamjunction_protocol::{
@@ -29,7 +29,7 @@
 use super::chunk_cache::{ChunkCache, VersionId};
 use crate::{
     events::Event,
-    mesh::{self, ClusterView, ExchangePurpose},
+    mesh::{self, ClusterView, ExchangePurpose, PeerClient},
     metrics::Metrics,
     reload::Seeds,
 };
@@ -72,6 +72,8 @@
     pub engine: Engine,
     /// HTTP client for peers and the origin.
     pub client: Client,
+    /// The same for calls of the mesh.
+    peer_client: PeerClient,
     /// HTTP client for the origin.
     origin_client: Client,
     /// Limits the rate of fetched chunks.
@@ -111,6 +113,7 @@
     /// Creates a stager without a report and without target versions.
     pub fn new(settings: &StagerSettings, shared: SharedState) -> Self {
         let client = shared.client;
+        let peer_client = PeerClient::new(client.clone(), &shared.metrics);
         Self {
             pacer: RefCell::new(Pacer::new(
                 shared.cluster_view.clock.now(),
@@ -141,6 +144,7 @@
             }),
             store: Store::new(client.clone(), settings.mesh.store),
             client,
+            peer_client,
             members_requested_at: Cell::new(Moment::ZERO),
             report: RefCell::default(),
             update: RefCell::default(),
@@ -333,7 +337,7 @@
         let notifications = entries.into_iter().map(|address| async move {
             let exchanged = mesh::exchange_once(
                 &self.cluster_view,
-                &self.client,
+                &self.peer_client,
                 address,
                 ExchangePurpose::Weights,
             )
@@ -357,7 +361,7 @@
         if let Some(address) = target {
             let exchange = mesh::exchange_once(
                 &self.cluster_view,
-                &self.client,
+                &self.peer_client,
                 address,
                 ExchangePurpose::Weights,
             );
@@ -393,7 +397,7 @@
         self.members_requested_at.set(now);
         let exchanged = mesh::exchange_once(
             &self.cluster_view,
-            &self.client,
+            &self.peer_client,
             address,
             ExchangePurpose::Members,
         )
@@ -403,26 +407,47 @@
         }
     }
 
-    /// Reads the target versions and the declaration directly from the store.
+    /// Reads the target versions directly from the store, and the services unless they are known: the configuration that
+    /// declares them is long.
     async fn read_store(&self) -> Result<WeightsUpdate, PlatformError> {
-        let mut update = WeightsUpdate::default();
-        let mut after = None;
+        let mut update = match self.update.borrow().as_ref() {
+            Some((known, _)) => WeightsUpdate {
+                target_versions: Vec::new(),
+                ..known.clone()
+            },
+            None => WeightsUpdate::default(),
+        };
+        let declaration = match update.service_models.is_empty() {
+            true => self.list_all(CONFIGURATION_PREFIX).await?,
+            false => Vec::new(),
+        };
+        for change in declaration {
+            if let Some(Fact::Declaration(declaration)) = change.fact {
+                update.add_services(&declaration);
+            }
+        }
+        for change in self.list_all(VERSIONS_PREFIX).await? {
+            if let (Subject::Version(model), Some(Fact::Version(version))) =
+                (change.subject, change.fact)
+            {
+                update.target_versions.push((model, version));
+            }
+        }
+        Ok(update)
+    }
+
+    async fn list_all(&self, prefix: &str) -> Result<Vec<Change>, PlatformError> {
+        let mut changes = Vec::new();
+        let mut after: Option<SmolStr> = None;
         loop {
-            let page = self.store.list(ALL_KEYS_PREFIX, after.as_deref()).await?;
-            for change in page.changes {
-                match (change.subject, change.fact) {
-                    (Subject::Version(model), Some(Fact::Version(version))) => {
-                        update.target_versions.push((model, version));
-                    }
-                    (_, Some(Fact::Declaration(declaration))) => {
-                        update.add_services(&declaration);
-                    }
-                    _ => {}
+            let page = self.store.list(prefix, after.as_deref()).await?;
+            changes.extend(page.changes);
+            match page.next_after {
+                None => return Ok(changes),
+                Some(next) if after.as_ref() == Some(&next) => {
+                    return Err(PlatformError::RepeatedPage { after: next })
                 }
-            }
-            after = page.next_after;
-            if after.is_none() {
-                return Ok(update);
+                next => after = next,
             }
         }
     }
--- a/crates/directory/src/fact.rs
+++ b/crates/directory/src/fact.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use strum::Display;
 
-use crate::declaration::Declaration;
+use crate::{declaration::Declaration, document::DeclarationId};
 
 /// Subject of a fact. At most one fact exists for each subject.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -30,6 +30,9 @@
 pub enum Fact {
     /// The configuration in force.
     Declaration(Arc<Declaration>),
+    /// A configuration that was published, named instead of contained because of its length. It occurs in changes
+    /// only: a replica replaces it by the configuration once that is there.
+    Announced(DeclarationId),
     /// A registered upstream.
     Upstream(UpstreamRecord),
     /// The data centre accepts no new requests.
--- a/crates/directory/src/replica/era.rs
+++ b/crates/directory/src/replica/era.rs
@@ -49,7 +49,8 @@
 
     /// Records a change that was accepted.
     pub fn record(&mut self, provenance: Provenance, subject: &Subject, fact: &Fact) {
-        self.configured |= !provenance.copied && matches!(fact, Fact::Declaration(_));
+        let configuration = matches!(fact, Fact::Declaration(_) | Fact::Announced(_));
+        self.configured |= !provenance.copied && configuration;
         let revision = provenance.position.revision;
         self.history.insert(revision, hash(subject, Some(fact)));
         while self.history.len() > MAX_HISTORY {
@@ -80,6 +81,7 @@
     match fact {
         None => 0_u8.hash(&mut hasher),
         Some(Fact::Declaration(declaration)) => declaration.version.hash(&mut hasher),
+        Some(Fact::Announced(id)) => id.version.hash(&mut hasher),
         Some(Fact::Version(version)) => version.hash(&mut hasher),
         Some(Fact::Evacuation) => 1_u8.hash(&mut hasher),
         Some(Fact::Upstream(record)) => format!("{record:?}").hash(&mut hasher),
--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -6,20 +6,26 @@
 //!
 //! The source may be restored from an older copy, which begins a new era. See docs/DESIGN.md, "Eras".
 
+mod announced;
 mod era;
 mod peers;
 mod position;
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
-use self::era::Era;
 pub use self::position::{Position, Provenance};
-use crate::fact::{Fact, Subject};
+use self::{announced::Announced, era::Era};
+use crate::{
+    declaration::Declaration,
+    document::DeclarationId,
+    fact::{Fact, Subject},
+};
 
 /// Removals that are remembered, so that peers which are slightly behind need no complete copy.
 const MAX_REMOVALS: usize = 1_024;
@@ -90,11 +96,25 @@
     /// The source's era of the revision.
     #[serde(default)]
     pub era: u64,
+    /// Whether the sender accepts [`Fact::Announced`] in place of a configuration.
+    #[serde(default)]
+    pub accepts_announcements: bool,
+}
+
+impl ReplicaPull {
+    /// Asks for all facts.
+    pub fn complete() -> Self {
+        Self::from(Position::default())
+    }
 }
 
 impl From<Position> for ReplicaPull {
     fn from(Position { era, revision }: Position) -> Self {
-        Self { revision, era }
+        Self {
+            revision,
+            era,
+            accepts_announcements: true,
+        }
     }
 }
 
@@ -228,6 +248,10 @@
     /// Subjects that the source has in the present era, although their removal in an earlier one is known: the copy
     /// revives them, unless they were published again.
     revived: BTreeMap<Subject, Provenance>,
+    /// A later configuration than the one among the entries, whose content is not there yet.
+    announced: Option<Announced>,
+    /// The latest configurations that were there, the one in force last.
+    declarations: VecDeque<(DeclarationId, Arc<Declaration>)>,
 }
 
 impl Replica {
@@ -277,8 +301,11 @@
     }
 
     /// Whether a late response contains a fact that was removed since: this copy is complete up to a later position,
-    /// where the source did not have the subject.
+    /// where the source did not have the subject. The content of an announced configuration is missing for another reason.
     fn is_outdated(&self, change: &Change) -> bool {
+        if change.subject == Subject::Declaration && self.announced.is_some() {
+            return false;
+        }
         let position = change.provenance().position;
         self.position.era == self.era.number
             && position.era == self.era.number
@@ -411,6 +438,9 @@
 
     /// The same for a change of a complete copy, whose subjects existed at the position `as_of`.
     fn put_as_of(&mut self, now: Duration, change: Change, as_of: Position) -> bool {
+        let Some(change) = self.resolve_announcement(now, change, as_of) else {
+            return false;
+        };
         let provenance = change.provenance();
         let in_era = provenance.position.era == self.era.number;
         let known_since = now.saturating_sub(Duration::from_millis(change.known_for_ms));
@@ -488,6 +518,9 @@
             known_since,
             not_before,
         };
+        if let Fact::Declaration(declaration) = &entry.fact {
+            self.record_declaration(declaration.clone(), provenance);
+        }
         self.entries.insert(change.subject, entry);
         !unchanged
     }
--- a/crates/directory/src/replica/peers.rs
+++ b/crates/directory/src/replica/peers.rs
@@ -12,9 +12,13 @@
     /// The changes that a peer which is complete up to the position of `pull` is missing.
     ///
     /// Target versions are always included, since the peer may have received them later than this
-    /// process. Absent before the first verification.
+    /// process. Absent before the first verification, and while this copy has no content of the latest configuration and
+    /// the peer accepts no announcement of it.
     pub fn update_for(&self, now: Duration, pull: &ReplicaPull) -> Option<ReplicaUpdate> {
         let verified_at = self.verified_at?;
+        if self.announced.is_some() && !pull.accepts_announcements {
+            return None;
+        }
         let pulled = Position {
             era: pull.era,
             revision: pull.revision,
@@ -29,13 +33,19 @@
             .map(|(subject, e)| Change {
                 subject: subject.clone(),
                 revision: e.provenance.position.revision,
-                fact: Some(e.fact.clone()),
+                fact: Some(match pull.accepts_announcements {
+                    true => self.announcement_of(&e.fact),
+                    false => e.fact.clone(),
+                }),
                 known_for_ms: now.saturating_sub(e.known_since).as_millis() as u64,
                 era: e.provenance.position.era,
                 copied: e.provenance.copied,
                 unconfirmed: !e.confirmed,
             })
             .collect();
+        let announced = self.announced.iter();
+        let announced = announced.map(|announced| announced.to_change(now));
+        changes.extend(announced.filter(|change| is_newer(&change.provenance())));
         if complete {
             let revived = self.revived.iter();
             changes.extend(
--- a/crates/directory/tests/eras.rs
+++ b/crates/directory/tests/eras.rs
@@ -241,6 +241,7 @@
 
     let update = knowing.update_for(millis(20), &ReplicaPull::from(late.position()));
     late.apply_update(millis(20), millis(10), update.expect("the peer has facts"));
+    receive_content(&mut late, &knowing, 30);
 
     assert_eq!(configuration(&late), Some(10));
     assert_eq!(late.position(), at(2, 6));
@@ -541,10 +542,20 @@
     source.write(subject, Some(fact));
 }
 
-/// Watches the source as a reader does: from its position, or by a listing if the source has begun another era.
+/// Receives the content of an announced configuration, if `from` has it.
+fn receive_content(to: &mut Replica, from: &Replica, now_ms: u64) {
+    let wanted = to.wanted_declaration();
+    let held = wanted.and_then(|id| from.declaration(id.digest).cloned());
+    if let (Some(id), Some(declaration)) = (wanted, held) {
+        to.supply_declaration(millis(now_ms), id, declaration);
+    }
+}
+
+/// Watches the source as a reader does: from its position, or by a listing if the source has begun another era or the
+/// content of a configuration is missing.
 fn watch(replica: &mut Replica, source: &Source, now_ms: u64) {
     let position = replica.position();
-    if position.era != source.position.era {
+    if position.era != source.position.era || replica.wanted_declaration().is_some() {
         let proof = verification(source.position, now_ms);
         replica.replace_by_listing(millis(now_ms), source.listing(), proof);
         return;
@@ -554,14 +565,41 @@
     replica.apply(millis(now_ms), newer.cloned().collect(), proof);
 }
 
-fn pull(replicas: &mut [Replica], to: usize, from: usize, all: bool, now_ms: u64) {
-    let pull = match all {
-        true => ReplicaPull::default(),
-        false => ReplicaPull::from(replicas[to].position()),
+/// How peers tell each other of a configuration.
+#[derive(Clone, Copy, PartialEq)]
+enum Content {
+    /// With its content.
+    Contained,
+    /// By its id; the content is received with the next pull of all facts.
+    Announced,
+}
+
+fn pull_since(position: Position, content: Content) -> ReplicaPull {
+    ReplicaPull {
+        accepts_announcements: content == Content::Announced,
+        ..ReplicaPull::from(position)
+    }
+}
+
+fn pull(
+    replicas: &mut [Replica],
+    (to, from): (usize, usize),
+    all: bool,
+    content: Content,
+    now_ms: u64,
+) {
+    let since = match all {
+        true => Position::default(),
+        false => replicas[to].position(),
     };
+    let pull = pull_since(since, content);
     if let Some(update) = replicas[from].update_for(millis(now_ms), &pull) {
         replicas[to].apply_update(millis(now_ms), millis(now_ms - 1), update);
     }
+    if all {
+        let source = replicas[from].clone();
+        receive_content(&mut replicas[to], &source, now_ms);
+    }
 }
 
 /// The facts that count, without what a restarted engine writes anyway.
@@ -579,7 +617,7 @@
     Registration,
 }
 
-fn run(steps: &[Step], remedy: Remedy) {
+fn run(steps: &[Step], remedy: Remedy, content: Content) {
     let mut source = Source::default();
     source.position.era = 1;
     let mut next_version = 0;
@@ -609,11 +647,13 @@
                 let proof = verification(late.position, now);
                 replicas[n].replace_by_listing(millis(now), late.listing(), proof);
             }
-            Step::Pull(to, from, all) if to != from => pull(&mut replicas, to, from, all, now),
+            Step::Pull(to, from, all) if to != from => {
+                pull(&mut replicas, (to, from), all, content, now);
+            }
             Step::Notify(to, from) if to != from => {
                 let since = replicas[to].position();
-                let update = replicas[from].update_for(millis(now), &ReplicaPull::from(since));
-                if let Some(update) = update {
+                let pull = pull_since(since, content);
+                if let Some(update) = replicas[from].update_for(millis(now), &pull) {
                     replicas[to].apply_notification(millis(now), since, update);
                 }
             }
@@ -630,6 +670,7 @@
             let configuration = configuration(replica);
             assert!(configuration >= *before, "a configuration went back");
             *before = configuration;
+            assert!(replica.declaration_verified_at() <= replica.verified_at());
         }
     }
     if remedy == Remedy::Registration {
@@ -650,7 +691,7 @@
         for n in 0..3 {
             watch(&mut replicas[n], &source, now);
             if n > 0 {
-                pull(&mut replicas, n, n - 1, true, now);
+                pull(&mut replicas, (n, n - 1), true, content, now);
             }
             replicas[n].drop_unconfirmed(millis(now));
         }
@@ -662,6 +703,7 @@
         .collect();
     for replica in &replicas {
         assert_eq!(facts(replica), truth);
+        assert_eq!(replica.wanted_declaration(), None);
     }
 }
 
@@ -676,12 +718,23 @@
     // Guards against replicas that stay wrong after restorations, in whatever order they learn of them.
     #[test]
     fn replicas_agree_with_the_source_once_upstreams_register(steps in steps()) {
-        run(&steps, Remedy::Registration);
+        run(&steps, Remedy::Registration, Content::Contained);
     }
 
     // Guards against what a replica took for part of the copy, and keeps although another one knows better.
     #[test]
     fn replicas_agree_with_the_source_if_one_of_them_watches(steps in steps()) {
-        run(&steps, Remedy::Watcher);
+        run(&steps, Remedy::Watcher, Content::Contained);
+    }
+
+    // The same where peers announce configurations, and their contents come later or not at all.
+    #[test]
+    fn replicas_that_announce_agree_with_the_source_once_upstreams_register(steps in steps()) {
+        run(&steps, Remedy::Registration, Content::Announced);
+    }
+
+    #[test]
+    fn replicas_that_announce_agree_with_the_source_if_one_of_them_watches(steps in steps()) {
+        run(&steps, Remedy::Watcher, Content::Announced);
     }
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     dispatch::{Entries, SharingEntry},
+    relay::RelayMember,
     rendezvous::{rank, weight},
     Moment,
 };
@@ -80,19 +81,22 @@
     }
 
     /// Returns the entries that read the store for all others: two of those to which the store responds,
-    /// in different data centres if possible.
+    /// in different data centres if possible. If it responds to none, two of all try on for the others.
     ///
     /// While views differ, more than two entries may read, or none for a moment; the others detect that
     /// by the age of their facts.
     pub fn store_readers(&self, now: Moment) -> Vec<&MemberRecord> {
-        let own = (self.own.role == ProcessRole::Entry).then_some(&self.own);
-        let entries = self.live(now, ProcessRole::Entry).chain(own);
-        let entries = entries.filter(|record| record.reads_store && !record.leaving);
-        let by_host: HashMap<&str, &MemberRecord> = entries
-            .map(|record| (record.host.as_str(), record))
+        let ranked = self.ranked_for_reading(now);
+        let available: Vec<&MemberRecord> = ranked
+            .iter()
+            .copied()
+            .filter(|record| record.reads_store)
             .collect();
-        let order = rank(READER_KEY, by_host.keys().copied());
-        let mut order = order.iter().map(|host| by_host[host]);
+        let candidates = match available.is_empty() {
+            true => ranked,
+            false => available,
+        };
+        let mut order = candidates.into_iter();
         let Some(first) = order.next() else {
             return Vec::new();
         };
@@ -102,6 +106,50 @@
         std::iter::once(first).chain(second.copied()).collect()
     }
 
+    /// Returns the entries that are considered live, this one included, in the order in which they read the store if those
+    /// before them do not.
+    fn ranked_for_reading(&self, now: Moment) -> Vec<&MemberRecord> {
+        let own = (self.own.role == ProcessRole::Entry).then_some(&self.own);
+        let entries = self.live(now, ProcessRole::Entry).chain(own);
+        let entries = entries.filter(|record| !record.leaving);
+        let by_host: HashMap<&str, &MemberRecord> = entries
+            .map(|record| (record.host.as_str(), record))
+            .collect();
+        let order = rank(READER_KEY, by_host.keys().copied());
+        order.iter().map(|host| by_host[host]).collect()
+    }
+
+    /// Returns the number of live entries that read the store before this one if the readers provide nothing.
+    pub fn reading_rank(&self, now: Moment) -> usize {
+        let ranked = self.ranked_for_reading(now);
+        let position = ranked
+            .iter()
+            .position(|record| record.host == self.own.host);
+        position.unwrap_or(ranked.len())
+    }
+
+    /// Returns the entries among which a large document is passed on, this one included.
+    ///
+    /// A data centre that `regions` does not name is a region by itself.
+    pub fn relay_members(
+        &self,
+        now: Moment,
+        regions: &HashMap<SmolStr, SmolStr>,
+    ) -> Vec<RelayMember> {
+        let readers = self.store_readers(now);
+        let entries = self.live(now, ProcessRole::Entry).chain([&self.own]);
+        let relay_member = |record: &MemberRecord| RelayMember {
+            host: record.host.clone(),
+            region: regions
+                .get(&record.data_centre)
+                .unwrap_or(&record.data_centre)
+                .clone(),
+            address: record.address,
+            reads_store: readers.iter().any(|reader| reader.host == record.host),
+        };
+        entries.map(relay_member).collect()
+    }
+
     /// Returns whether this process reads the store for all others.
     pub fn is_store_reader(&self, now: Moment) -> bool {
         let mut readers = self.store_readers(now).into_iter();
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -288,6 +288,41 @@
         .all(|record| !default_readers.contains(&record.host)));
 }
 
+// Guards against a fleet in which nobody sees the end of an outage soon.
+#[test]
+fn two_entries_go_on_reading_if_the_store_responds_to_none() {
+    let selected = readers(14, |record| record.reads_store = false);
+
+    assert_eq!(selected.len(), 2);
+    assert_ne!(selected[0].data_centre, selected[1].data_centre);
+}
+
+// Guards against entries that all read the store at once where the readers are late (zvh-vorbestell-grown).
+#[test]
+fn entries_take_turns_where_the_readers_provide_nothing() {
+    let records: Vec<_> = (0..24).map(entry).collect();
+    let views = records.iter().map(|own| {
+        let mut view = Membership::new(own.clone());
+        view.merge_records(ms(0), records.clone());
+        view
+    });
+
+    let mut ranks: Vec<usize> = views.map(|view| view.reading_rank(ms(10))).collect();
+
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..24).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_process_without_peers_is_the_next_to_read() {
+    let mut view = Membership::new(entry(7));
+    view.merge_records(ms(0), (0..7).map(entry).collect());
+
+    let rank = view.reading_rank(ms(10_000));
+
+    assert_eq!(rank, 0);
+}
+
 #[test]
 fn a_leaving_process_gets_no_calls_until_it_restarts() {
     let mut view = Membership::new(entry(0));
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use balsamjunction_directory::{Declaration, ReplicaPull, ReplicaUpdate, VerificationAge};
+use balsamjunction_directory::{
+    Declaration, DeclarationId, Digest, Part, ReplicaPull, ReplicaUpdate, VerificationAge,
+};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -304,3 +306,30 @@
     #[serde(default)]
     pub requests: CrashEvidence,
 }
+
+/// Requests the next part of a configuration; see docs/design/dissemination.md.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRequest {
+    /// Protocol version of the sender.
+    pub v: u16,
+    /// The configuration.
+    pub id: DeclarationId,
+    /// Configurations that the sender has, so that the difference from one of them is enough.
+    pub held: Vec<Digest>,
+    /// Checksum of the encoding of which the sender has the beginning; absent if it has nothing yet.
+    pub checksum: Option<u64>,
+    /// Number of bytes that the sender has.
+    pub offset: u32,
+    /// Most bytes of the part.
+    pub max_bytes: u32,
+}
+
+/// The response to a [`PartRequest`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartResponse {
+    /// The part; it begins at zero if the responder has another encoding. Absent if it does not have the part yet.
+    pub part: Option<Part>,
+    /// Time that the responder waited for the part, in milliseconds.
+    #[serde(default)]
+    pub waited_ms: u64,
+}
--- a/crates/protocol/src/paths.rs
+++ b/crates/protocol/src/paths.rs
@@ -12,6 +12,8 @@
 pub const SYNC: &str = "/mesh/sync";
 /// Pushes changes of facts from entries that read the store to all other entries.
 pub const CHANGES: &str = "/mesh/changes";
+/// Requests a part of a configuration from an entry that was discovered through seeds.
+pub const MESH_PART: &str = "/mesh/part";
 /// Pushes target versions from an entry to sidecars.
 pub const WEIGHTS_UPDATE: &str = "/mesh/news";
 /// Reports which parts of prompts, and which requests, were at upstreams that crashed, to entries that were discovered through seeds.
