Paths to upstreams: an observed delay is a part of the estimate

A request was expected to reach its upstream as fast as ever, however long connections on the same path took, so that requests waited on full links and began on overdue versions. The delay that connections show beyond the usual time now counts for the upstream and for its data centre: in the selection, in the windows of older versions, for the moment of a recall; and it is not learned as slowness of the engine.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -7,6 +7,8 @@
 mod availability;
 mod contended_services;
 pub mod contention;
+mod path_delay;
+mod path_observation;
 mod pool;
 mod rate_limit;
 mod second_copy;
@@ -16,7 +18,7 @@
 mod versions;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
 };
@@ -28,12 +30,15 @@
 
 use self::{
     contention::{Contention, ContentionMode, FirstEventObservation},
+    path_delay::PathDelays,
     pool::{Candidate, Pool},
     service_time::Persistence,
     upstream::Upstream,
     versions::PublishedVersions,
 };
 pub use self::{
+    path_delay::PathSample,
+    path_observation::PathObservation,
     second_copy::{AwaitedResponse, SecondCopyDecision},
     service_time::{LoadReport, StatedServiceTime},
     shares::{Entries, SharingEntry},
@@ -113,6 +118,10 @@
     pub instead_of: Option<UpstreamKey>,
     /// The part of `expected_ms` that observations add to the estimate from the load, at a contended service.
     pub unseen_wait_ms: f64,
+    /// The part of `expected_ms` for the path's delay, which its connection and the request both meet.
+    pub path_ms: f64,
+    /// The delay that its connection showed, in milliseconds; zero before there is one.
+    pub connection_delay_ms: f64,
     /// The target latency of the request.
     pub target_latency: Moment,
     /// How the request came to be sent, if its service is contended.
@@ -142,6 +151,24 @@
         let saved = self.prompt.as_ref().map_or(0.0, |p| p.saving.tokens);
         (prompt_tokens - saved).max(0.0)
     }
+
+    /// Expected time to the first event without the path's delay, in milliseconds.
+    fn expected_at_upstream_ms(&self) -> f64 {
+        self.expected_ms - self.path_ms
+    }
+
+    /// The part of a time to the first event that the upstream took.
+    ///
+    /// The request meets up to the delay that its connection met, so that part of the time may be either's. It is
+    /// divided as the estimate says, so that the upstream seems neither slower nor faster for it.
+    fn time_at_upstream_ms(&self, took_ms: f64) -> f64 {
+        if self.connection_delay_ms <= 0.0 {
+            return took_ms;
+        }
+        let most = (took_ms - self.connection_delay_ms).max(0.0);
+        let least = (most - self.connection_delay_ms).max(0.0);
+        self.expected_at_upstream_ms().clamp(least, most)
+    }
 }
 
 /// Why a request is refused, and when the caller should retry.
@@ -273,6 +300,7 @@
     persistence: HashMap<SmolStr, Persistence>,
     waiting: SlotMap<WaitKey, WaitingRequest>,
     published: PublishedVersions,
+    paths: PathDelays,
     prompt_cache: PromptCache,
     entries: Entries,
     /// Increases whenever `entries` changes.
@@ -320,6 +348,8 @@
             assigned_at: now,
             instead_of: best.instead_of,
             unseen_wait_ms: best.unseen_wait_ms,
+            path_ms: best.path_ms,
+            connection_delay_ms: 0.0,
             target_latency: request.target_latency,
             queueing: None,
             prompt: best.prompt.clone().map(Box::new),
@@ -341,6 +371,7 @@
             persistence: HashMap::new(),
             waiting: SlotMap::with_key(),
             published: PublishedVersions::default(),
+            paths: PathDelays::default(),
             entries: Entries::default(),
             entries_generation: 0,
         }
@@ -404,6 +435,13 @@
         }
         self.prompt_cache
             .retain(|key| self.upstreams.contains_key(key));
+        let upstreams = &self.upstreams;
+        let records = upstreams.values().map(|upstream| &upstream.record);
+        let data_centres: HashSet<&SmolStr> = records.map(|record| &record.data_centre).collect();
+        self.paths.retain(
+            |key| upstreams.contains_key(key),
+            |name| data_centres.contains(name),
+        );
         // The publication time of a version found at the start is unknown. It is chosen so that the start
         // deadline of older versions is `startup_start_window` after the start.
         let start_deadline = self.settings.started + self.settings.startup_start_window;
@@ -508,13 +546,14 @@
         let upstream = self.upstreams.get(key);
         let pool = self.pools.get(&request.service);
         let cx = self.selection_context(now);
-        upstream.is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, upstream, request)))
+        upstream
+            .is_some_and(|upstream| pool.is_some_and(|p| p.may_serve(&cx, key, upstream, request)))
     }
 
     /// Whether a request is still expected to start before the start deadline of its upstream's version, now that its
     /// connection is established.
     ///
-    /// The connection took about as long as the request will be on its way, which is long if the link is congested.
+    /// The request is taken to be on its way for as long as the connection took, or the path's delay if that is longer.
     pub fn starts_in_time(
         &self,
         now: Moment,
@@ -523,7 +562,8 @@
     ) -> bool {
         let upstream = self.upstreams.get(selected.upstream);
         let transit = now.saturating_sub(selected.assigned_at);
-        let expected_ms = selected.expected_ms + transit.as_secs_f64() * 1e3;
+        let transit = transit.max(self.path_delay(now, selected.upstream));
+        let expected_ms = selected.expected_at_upstream_ms() + transit.as_secs_f64() * 1e3;
         let cx = self.selection_context(now);
         upstream.is_some_and(|upstream| pool::starts_in_time(&cx, upstream, request, expected_ms))
     }
@@ -630,6 +670,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: contention.map(|state| state.unseen_wait_ms(now)),
+            paths: &self.paths,
             prompt_cache: &self.prompt_cache,
         };
         pool.select(&cx, &mut self.upstreams, request)
@@ -681,6 +722,7 @@
             published: &self.published,
             entry_count: self.entries.count(),
             unseen_wait_ms: None,
+            paths: &self.paths,
             prompt_cache: &self.prompt_cache,
         }
     }
@@ -733,7 +775,7 @@
         self.persistence.contains_key(service)
     }
 
-    /// Records that the first event of a request arrived `took_ms` after it was sent, so its prompt has
+    /// Records that the first event of a request arrived `took_ms` after it was assigned, so its prompt has
     /// been read. `prompt_tokens` are those that it counted for ([`SelectedUpstream::unread_tokens`]).
     /// Returns what the time shows about the upstream's cache of prompts.
     pub fn record_first_event(
@@ -750,11 +792,13 @@
         upstream.record_prompt_read(prompt_tokens);
         let mut nominal_ms = selected.nominal_ms;
         let mut observation = Observation::None;
-        let estimated_ms = selected.expected_ms - selected.unseen_wait_ms;
+        let took_ms = selected.time_at_upstream_ms(took_ms);
+        let expected_ms = selected.expected_at_upstream_ms();
+        let estimated_ms = expected_ms - selected.unseen_wait_ms;
         if let Some(prompt) = &selected.prompt {
             let cache = &mut self.prompt_cache;
-            observation = cache.record_first_event(now, key, prompt, selected.expected_ms, took_ms);
-            nominal_ms = prompt.nominal_ms(nominal_ms, selected.expected_ms, observation);
+            observation = cache.record_first_event(now, key, prompt, expected_ms, took_ms);
+            nominal_ms = prompt.nominal_ms(nominal_ms, expected_ms, observation);
         }
         upstream.calibrate(now, took_ms, nominal_ms);
         let service = upstream.record.service.clone();
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -6,8 +6,8 @@
 use slotmap::SlotMap;
 
 use super::{
-    availability::Unavailable, DispatchSettings, PublishedVersions, RequestRequirements, Upstream,
-    UpstreamCondition, UpstreamKey,
+    availability::Unavailable, path_delay::PathDelays, DispatchSettings, PublishedVersions,
+    RequestRequirements, Upstream, UpstreamCondition, UpstreamKey,
 };
 use crate::{
     estimate,
@@ -32,6 +32,8 @@
 const FREE_FRACTION_FOR_LATE: f64 = 0.5;
 /// Assumed service time of a typical request at a plain service, in milliseconds.
 const PLAIN_SERVICE_MS: f64 = 20.0;
+/// Round trips that a request takes to an upstream: that of its connection and its own.
+const ROUND_TRIPS: f64 = 2.0;
 
 /// The upstreams of one service.
 #[derive(Debug)]
@@ -56,10 +58,19 @@
     /// At a contended service, the time to the first event beyond the estimate from the load that this entry sees,
     /// in milliseconds.
     pub unseen_wait_ms: Option<f64>,
+    /// The delays of the paths to upstreams.
+    pub paths: &'a PathDelays,
     /// Which upstreams probably cache which prompt prefixes.
     pub prompt_cache: &'a PromptCache,
 }
 
+impl SelectionContext<'_> {
+    fn path_delay_ms(&self, key: UpstreamKey, upstream: &Upstream) -> f64 {
+        let data_centre = &upstream.record.data_centre;
+        self.paths.delay_ms(self.now, key, data_centre)
+    }
+}
+
 /// An upstream as evaluated for a request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -75,6 +86,8 @@
     pub may_receive: bool,
     /// The part of `expected_ms` that observations add to the estimate from the load.
     pub unseen_wait_ms: f64,
+    /// The part of `expected_ms` for the path's delay.
+    pub path_ms: f64,
     /// Expected time of the first event after its deadline, in milliseconds; negative if before it.
     pub excess_ms: f64,
     /// The upstream that would have been selected if its limit allowed another request.
@@ -125,7 +138,7 @@
             let Some(upstream) = upstreams.get_mut(*key) else {
                 continue;
             };
-            if request.tried.contains(key) || !self.may_serve(cx, upstream, request) {
+            if request.tried.contains(key) || !self.may_serve(cx, *key, upstream, request) {
                 continue;
             }
             let mut candidate = self.evaluate(cx, *key, upstream, request, usual_load);
@@ -204,10 +217,12 @@
     pub fn may_serve(
         &self,
         cx: &SelectionContext<'_>,
+        key: UpstreamKey,
         upstream: &Upstream,
         request: &RequestRequirements,
     ) -> bool {
-        upstream.availability.unavailable(cx.now).is_none() && is_eligible(cx, upstream, request)
+        upstream.availability.unavailable(cx.now).is_none()
+            && is_eligible(cx, key, upstream, request)
     }
 
     /// The earliest time at which a backoff or a limit lets a member serve the request.
@@ -219,7 +234,7 @@
     ) -> Option<Return> {
         let members = self.members.iter();
         let members = members.filter_map(|key| Some((*key, upstreams.get(*key)?)));
-        let eligible = members.filter(|(_, upstream)| is_eligible(cx, upstream, request));
+        let eligible = members.filter(|(key, upstream)| is_eligible(cx, *key, upstream, request));
         let returns = eligible.filter_map(|(key, upstream)| {
             match upstream.availability.unavailable(cx.now) {
                 Some(Unavailable::BackingOff(at)) => Some(Return { at, limited: None }),
@@ -246,7 +261,8 @@
         let occupancy = upstream.occupancy(cx.now, usual_load);
         let slots = f64::from(upstream.record.slots.max(1));
         let unseen_wait_ms = cx.unseen_wait_ms.unwrap_or_default();
-        let expected_ms = unseen_wait_ms
+        let path_ms = ROUND_TRIPS * cx.path_delay_ms(key, upstream);
+        let at_upstream_ms = unseen_wait_ms
             + match &self.model {
                 Some(model) => estimate::first_event_ms(model, &occupancy, request.prompt_tokens),
                 None => {
@@ -254,6 +270,7 @@
                     occupancy.slowdown * PLAIN_SERVICE_MS * (1.0 + excess / slots)
                 }
             };
+        let expected_ms = at_upstream_ms + path_ms;
         let remaining_ms = request
             .first_event_deadline
             .saturating_sub(cx.now)
@@ -271,10 +288,11 @@
         Candidate {
             upstream: key,
             expected_ms,
-            nominal_ms: expected_ms / occupancy.slowdown.max(0.1),
+            nominal_ms: at_upstream_ms / occupancy.slowdown.max(0.1),
             fits: has_capacity && allowed,
             may_receive: allowed,
             unseen_wait_ms,
+            path_ms,
             excess_ms: expected_ms + CALLER_ROUND_TRIP_MS - remaining_ms,
             instead_of: None,
             prompt: None,
@@ -301,7 +319,7 @@
                 let members = members.filter_map(|key| Some((*key, upstreams.get(*key)?)));
                 members
                     .filter(|(_, u)| u.record.data_centre == cx.settings.data_centre)
-                    .filter(|(_, u)| self.may_serve(cx, u, request))
+                    .filter(|(key, u)| self.may_serve(cx, *key, u, request))
                     .map(|(key, u)| (key, u.record.id.as_str()))
                     .collect()
             },
@@ -342,17 +360,20 @@
 /// Whether the region and the weights of an upstream permit a request.
 fn is_eligible(
     cx: &SelectionContext<'_>,
+    key: UpstreamKey,
     upstream: &Upstream,
     request: &RequestRequirements,
 ) -> bool {
     let region = cx.settings.regions.get(&upstream.record.data_centre);
     let region_allowed = region.is_none_or(|region| request.allows(region));
-    region_allowed && has_usable_weights(cx, upstream, request)
+    region_allowed && has_usable_weights(cx, key, upstream, request)
 }
 
-/// Whether requests may still be sent to the weights that an upstream serves.
+/// Whether requests may still be sent to the weights that an upstream serves. What is sent now arrives later by the
+/// path's delay.
 fn has_usable_weights(
     cx: &SelectionContext<'_>,
+    key: UpstreamKey,
     upstream: &Upstream,
     request: &RequestRequirements,
 ) -> bool {
@@ -364,8 +385,9 @@
         return upstream.record.models.is_none();
     };
     let superseded = cx.published.superseded_at(model, version);
+    let arrives = cx.now + Moment::from_secs_f64(cx.path_delay_ms(key, upstream) / 1e3);
     !upstream.switching
-        && superseded.is_none_or(|at| cx.now < at + cx.settings.old_version_send_window)
+        && superseded.is_none_or(|at| arrives < at + cx.settings.old_version_send_window)
 }
 
 /// Whether a request is expected to start before the start deadline of the version that the upstream
--- a/crates/policy/src/dispatch/versions.rs
+++ b/crates/policy/src/dispatch/versions.rs
@@ -42,6 +42,11 @@
         changed
     }
 
+    /// Whether any version was published after a time.
+    pub fn any_since(&self, time: Moment) -> bool {
+        self.0.values().flatten().any(|(_, at)| *at > time)
+    }
+
     /// When the first version newer than `version` was published, or `None` if there is none.
     pub fn superseded_at(&self, model: &str, version: u64) -> Option<Moment> {
         let published = self.0.get(model)?.iter();
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod limited_fleet;
 mod limits;
 mod overload;
+mod path_delay;
 mod prompt_cache;
 mod prompt_fleet;
 mod second_copy;
