Gateways observe the delay of paths, and say so

Each connection to an upstream is a sample of its path, also one that times out, and the head of a response bounds the delay from above. A delay that rises while requests wait at an older version wakes their recalls. `sent` has `path_ms`, `balsamjunction_path_delay_seconds` the observed delays by data centre. The line of a recall names its moment instead of a time for which the version had been overdue, since the recall now precedes that by the delay.

--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -121,6 +121,9 @@
         attempt: u32,
         /// Expected time to the first event in milliseconds.
         expected_ms: u64,
+        /// The part of it for the path's delay beyond the usual one. Absent without a delay.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        path_ms: Option<u64>,
         /// The version of the weights that the gateway expected the upstream to serve.
         #[serde(skip_serializing_if = "Option::is_none")]
         version: Option<u64>,
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -374,9 +374,17 @@
             Some((model, served))
         });
         self.log_send(&in_flight, &upstream, served.as_ref());
+        let started = self.context.now();
         let tcp = match send::connect(upstream.address).await {
-            Ok(tcp) => tcp,
+            Ok(tcp) => {
+                in_flight.record_connection(started, true);
+                tcp
+            }
             Err(e) => {
+                // Other failures tell nothing of the time that the path takes.
+                if e.is_connect_timeout() {
+                    in_flight.record_connection(started, false);
+                }
                 in_flight.set_outcome(AttemptOutcome::Unreachable);
                 self.record_tried(&in_flight);
                 self.log_failed_attempt(&upstream, "unreachable", e.to_string());
@@ -517,6 +525,7 @@
             upstream: upstream.id.clone(),
             attempt: self.upstreams_tried + 1,
             expected_ms: in_flight.expected_ms() as u64,
+            path_ms: Some(in_flight.path_ms() as u64).filter(|ms| *ms > 0),
             version: served.map(|(_, served)| served.version),
             begin_within_ms: start_deadline
                 .map(|deadline| deadline.saturating_sub(now).as_millis() as u64),
@@ -540,6 +549,7 @@
         } = attempt;
         let result = match result {
             PendingResult::Response(response) => {
+                in_flight.record_head(sent_at);
                 self.classify_response(response, in_flight, &upstream, sent_at)
             }
             PendingResult::Overdue(overdue_for) => {
@@ -589,7 +599,7 @@
         metrics.cancelled_requests.inc();
         metrics.recall_delay.observe(overdue_for.as_secs_f64());
         let detail = format!(
-            "cancelled {} ms after it was sent, the upstream's version has been overdue for {} ms",
+            "cancelled {} ms after it was sent, {} ms after the moment of the recall",
             waited.as_millis(),
             overdue_for.as_millis()
         );
--- a/crates/daemon/src/gateway/context/in_flight.rs
+++ b/crates/daemon/src/gateway/context/in_flight.rs
@@ -6,8 +6,8 @@
 use balsamjunction_platform::headers::InstanceLoad;
 use balsamjunction_policy::{
     dispatch::{
-        AttemptOutcome, AwaitedResponse, LoadReport, RequestRequirements, SecondCopyDecision,
-        SelectedUpstream, ServedVersion, StatedServiceTime, UpstreamKey,
+        AttemptOutcome, AwaitedResponse, LoadReport, PathSample, RequestRequirements,
+        SecondCopyDecision, SelectedUpstream, ServedVersion, StatedServiceTime, UpstreamKey,
     },
     prompt_cache::{ExpectedSaving, Observation},
     Moment,
@@ -15,7 +15,11 @@
 use smol_str::SmolStr;
 
 use super::GatewayContext;
-use crate::{events::QueueingFields, metrics::StateLabels, sync::lock};
+use crate::{
+    events::QueueingFields,
+    metrics::{DataCentreLabels, StateLabels},
+    sync::lock,
+};
 
 /// A guard for a request at an upstream, which releases the upstream's capacity when it is dropped.
 pub struct InFlightRequest {
@@ -56,6 +60,47 @@
         self.selected.expected_ms
     }
 
+    /// Returns the part of that time for the path's delay, in milliseconds.
+    pub fn path_ms(&self) -> f64 {
+        self.selected.path_ms
+    }
+
+    /// Records a connection that was attempted at `started` and has just succeeded, or was given up.
+    pub fn record_connection(&mut self, started: Moment, connected: bool) {
+        let sample = PathSample {
+            started,
+            ended: self.context.now(),
+            connected,
+        };
+        let observation = lock(&self.context.dispatch)
+            .dispatcher
+            .record_connection(&mut self.selected, sample);
+        let Some(observation) = observation else {
+            return;
+        };
+        let data_centre = observation.data_centre.to_string();
+        let delays = &self.context.metrics.mesh.path_delay;
+        delays
+            .get_or_create(&DataCentreLabels { data_centre })
+            .observe(observation.delay.as_secs_f64());
+        if observation.advances_recalls {
+            let changed = &self.context.start_deadlines_changed;
+            changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Records that the head of the response to the request that was sent at `sent_at` has just been received.
+    pub fn record_head(&self, sent_at: Moment) {
+        let sample = PathSample {
+            started: sent_at,
+            ended: self.context.now(),
+            connected: true,
+        };
+        lock(&self.context.dispatch)
+            .dispatcher
+            .record_head(self.selected.upstream, sample);
+    }
+
     /// Returns what the request is expected to save there; absent unless the service keeps prompts and the
     /// caller stated the parts of its own.
     pub fn expected_saving(&self) -> Option<ExpectedSaving> {
@@ -142,26 +187,28 @@
             .served_version(self.selected.upstream, model)
     }
 
-    /// Waits until requests must no longer start on the version that the upstream serves; returns for how long they
-    /// must not have.
+    /// Waits until a request that has not started must be recalled from the version that the upstream serves; returns
+    /// how long ago that was due.
     ///
     /// `version_at_send` is the version that it served when the request was sent. This version applies if the
     /// upstream is no longer listed, since an upstream that leaves still starts the requests that wait there.
     pub async fn wait_until_overdue(&self, model: &str, version_at_send: u64) -> Duration {
         let mut changes = self.context.start_deadlines_changed.subscribe();
         loop {
-            let deadline = match self.served_version(model) {
-                Some(served) => served.start_deadline,
-                None => self.context.start_deadline(model, version_at_send),
-            };
-            match deadline {
-                Some(deadline) => {
-                    let now = self.context.now();
-                    if now >= deadline {
-                        return now - deadline;
+            let now = self.context.now();
+            let recall_at = lock(&self.context.dispatch).dispatcher.recall_at(
+                now,
+                self.selected.upstream,
+                model,
+                version_at_send,
+            );
+            match recall_at {
+                Some(recall_at) => {
+                    if now >= recall_at {
+                        return now - recall_at;
                     }
-                    let remaining = deadline - now;
-                    // The deadline is evaluated again, whether it has passed or changed.
+                    let remaining = recall_at - now;
+                    // The time is evaluated again, whether it has passed or changed.
                     let _ = actix_rt::time::timeout(remaining, changes.changed()).await;
                 }
                 None if changes.changed().await.is_err() => std::future::pending().await,
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -132,6 +132,13 @@
     }
 }
 
+impl SendError {
+    /// Whether a connection was given up after [`CONNECT_TIMEOUT`].
+    pub fn is_connect_timeout(&self) -> bool {
+        matches!(self, Self::Unreachable(e) if e.kind() == io::ErrorKind::TimedOut)
+    }
+}
+
 /// Opens a connection. This is a separate step from [`send`], since its failure proves that the request did
 /// not run.
 pub async fn connect(address: SocketAddr) -> Result<TcpStream, SendError> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -37,6 +37,13 @@
     pub service: String,
 }
 
+/// Label of metrics by data centre.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DataCentreLabels {
+    /// Name of the data centre.
+    pub data_centre: String,
+}
+
 /// Label of metrics by state.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StateLabels {
@@ -99,6 +106,9 @@
     pub silences: Family<StateLabels, Counter>,
     /// Age of the relative service time of the selected upstream, in seconds, if it states one.
     pub service_time_age: Histogram,
+    /// Delay of the path beyond the usual one that each connection to an upstream showed, in seconds, by the upstream's
+    /// data centre.
+    pub path_delay: Family<DataCentreLabels, Histogram, fn() -> Histogram>,
     /// Second copies of requests whose first upstream was slow, by what became of them.
     pub second_copies: Family<StateLabels, Counter>,
     /// Requests for which another upstream was selected before they were sent, since the first one was slow.
@@ -144,6 +154,7 @@
             prompt_cache: Family::default(),
             silences: Family::default(),
             service_time_age: times(),
+            path_delay: Family::new_with_constructor(path_delay_histogram),
             second_copies: Family::default(),
             reselections: Counter::default(),
             stream_interruptions: Family::default(),
@@ -209,6 +220,9 @@
         r.register("prompt_cache", observed, m.prompt_cache.clone());
         let silences = "Silent upstreams by what was done";
         r.register("silences", silences, m.silences.clone());
+        let delays = "Delay of the path to an upstream, beyond the usual one";
+        let path_delay = m.path_delay.clone();
+        r.register_with_unit("path_delay", delays, Unit::Seconds, path_delay);
         let copies = "Second copies of requests at slow upstreams by what became of them";
         r.register("second_copies", copies, m.second_copies.clone());
         let reselected =
@@ -232,6 +246,11 @@
     }
 }
 
+/// From 50 ms, the smallest delay that counts, to 3.2 s.
+fn path_delay_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.05, 2.0, 7))
+}
+
 /// Updates gauges right before they are read, so that they cost nothing between reads.
 pub trait RefreshGauges: Send + Sync {
     /// Sets the gauges that this object has values for.
