--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod endless_sums;
 mod explained;
 mod faulty_refusals;
+mod filled_path;
 mod held_link;
 mod hostile;
 mod lifecycle;
