Long responses of exchanges are compressed; metrics of changes and peers

A complete copy of the facts grows with the upstreams, about 250 bytes each. Responses to exchanges over 4 KiB are deflated by the codec of /peer/pull for peers that accept it, which earlier builds do not state.

--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -64,11 +64,15 @@
 ) -> Result<Exchange<A>, PeerError> {
     let request = header::to_bytes(message)?;
     let sent_bytes = request.len();
-    let buf = post(client, address, path, request, timeout).await?;
+    let body = post(client, address, path, request, timeout).await?;
+    let response = match body.compressed {
+        true => header::from_compressed(&body.buf, MAX_MESSAGE_BYTES as u64)?,
+        false => header::from_bytes(&body.buf)?,
+    };
     Ok(Exchange {
-        response: header::from_bytes(&buf)?,
+        response,
         sent_bytes,
-        received_bytes: buf.len(),
+        received_bytes: body.buf.len(),
     })
 }
 
@@ -80,8 +84,18 @@
     timeout: Duration,
 ) -> Result<PullResponse, PeerError> {
     let request = header::to_bytes(request)?;
-    let buf = post(client, address, paths::PULL, request, timeout).await?;
-    Ok(header::from_compressed(&buf, MAX_MESSAGE_BYTES as u64)?)
+    let body = post(client, address, paths::PULL, request, timeout).await?;
+    Ok(header::from_compressed(
+        &body.buf,
+        MAX_MESSAGE_BYTES as u64,
+    )?)
+}
+
+/// The body of a response.
+struct Body {
+    buf: Bytes,
+    /// Whether its headers state that it is compressed.
+    compressed: bool,
 }
 
 async fn post(
@@ -90,12 +104,17 @@
     path: &str,
     message: Vec<u8>,
     timeout: Duration,
-) -> Result<Bytes, PeerError> {
+) -> Result<Body, PeerError> {
     let request = client.post(format!("http://{address}{path}"));
     let mut response = request.timeout(timeout).send_body(message).await?;
     if !response.status().is_success() {
         let status = response.status().as_u16();
         return Err(PeerError::Status { status });
     }
-    Ok(response.body().limit(MAX_MESSAGE_BYTES).await?)
+    let encoding = response.headers().get(header::ENCODING);
+    let compressed = encoding.is_some_and(|value| value == header::DEFLATED);
+    Ok(Body {
+        buf: response.body().limit(MAX_MESSAGE_BYTES).await?,
+        compressed,
+    })
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -100,7 +100,7 @@
     });
 
     let store = Store::new(client.clone(), settings.mesh.store);
-    let client = PeerClient::new(client, &metrics);
+    let client = PeerClient::new(client, metrics.clone());
     let documents = Arc::new(Documents::new(cluster_view.clone()));
     let downloader = Downloader {
         cluster_view: cluster_view.clone(),
--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -22,6 +22,8 @@
 
 /// Longest request body of a peer, in bytes.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Shortest body that is compressed. Most exchanges are shorter, and cost less time than bytes.
+const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
 /// Media type of messages between processes.
 const MESSAGE_TYPE: &str = "application/msgpack";
 /// Media type of the OpenMetrics format.
@@ -75,6 +77,21 @@
         .body(body))
 }
 
+/// Does the same as [`message_response`], and compresses a long body for a peer that accepts it.
+pub fn compact_response<T: Serialize>(
+    message: &T,
+    accepts_compressed: bool,
+) -> Result<HttpResponse, InnerError> {
+    let body = header::to_bytes(message)?;
+    let mut response = HttpResponse::Ok();
+    response.insert_header((CONTENT_TYPE, MESSAGE_TYPE));
+    if !accepts_compressed || body.len() < MIN_COMPRESSED_BYTES {
+        return Ok(response.body(body));
+    }
+    response.insert_header((header::ENCODING, header::DEFLATED));
+    Ok(response.body(header::compress(&body)?))
+}
+
 /// Returns an error if a peer has another protocol version.
 pub fn check_protocol_version(theirs: u16) -> Result<(), InnerError> {
     if theirs == PROTOCOL_VERSION {
--- a/crates/daemon/src/mesh/http.rs
+++ b/crates/daemon/src/mesh/http.rs
@@ -17,11 +17,14 @@
     paths,
 };
 
-use super::{ClusterView, Documents};
+use super::{peer_client::observe_change_ages, ClusterView, Documents};
 use crate::{
     error::DaemonError,
     fleet::dissemination::EmptyResponse,
-    inner::{check_protocol_version, message_response, InnerError, MAX_MESSAGE_BYTES, OPENMETRICS},
+    inner::{
+        check_protocol_version, compact_response, message_response, InnerError, MAX_MESSAGE_BYTES,
+        OPENMETRICS,
+    },
     metrics::{Metrics, RefreshGauges},
     process::MAX_PROBE_CONNECTIONS,
 };
@@ -110,11 +113,12 @@
             .flatten(),
     };
     cluster_view.add_crash_evidence(&request, &mut response);
-    message_response(&response)
+    compact_response(&response, request.accepts_compressed)
 }
 
 async fn handle_changes(
     cluster_view: Data<ClusterView>,
+    metrics: Data<Arc<Metrics>>,
     body: Bytes,
 ) -> Result<HttpResponse, InnerError> {
     let notification: ChangeNotification = header::from_bytes(&body)?;
@@ -123,6 +127,7 @@
         era: notification.base_era,
         revision: notification.base_revision,
     };
+    observe_change_ages(&metrics.mesh, cluster_view.position(), &notification.update);
     cluster_view.apply_notification(base, notification.update);
     message_response(&EmptyResponse {})
 }
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -11,7 +11,7 @@
 use rand::{seq::IteratorRandom, Rng};
 use serde::Serialize;
 
-use super::{sleep_with_jitter, ClusterView, PeerClient};
+use super::{peer_client::observe_change_ages, sleep_with_jitter, ClusterView, PeerClient};
 use crate::{client::PeerError, fleet::dissemination::EmptyResponse, reload::Seeds};
 
 /// Mean interval between exchanges of views, with a jitter of ±50%.
@@ -153,6 +153,7 @@
         crash_digest: None,
         request_crash_digest: None,
         include_weights,
+        accepts_compressed: true,
     });
     if exchanges_views {
         cluster_view.request_crash_evidence(&mut request);
@@ -177,6 +178,7 @@
         send_members(cluster_view, client, address, &response.unknown_keys).await?;
     }
     if let Some(update) = response.update.take() {
+        observe_change_ages(client.metrics(), cluster_view.position(), &update);
         cluster_view.apply_update(queried_at, update, &format!("peer {address}"));
     }
     cluster_view.adopt_verification(queried_at, response.verification);
@@ -200,6 +202,7 @@
         crash_digest: None,
         request_crash_digest: None,
         include_weights: false,
+        accepts_compressed: true,
     });
     let _: SyncResponse = client
         .call(address, paths::SYNC, &request, PEER_TIMEOUT)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -92,8 +92,12 @@
     pub declaration_parts: Family<StateLabels, Counter>,
     /// Age of the configuration in force: time since it was last known to be the latest, in seconds.
     pub declaration_age: Gauge<f64, AtomicU64>,
-    /// Bytes of messages to peers, by the path of the call.
+    /// Bytes of messages to peers and of their responses, by the path of the call.
     pub peer_bytes: Family<StateLabels, Counter>,
+    /// Time of calls to peers, in seconds, by the path of the call.
+    pub peer_delay: Family<StateLabels, Histogram, fn() -> Histogram>,
+    /// Age of changes at their arrival from peers, in seconds, by the kind of their subject.
+    pub change_age: Family<StateLabels, Histogram, fn() -> Histogram>,
     /// Reads of the store by outcome: `ok`, or how they failed.
     pub store_reads: Family<StateLabels, Counter>,
     /// Restorations of the store from a copy.
@@ -156,6 +160,8 @@
             declaration_parts: Family::default(),
             declaration_age: Gauge::default(),
             peer_bytes: Family::default(),
+            peer_delay: Family::new_with_constructor(delay_histogram),
+            change_age: Family::new_with_constructor(delay_histogram),
             store_reads: Family::default(),
             store_restorations: Counter::default(),
             refused_parts: Gauge::default(),
@@ -217,6 +223,14 @@
         r.register("limit_responses", limits, m.limit_responses.clone());
         let parts = "Parts of configurations requested from peers, by outcome";
         r.register("declaration_parts", parts, m.declaration_parts.clone());
+        let bytes = "Bytes of calls to peers, by path";
+        r.register("peer_bytes", bytes, m.peer_bytes.clone());
+        let delays = "Time of calls to peers, by path";
+        let peer_delay = m.peer_delay.clone();
+        r.register_with_unit("peer_delay", delays, seconds.clone(), peer_delay);
+        let ages = "Age of changes at their arrival, by subject";
+        let change_age = m.change_age.clone();
+        r.register_with_unit("change_age", ages, seconds.clone(), change_age);
         let age = "Age of the configuration in force";
         let ages = m.declaration_age.clone();
         r.register_with_unit("declaration_age", age, seconds, ages);
@@ -265,6 +279,11 @@
     }
 }
 
+/// From 1 ms to about 4 s.
+fn delay_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 13))
+}
+
 /// From 50 ms, the smallest delay that counts, to 3.2 s.
 fn path_delay_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.05, 2.0, 7))
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -113,7 +113,7 @@
     /// Creates a stager without a report and without target versions.
     pub fn new(settings: &StagerSettings, shared: SharedState) -> Self {
         let client = shared.client;
-        let peer_client = PeerClient::new(client.clone(), &shared.metrics);
+        let peer_client = PeerClient::new(client.clone(), shared.metrics.clone());
         Self {
             pacer: RefCell::new(Pacer::new(
                 shared.cluster_view.clock.now(),
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -13,6 +13,11 @@
 /// Header with a [`crate::Reply`], sent by a sidecar to an entry.
 pub const REPLY: &str = "balsam-reply";
 
+/// Header of a response whose body is encoded by [`to_compressed`], for peers that accept it.
+pub const ENCODING: &str = "balsam-encoding";
+/// Value of [`ENCODING`].
+pub const DEFLATED: &str = "deflated";
+
 /// Encodes a message as a MessagePack map with field names.
 pub fn to_bytes<T: Serialize>(message: &T) -> Result<Vec<u8>, ProtocolError> {
     Ok(rmp_serde::to_vec_named(message)?)
@@ -25,8 +30,13 @@
 
 /// Encodes a message as a deflated body. Declarations and member lists shrink to about a tenth.
 pub fn to_compressed<T: Serialize>(message: &T) -> Result<Vec<u8>, ProtocolError> {
+    compress(&to_bytes(message)?)
+}
+
+/// Deflates an encoded message; [`from_compressed`] decodes it.
+pub fn compress(message: &[u8]) -> Result<Vec<u8>, ProtocolError> {
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-    encoder.write_all(&to_bytes(message)?)?;
+    encoder.write_all(message)?;
     Ok(encoder.finish()?)
 }
 
--- a/crates/protocol/src/mesh.rs
+++ b/crates/protocol/src/mesh.rs
@@ -120,6 +120,9 @@
     /// Whether the response is to contain a [`WeightsUpdate`].
     #[serde(rename = "weights", default)]
     pub include_weights: bool,
+    /// Whether the sender accepts a compressed response.
+    #[serde(default)]
+    pub accepts_compressed: bool,
 }
 
 /// A peer's response to a [`SyncRequest`].
