Gateways and stagers: the address at which others reach them is a setting

A process behind an address translation, or behind a link that a test emulates, listens on another address than the one its membership record has to name. inner_advertise names it; without the setting it is inner_listen, as before.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -223,7 +223,7 @@
         host: settings.mesh.host.clone(),
         role: ProcessRole::Entry,
         data_centre: settings.mesh.data_centre.clone(),
-        address: settings.mesh.inner_listen,
+        address: settings.mesh.inner_advertise,
         incarnation: clock.started_unix_ms(),
         heartbeat: 0,
         leaving: false,
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -126,7 +126,7 @@
         host: settings.mesh.host.clone(),
         role: ProcessRole::Sidecar,
         data_centre: settings.mesh.data_centre.clone(),
-        address: settings.mesh.inner_listen,
+        address: settings.mesh.inner_advertise,
         incarnation: clock.started_unix_ms(),
         heartbeat: 0,
         leaving: false,
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -42,6 +42,8 @@
     pub data_centre: SmolStr,
     /// Address to listen on for other processes of the system.
     pub inner_listen: SocketAddr,
+    /// Address at which other processes reach this one; differs from `inner_listen` behind an address translation.
+    pub inner_advertise: SocketAddr,
     /// Additional address that serves the metrics; the inner address serves them too.
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the platform's store.
@@ -223,6 +225,7 @@
     let host = fields.required_string("host");
     let data_centre = fields.required_string("data_centre");
     let inner_listen = fields.required_address("inner_listen");
+    let inner_advertise = fields.address("inner_advertise");
     let metrics_listen = fields.address("metrics_listen");
     let store = fields.required_address("store");
     let seeds = fields.addresses("seeds", faults);
@@ -230,6 +233,7 @@
         host,
         data_centre,
         inner_listen: inner_listen?,
+        inner_advertise: inner_advertise.or(inner_listen)?,
         metrics_listen,
         store: store?,
         seeds,
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -82,6 +82,28 @@
     assert_eq!(settings.revoke_within, None);
 }
 
+#[test]
+fn a_gateway_is_reached_at_the_address_that_it_listens_on_unless_the_settings_give_another() {
+    let default = read_gateway(GATEWAY.as_bytes(), &[]).expect("the fixture is valid");
+    let translated = overriding("inner_advertise", "10.0.0.9:7100");
+    let other = read_gateway(GATEWAY.as_bytes(), &translated).expect("the settings are valid");
+
+    assert_eq!(default.mesh.inner_advertise, default.mesh.inner_listen);
+    assert_eq!(other.mesh.inner_listen, default.mesh.inner_listen);
+    assert_eq!(other.mesh.inner_advertise.to_string(), "10.0.0.9:7100");
+}
+
+#[test]
+fn an_address_to_be_reached_at_is_checked() {
+    let report = read_gateway(
+        GATEWAY.as_bytes(),
+        &overriding("inner_advertise", "gateway.example:7000"),
+    );
+
+    let text = report.expect_err("names are not resolved").to_string();
+    assert!(text.contains("inner_advertise"), "{text}");
+}
+
 #[test]
 fn all_faults_of_a_gateway_and_a_stager_are_reported() {
     let broken = GATEWAY
