Gateways and stagers: their source address is a setting

On a host with several addresses, and on a network that tells hosts by their source address as the lab's does, connections to the store and to peers have to come from the host's own. outbound_ip says so, as it does for entries and sidecars.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -81,7 +81,7 @@
         own_member_record(&settings, clock),
         settings.contact_after,
     ));
-    let client = balsamjunction_client::new_client(None);
+    let client = balsamjunction_client::new_client(settings.mesh.outbound_ip);
     let context = Arc::new(GatewayContext::new(
         &settings,
         cluster_view.clone(),
--- a/crates/daemon/src/stager/mod.rs
+++ b/crates/daemon/src/stager/mod.rs
@@ -49,7 +49,7 @@
     let own = build_member_record(&settings, clock);
     let cluster_view = Arc::new(ClusterView::new(clock, events.clone(), own, Duration::ZERO));
     let chunk_cache = Arc::new(ChunkCache::default());
-    let client = balsamjunction_client::new_client(None);
+    let client = balsamjunction_client::new_client(settings.mesh.outbound_ip);
     events.emit(&Event::Process {
         change: "started",
         host: settings.mesh.host.clone(),
--- a/crates/settings/src/mesh.rs
+++ b/crates/settings/src/mesh.rs
@@ -1,6 +1,10 @@
 //! The settings of gateways and stagers, which find each other through seeds and read the platform's store.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use jsonc_parser::{ast::Value, common::Ranged};
 use smol_str::SmolStr;
@@ -44,6 +48,8 @@
     pub inner_listen: SocketAddr,
     /// Address at which other processes reach this one; differs from `inner_listen` behind an address translation.
     pub inner_advertise: SocketAddr,
+    /// Source address of connections to the store, to peers and, from stagers, to engine and origin; for hosts with several.
+    pub outbound_ip: Option<IpAddr>,
     /// Additional address that serves the metrics; the inner address serves them too.
     pub metrics_listen: Option<SocketAddr>,
     /// Address of the platform's store.
@@ -226,6 +232,9 @@
     let data_centre = fields.required_string("data_centre");
     let inner_listen = fields.required_address("inner_listen");
     let inner_advertise = fields.address("inner_advertise");
+    let outbound_ip = fields.string("outbound_ip");
+    let outbound_ip =
+        outbound_ip.and_then(|ip| fields.parse_value("outbound_ip", &ip, "an IP address"));
     let metrics_listen = fields.address("metrics_listen");
     let store = fields.required_address("store");
     let seeds = fields.addresses("seeds", faults);
@@ -234,6 +243,7 @@
         data_centre,
         inner_listen: inner_listen?,
         inner_advertise: inner_advertise.or(inner_listen)?,
+        outbound_ip,
         metrics_listen,
         store: store?,
         seeds,
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -93,6 +93,22 @@
     assert_eq!(other.mesh.inner_advertise.to_string(), "10.0.0.9:7100");
 }
 
+#[test]
+fn a_gateway_reads_its_source_address() {
+    let source = overriding("outbound_ip", "10.0.0.9");
+    let default = read_gateway(GATEWAY.as_bytes(), &[]).expect("the fixture is valid");
+    let gateway = read_gateway(GATEWAY.as_bytes(), &source).expect("the settings are valid");
+    let wrong = read_gateway(
+        GATEWAY.as_bytes(),
+        &overriding("outbound_ip", "10.0.0.9:80"),
+    );
+
+    assert_eq!(default.mesh.outbound_ip, None);
+    assert_eq!(gateway.mesh.outbound_ip, Some([10, 0, 0, 9].into()));
+    let text = wrong.expect_err("it has a port").to_string();
+    assert!(text.contains("use an IP address"), "{text}");
+}
+
 #[test]
 fn an_address_to_be_reached_at_is_checked() {
     let report = read_gateway(
