--- a/crates/lab/tests/gateway/common.rs
+++ b/crates/lab/tests/gateway/common.rs
@@ -2,8 +2,9 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -20,6 +21,9 @@
 /// The API key that the published configuration assigns to the workspace `selam`.
 pub const API_KEY: &str = "key-of-selam";
 
+/// Number of platforms that tests of this process have started.
+static STARTED_SITES: AtomicU32 = AtomicU32::new(0);
+
 /// Stand-ins for the platform, and the daemon processes that a test starts. Dropping it kills the processes.
 pub struct TestSite {
     pub store: Store,
@@ -86,7 +90,8 @@
     }
 }
 
-fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+/// A route as the published configuration has it.
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
     json!({
         "name": name, "host": "floor.example", "prefix": prefix, "routeType": kind,
         "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1, "service": service,
@@ -140,7 +145,10 @@
     /// Starts a platform that has not published a configuration.
     pub async fn start_unconfigured() -> Self {
         let addresses = AddressBlock::claim().expect("claim a block of addresses");
-        let dir = std::env::temp_dir().join(addresses.unique_name());
+        // The folder of a failed test stays, and its block of addresses may be claimed again.
+        let number = STARTED_SITES.fetch_add(1, Ordering::Relaxed);
+        let name = format!("{}-{number}", addresses.unique_name());
+        let dir = std::env::temp_dir().join(name);
         fs::create_dir_all(&dir).expect("create the directory of the test");
         let origin = Origin::start().await.expect("start the origin");
         Self {
@@ -229,19 +237,31 @@
         seeds: &[Gateway],
         store: SocketAddr,
     ) -> Gateway {
-        let ip = self.addresses.next_ip();
-        let gateway = Gateway {
-            callers: SocketAddr::new(ip, 8080),
-            readiness: SocketAddr::new(ip, 8081),
-            inner: SocketAddr::new(ip, 7000),
-            metrics: SocketAddr::new(ip, 9464),
-        };
+        let gateway = Gateway::at(self.next_ip());
+        let store = json!({"store": store.to_string()});
+        self.start_gateway_with(name, gateway, seeds, &store);
+        gateway
+    }
+
+    /// An IP address that nothing else uses.
+    pub fn next_ip(&mut self) -> IpAddr {
+        self.addresses.next_ip()
+    }
+
+    /// Starts a gateway on the addresses `gateway` and with the settings `overrides` in place of the usual ones.
+    pub fn start_gateway_with(
+        &mut self,
+        name: &str,
+        gateway: Gateway,
+        seeds: &[Gateway],
+        overrides: &Value,
+    ) {
         let mut settings = json!({
             "host": name, "data_centre": "addis-a", "regions": {"addis-a": "addis"},
             "listen": gateway.callers.to_string(),
             "readiness_listen": gateway.readiness.to_string(),
             "inner_listen": gateway.inner.to_string(),
-            "metrics_listen": gateway.metrics.to_string(), "store": store.to_string(),
+            "metrics_listen": gateway.metrics.to_string(), "store": self.store.address.to_string(),
             "seeds": mesh_addresses(seeds), "revoke_within_ms": self.revocation_deadline.as_millis(), "grace_s": 8,
             "version_within_ms": self.version_deadline.as_millis(), "retry_slack": self.retry_slack,
             "first_start": true, "prompt_cache": self.prompt_cache,
@@ -249,8 +269,10 @@
         if let Some(memory_mb) = self.memory_mb {
             settings["memory_mb"] = json!(memory_mb);
         }
+        for (field, value) in overrides.as_object().into_iter().flatten() {
+            settings[field] = value.clone();
+        }
         self.launch(name, "gateway", &settings);
-        gateway
     }
 
     /// Starts a stager for an engine.
@@ -344,6 +366,16 @@
 }
 
 impl Gateway {
+    /// The addresses of a gateway on a host of its own.
+    pub fn at(ip: IpAddr) -> Self {
+        Self {
+            callers: SocketAddr::new(ip, 8080),
+            readiness: SocketAddr::new(ip, 8081),
+            inner: SocketAddr::new(ip, 7000),
+            metrics: SocketAddr::new(ip, 9464),
+        }
+    }
+
     /// Whether the readiness endpoint reports success.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/readyz", self.readiness);
