--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -81,7 +81,7 @@
         own_member_record(&settings, clock),
         settings.contact_after,
     ));
-    let client = balsamjunction_client::new_client(None);
+    let client = balsamjunction_client::new_client(settings.mesh.outbound_ip);
     let context = Arc::new(GatewayContext::new(
         &settings,
         cluster_view.clone(),
@@ -238,7 +238,7 @@
         host: settings.mesh.host.clone(),
         role: ProcessRole::Entry,
         data_centre: settings.mesh.data_centre.clone(),
-        address: settings.mesh.inner_listen,
+        address: settings.mesh.inner_advertise,
         incarnation: clock.started_unix_ms(),
         heartbeat: 0,
         leaving: false,
