Test of a filled path: its link counts as full after three connections that are not accepted

The test failed in one of five runs of the whole program (delays None, None, None, 301, 302, None; the second was wanted to have one). Not traced: what was seen fits a link that was taken for full too early, so the first requests were connected. It did not fail in two further runs of the whole program with this change, which is no proof. The assertions are as they were.

--- a/crates/lab/tests/gateway/filled_path.rs
+++ b/crates/lab/tests/gateway/filled_path.rs
@@ -14,6 +14,9 @@
 
 /// Time after which a connection that is not accepted counts as waiting.
 const NOT_ACCEPTED: Duration = Duration::from_millis(100);
+/// Successive connections that are not accepted by a queue that is full. One alone may have been delayed by a busy
+/// machine.
+const FULL_AFTER: usize = 3;
 /// The least of the 300 ms for which a gateway waits for a connection that is more than the usual time.
 const LEAST_DELAY_MS: u64 = 150;
 
@@ -33,8 +36,15 @@
         let listener = socket.listen(1).expect("listen");
         let address = listener.local_addr().expect("the listener is bound");
         let mut queued = Vec::new();
-        while let Ok(connected) = timeout(NOT_ACCEPTED, TcpStream::connect(address)).await {
-            queued.push(connected.expect("connect to the link"));
+        let mut not_accepted = 0;
+        while not_accepted < FULL_AFTER {
+            match timeout(NOT_ACCEPTED, TcpStream::connect(address)).await {
+                Ok(connected) => {
+                    queued.push(connected.expect("connect to the link"));
+                    not_accepted = 0;
+                }
+                Err(_) => not_accepted += 1,
+            }
         }
         Self {
             address,
