Another configuration of the same version and revision is taken when it is announced

A source that was restored gives revisions out again, so a peer may have another configuration at the version and the revision of the one in force here, and not know whether it came with the copy. With its content it replaced the one in force; announced, it was dropped as no later than that, while the position advanced: the process kept a configuration that the source does not have, and counted it as verified.

The order of announcements goes by Provenance::undoes now: at the same revision a change of a later era is another one. The test failed before with ("later", "earlier"), and passes; all tests of directory pass.

--- a/crates/directory/src/replica/announced.rs
+++ b/crates/directory/src/replica/announced.rs
@@ -188,10 +188,11 @@
     }
 }
 
-/// Whether a configuration replaces another one: by its version, or if that is the same by its place in the history.
+/// Whether a configuration replaces a different one: by its version, or if that is the same by its place in the history.
+/// At the same revision it is of a later era, since a revision of one era is one change.
 fn is_successor(new: (u64, Provenance), stored: (u64, Provenance)) -> bool {
     match new.0 == stored.0 {
-        true => new.1.is_later(&stored.1),
+        true => new.1.undoes(&stored.1),
         false => new.0 > stored.0,
     }
 }
--- a/crates/directory/tests/announcements.rs
+++ b/crates/directory/tests/announcements.rs
@@ -4,8 +4,9 @@
 
 use balsamjunction_directory::{
     Change, Declaration, DeclarationId, Directory, Fact, Position, Replica, ReplicaPull,
-    ReplicaUpdate, Subject, Verification,
+    ReplicaUpdate, Subject, Verification, Workspace,
 };
+use smol_str::SmolStr;
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -243,3 +244,68 @@
 
     assert_eq!(held, [id(4), id(3), id(2)]);
 }
+
+/// Configuration 7 with one workspace.
+fn with_workspace(name: &str) -> Arc<Declaration> {
+    let workspace = Workspace {
+        name: name.into(),
+        api_keys: Vec::new(),
+        priority: None,
+        allowed_regions: Vec::new(),
+    };
+    Arc::new(Declaration {
+        version: 7,
+        workspaces: vec![workspace],
+        ..Declaration::default()
+    })
+}
+
+/// A copy with configuration 7 at revision 20 of era 1, which receives another configuration 7 that a peer has at the same
+/// revision of era 2 and takes for part of the copy. Returns the name of the workspace in force afterwards.
+fn workspace_after_a_restoration(announces: bool) -> SmolStr {
+    let in_era = |era, fact| Change {
+        era,
+        copied: era == 2,
+        ..change(Subject::Declaration, 20, fact)
+    };
+    let known = in_era(1, Fact::Declaration(with_workspace("earlier")));
+    let mut replica = Replica::default();
+    let verified = Verification {
+        position: Position {
+            era: 1,
+            revision: 20,
+        },
+        queried_at: millis(0),
+    };
+    replica.replace_by_listing(millis(0), vec![known], verified);
+    let later = with_workspace("later");
+    let id = DeclarationId::of(&later).expect("it is short");
+    let fact = match announces {
+        true => Fact::Announced(id),
+        false => Fact::Declaration(later.clone()),
+    };
+    let update = ReplicaUpdate {
+        revision: 20,
+        era: 2,
+        complete: true,
+        changes: vec![in_era(2, fact)],
+        ..ReplicaUpdate::default()
+    };
+
+    replica.apply_update(millis(3_000), millis(2_990), update);
+    replica.supply_declaration(millis(3_100), id, later);
+
+    let directory = Directory::from_replica(&replica, &Directory::default());
+    let table = directory.route_table.expect("a configuration is in force");
+    table.declaration.workspaces[0].name.clone()
+}
+
+// Guards against a configuration that stays in force although the restored source has another one of its version, at the
+// revision that its predecessor had.
+#[test]
+fn another_configuration_of_the_version_and_revision_is_taken_whether_announced_or_contained() {
+    let contained = workspace_after_a_restoration(false);
+    let announced = workspace_after_a_restoration(true);
+
+    assert_eq!((contained.as_str(), announced.as_str()), ("later", "later"));
+}
