An announced configuration that comes with a copy was not made in the new era

A process that knew a configuration by its announcement alone compared the copy of a restored source with the configuration in force. So the announced one looked as if it had been made after the restoration, and all later changes of the copy with it: a drained upstream was ready again, and the era counted as settled at once, so that what the source had lost counted as verified.

The copy is compared with the announcement. The test failed before (the upstream was Ready instead of Draining), and passes; all tests of directory pass.

--- a/crates/directory/src/replica/announced.rs
+++ b/crates/directory/src/replica/announced.rs
@@ -148,6 +148,22 @@
         None
     }
 
+    /// The position of the announced configuration, and whether the change has its content; nothing for another subject,
+    /// and if none is announced.
+    pub(super) fn announced_as(&self, change: &Change) -> Option<(Position, bool)> {
+        let announced = self.announced.as_ref()?;
+        if change.subject != Subject::Declaration {
+            return None;
+        }
+        let same = match &change.fact {
+            Some(Fact::Declaration(declaration)) => {
+                DeclarationId::of(declaration).is_ok_and(|id| id == announced.id)
+            }
+            _ => false,
+        };
+        Some((announced.change.provenance().position, same))
+    }
+
     /// The fact as it is sent to peers that accept announcements.
     pub(super) fn announcement_of(&self, fact: &Fact) -> Fact {
         let held = match fact {
--- a/crates/directory/src/replica/era.rs
+++ b/crates/directory/src/replica/era.rs
@@ -123,15 +123,20 @@
     /// Whether a change cannot have been made in the era that this copy is of: the latest change of its subject there is an
     /// earlier one, or was another one at the same revision.
     fn contradicts(&self, change: &Change) -> bool {
-        let (latest, fact) = match self.entries.get(&change.subject) {
-            Some(stored) => (stored.provenance.position, Some(&stored.fact)),
-            None => match self.latest_removal(&change.subject) {
-                Some(removed) => (removed.position, None),
+        let stored = self.entries.get(&change.subject);
+        let (latest, same_fact) = match (self.announced_as(change), stored) {
+            (Some(announced), _) => announced,
+            (None, Some(stored)) => (
+                stored.provenance.position,
+                change.fact.as_ref() == Some(&stored.fact),
+            ),
+            (None, None) => match self.latest_removal(&change.subject) {
+                Some(removed) => (removed.position, change.fact.is_none()),
                 None => return false,
             },
         };
         let known = latest.era == self.position.era && change.revision <= self.position.revision;
-        let same = change.revision == latest.revision && change.fact.as_ref() == fact;
+        let same = change.revision == latest.revision && same_fact;
         known && change.revision >= latest.revision && !same
     }
 
--- a/crates/directory/tests/eras.rs
+++ b/crates/directory/tests/eras.rs
@@ -4,8 +4,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use balsamjunction_directory::{
-    Change, Declaration, Directory, Fact, Position, Replica, ReplicaPull, ReplicaUpdate, Subject,
-    UpstreamRecord, UpstreamState, Verification, VerificationAge,
+    Change, Declaration, DeclarationId, Directory, Fact, Position, Replica, ReplicaPull,
+    ReplicaUpdate, Subject, UpstreamRecord, UpstreamState, Verification, VerificationAge,
 };
 use proptest::prelude::*;
 
@@ -247,6 +247,33 @@
     assert_eq!(late.position(), at(2, 6));
 }
 
+// Guards against a drained upstream that returns with a restoration, since the configuration in the copy is one that was
+// announced and whose content is missing.
+#[test]
+fn an_announced_configuration_in_the_copy_was_not_made_in_the_new_era() {
+    let mut replica = watching(vec![ready(at(1, 2), "a")]);
+    let announced = DeclarationId::of(&Declaration {
+        version: 2,
+        ..Declaration::default()
+    });
+    let announced = Fact::Announced(announced.expect("it is short"));
+    let announced = change(at(1, 3), Subject::Declaration, Some(announced));
+    let changes = vec![announced, ready(at(1, 4), "a"), draining(at(1, 6), "a")];
+    let update = ReplicaUpdate {
+        revision: 6,
+        era: 1,
+        changes,
+        ..ReplicaUpdate::default()
+    };
+    replica.apply_notification(millis(20), at(1, 2), update);
+
+    let copy = vec![declaration(at(2, 3), 2), ready(at(2, 4), "a")];
+    list_in_era_2(&mut replica, 1_000, 5, copy);
+
+    assert_eq!(states(&replica), [("a".into(), UpstreamState::Draining)]);
+    assert_eq!(replica.verified_at(), Some(millis(10)));
+}
+
 // Guards against answers and messages of the era before that arrive late.
 #[test]
 fn late_answers_of_an_era_that_has_ended_change_and_verify_nothing() {
