A configuration that is read by itself may have come with a copy

A process that gets the content of a configuration from nobody reads that key from the source. After a restoration it took what it found there for a change of the new era. So the era counted as settled before its time, reads verified facts that the source had lost, and peers were told that the configuration was certain.

Changes that are read by themselves are classified as those of a listing are. The test failed before (verified at 1.3 s instead of 10 ms), and passes; all tests of directory pass.

--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -151,12 +151,8 @@
     /// Applies changes that were read from the store, which do not verify the facts. Changes of an era that has ended are
     /// ignored.
     pub fn apply_unverified(&self, changes: Vec<Change>, era: u64, source: &str) {
-        let verification = Verification {
-            position: Position { era, revision: 0 },
-            queried_at: Moment::ZERO,
-        };
         self.update_replica(source, |replica, now| {
-            replica.apply(now, changes, verification)
+            replica.apply_unverified(now, changes, era)
         });
     }
 
--- a/crates/directory/src/replica/mod.rs
+++ b/crates/directory/src/replica/mod.rs
@@ -300,6 +300,23 @@
         summary
     }
 
+    /// Applies changes that were read from the source by themselves, which verify nothing about the others. Changes of
+    /// another era than the known one are ignored.
+    pub fn apply_unverified(
+        &mut self,
+        now: Duration,
+        mut changes: Vec<Change>,
+        era: u64,
+    ) -> ApplySummary {
+        let position = Position { era, revision: 0 };
+        self.classify(&mut changes, position);
+        let verification = Verification {
+            position,
+            queried_at: Duration::ZERO,
+        };
+        self.apply(now, changes, verification)
+    }
+
     /// Whether a late response contains a fact that was removed since: this copy is complete up to a later position,
     /// where the source did not have the subject. The content of an announced configuration is missing for another reason.
     fn is_outdated(&self, change: &Change) -> bool {
--- a/crates/directory/tests/eras.rs
+++ b/crates/directory/tests/eras.rs
@@ -274,6 +274,18 @@
     assert_eq!(replica.verified_at(), Some(millis(10)));
 }
 
+// Guards against an era that counts as settled, since the configuration in the copy was read by itself.
+#[test]
+fn a_configuration_that_is_read_by_itself_after_a_restoration_may_be_of_the_copy() {
+    let mut replica = watching(vec![declaration(at(1, 9), 2)]);
+    list_in_era_2(&mut replica, 1_000, 5, vec![declaration(at(2, 1), 1)]);
+
+    replica.apply_unverified(millis(1_200), vec![declaration(at(2, 1), 1)], 2);
+    replica.mark_verified(verification(at(2, 5), 1_300));
+
+    assert_eq!(replica.verified_at(), Some(millis(10)));
+}
+
 // Guards against answers and messages of the era before that arrive late.
 #[test]
 fn late_answers_of_an_era_that_has_ended_change_and_verify_nothing() {
