Content that is received again and again is no progress

The time after which a process reads the configuration from the store counted from the last part received. Where peers keep sending content that cannot be used (of another build, or damaged), each part of it began that time anew: the process would receive it for ever, never read the store, and refuse callers once its keys were too old.

Only bytes beyond those that an earlier attempt had are progress. The test failed before (stalled for 60 ms after four downloads 60 ms apart), and passes.

--- a/crates/daemon/src/mesh/documents.rs
+++ b/crates/daemon/src/mesh/documents.rs
@@ -29,7 +29,7 @@
 pub struct Documents {
     cluster_view: Arc<ClusterView>,
     state: Mutex<State>,
-    /// When the download began, or last received a part.
+    /// When the download began, or last received bytes that no attempt had reached before.
     progress_at: Mutex<Option<Moment>>,
     /// Notified when a part or a configuration has been received.
     received: watch::Sender<u64>,
@@ -39,6 +39,8 @@
 struct State {
     encodings: VecDeque<Arc<Encoding>>,
     download: Option<Download>,
+    /// The most bytes that the download ever had. One that begins anew makes progress only beyond them.
+    furthest: u32,
 }
 
 impl Documents {
@@ -58,19 +60,21 @@
 
     /// Begins to receive a configuration, or continues it.
     pub fn begin(&self, id: DeclarationId) {
-        let download = &mut self.state().download;
-        if download.as_ref().is_none_or(|download| download.id() != id) {
-            *download = Some(Download::new(id));
+        let mut state = self.state();
+        let download = state.download.as_ref();
+        if download.is_none_or(|download| download.id() != id) {
+            state.download = Some(Download::new(id));
+            state.furthest = 0;
             self.record_progress();
+            self.received.send_modify(|n| *n += 1);
         }
     }
 
     fn record_progress(&self) {
         *lock(&self.progress_at) = Some(self.cluster_view.clock.now());
-        self.received.send_modify(|n| *n += 1);
     }
 
-    /// Returns the time since the download began or last received a part; `None` if there is none.
+    /// Returns the time since the download began or last made progress; `None` if there is none.
     pub fn stalled_for(&self) -> Option<Duration> {
         let progress_at = (*lock(&self.progress_at))?;
         Some(self.cluster_view.clock.now().saturating_sub(progress_at))
@@ -96,7 +100,10 @@
     /// A part of another encoding, as a peer of another build has it, begins the download anew.
     pub fn accept(&self, part: Part) -> Result<Option<Arc<Declaration>>, DocumentError> {
         let mut state = self.state();
-        let Some(download) = &mut state.download else {
+        let State {
+            download, furthest, ..
+        } = &mut *state;
+        let Some(download) = download else {
             return Ok(None);
         };
         if download
@@ -106,7 +113,11 @@
             download.restart();
         }
         let progress = download.accept(part)?;
-        self.record_progress();
+        if download.offset() > *furthest {
+            *furthest = download.offset();
+            self.record_progress();
+        }
+        self.received.send_modify(|n| *n += 1);
         if progress == Progress::Partial {
             return Ok(None);
         }
