--- a/crates/directory/src/replica/announced.rs
+++ b/crates/directory/src/replica/announced.rs
@@ -148,6 +148,22 @@
         None
     }
 
+    /// The position of the announced configuration, and whether the change has its content; nothing for another subject,
+    /// and if none is announced.
+    pub(super) fn announced_as(&self, change: &Change) -> Option<(Position, bool)> {
+        let announced = self.announced.as_ref()?;
+        if change.subject != Subject::Declaration {
+            return None;
+        }
+        let same = match &change.fact {
+            Some(Fact::Declaration(declaration)) => {
+                DeclarationId::of(declaration).is_ok_and(|id| id == announced.id)
+            }
+            _ => false,
+        };
+        Some((announced.change.provenance().position, same))
+    }
+
     /// The fact as it is sent to peers that accept announcements.
     pub(super) fn announcement_of(&self, fact: &Fact) -> Fact {
         let held = match fact {
@@ -188,10 +204,11 @@
     }
 }
 
-/// Whether a configuration replaces another one: by its version, or if that is the same by its place in the history.
+/// Whether a configuration replaces a different one: by its version, or if that is the same by its place in the history.
+/// At the same revision it is of a later era, since a revision of one era is one change.
 fn is_successor(new: (u64, Provenance), stored: (u64, Provenance)) -> bool {
     match new.0 == stored.0 {
-        true => new.1.is_later(&stored.1),
+        true => new.1.undoes(&stored.1),
         false => new.0 > stored.0,
     }
 }
