Tests: readers that are refused or killed beside a large configuration

The store can be opened at an address of its own for each client, which counts the client's calls and refuses them (429), also watches that wait. In the fleet on slow links a reader is refused for 2 s while a version is named 0.2 s after a large configuration, or killed 0.2 s after it.

--- a/crates/lab/src/standin/platform/mod.rs
+++ b/crates/lab/src/standin/platform/mod.rs
@@ -8,6 +8,7 @@
 mod scripted;
 mod server;
 mod store;
+mod store_access;
 
 pub use self::{
     engine::{Engine, EngineFault, EngineOptions, OrderFault, Run, StagingFault},
@@ -15,4 +16,5 @@
     scripted::{Script, ScriptedServer},
     server::{Body, ResponseResult},
     store::{Store, StoreFault},
+    store_access::StoreAccess,
 };
--- a/crates/lab/src/standin/platform/store.rs
+++ b/crates/lab/src/standin/platform/store.rs
@@ -79,6 +79,11 @@
         })
     }
 
+    /// Handles a call.
+    pub(super) async fn handle(&self, req: &Request<Incoming>) -> ResponseResult {
+        handle(&self.state, &self.revision_tx, req).await
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
--- a/crates/lab/tests/gateway/large_configuration.rs
+++ b/crates/lab/tests/gateway/large_configuration.rs
@@ -4,31 +4,22 @@
 
 use balsamjunction_lab::standin::platform::Engine;
 use futures_util::future::{join, join_all};
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64;
 use serde_json::{json, Value};
 
 use crate::{
-    common::{model_engine_options, plain_engine_options, route, Gateway, TestSite, API_KEY},
-    slow_links::{unix_ms, SlowFleet, REVOCATION_DEADLINE},
+    common::{model_engine_options, plain_engine_options, Gateway, TestSite, API_KEY},
+    slow_links::{
+        publish_large_configuration, Acknowledged, SlowFleet, CONFIGURED_WITHIN,
+        REVOCATION_DEADLINE, VERSION_KNOWN_WITHIN, VERSION_TAKEN_LATER,
+    },
 };
 
-/// Routes that the large configuration adds.
-const MORE_ROUTES: usize = 1_560;
-/// Seed of their names and times.
-const ROUTE_SEED: u64 = 52;
 /// Time from the large configuration to the small change behind it.
 const SMALL_CHANGE_DELAY: Duration = Duration::from_millis(200);
-/// Time from its acknowledgement within which every gateway must know a version.
-const VERSION_KNOWN_WITHIN: Duration = Duration::from_millis(1_000);
-/// How much later than it was a gateway may take the publication of a version.
-const VERSION_TAKEN_LATER: Duration = Duration::from_millis(100);
 /// Time from its acknowledgement after which a draining engine must get no requests.
 const DRAINED_WITHIN: Duration = Duration::from_millis(1_000);
 /// Time from its acknowledgement within which a revocation must be in force beside a large configuration.
 const REVOKED_WITHIN: Duration = Duration::from_millis(2_000);
-/// Time from its acknowledgement within which a configuration must be in force.
-const CONFIGURED_WITHIN: Duration = Duration::from_millis(3_000);
 /// Time from the large configuration for which a test observes the gateways; longer than it took to settle where
 /// the small changes behind it came late.
 const OBSERVATION_TIME: Duration = Duration::from_millis(8_000);
@@ -37,49 +28,6 @@
 /// A key that tests revoke.
 const REVOKED_KEY: &str = "key-to-revoke";
 
-/// A change that the store acknowledged.
-struct Acknowledged {
-    at: Instant,
-    at_ms: u64,
-}
-
-impl Acknowledged {
-    fn now() -> Self {
-        Self {
-            at: Instant::now(),
-            at_ms: unix_ms(),
-        }
-    }
-
-    /// How long after the acknowledgement a line was written, in milliseconds.
-    fn ms_until(&self, line: &Value) -> i64 {
-        line["at_ms"].as_u64().expect("lines have a time") as i64 - self.at_ms as i64
-    }
-}
-
-/// The routes that the large configuration adds. Their names and times differ as much as an operator's do, so that they
-/// deflate to about a tenth, as declarations do.
-fn more_routes() -> Vec<Value> {
-    let mut rng = Pcg64::seed_from_u64(ROUTE_SEED);
-    let routes = (0..MORE_ROUTES).map(|n| {
-        let name = format!("counter-{n}-{:016x}", rng.random::<u64>());
-        let mut route = route(&name, &format!("/{name}/"), "idempotent", "order-desk");
-        route["timeoutMs"] = json!(rng.random_range(1_000..10_000));
-        route["targetLatencyMs"] = json!(rng.random_range(100..1_000));
-        route
-    });
-    routes.collect()
-}
-
-/// Publishes a configuration with [`MORE_ROUTES`] routes more.
-fn publish_large_configuration(site: &mut TestSite) -> Acknowledged {
-    site.update_config(|config| {
-        let routes = config["routes"].as_array_mut();
-        routes.expect("there are routes").extend(more_routes());
-    });
-    Acknowledged::now()
-}
-
 /// Publishes a large configuration and makes the change `change` shortly after it.
 async fn change_beside_large_configuration(
     site: &mut TestSite,
@@ -104,14 +52,6 @@
     (fleet, named)
 }
 
-/// The first line of each gateway that names version 2, with the gateway's name.
-fn lines_of_second_version(fleet: &SlowFleet) -> Vec<(&str, Option<Value>)> {
-    let lines = fleet.log_lines("version-named").into_iter();
-    lines
-        .map(|(name, lines)| (name, lines.into_iter().find(|line| line["version"] == 2)))
-        .collect()
-}
-
 /// Calls a gateway again and again from `from` to `until`; returns when each request was sent and its status.
 async fn call_repeatedly(
     name: &str,
@@ -163,10 +103,7 @@
 async fn all_gateways_know_a_version_in_time() {
     let (fleet, named) = name_version_beside_large_configuration().await;
 
-    let learned: Vec<(&str, Option<i64>)> = lines_of_second_version(&fleet)
-        .into_iter()
-        .map(|(name, line)| (name, line.map(|line| named.ms_until(&line))))
-        .collect();
+    let learned = fleet.version_learned(2, &named);
     println!("ms from the acknowledgement to the knowledge of the version: {learned:?}");
     let within = VERSION_KNOWN_WITHIN.as_millis() as i64;
     let late = learned
@@ -182,16 +119,7 @@
 async fn no_gateway_takes_a_version_for_later_than_it_was() {
     let (fleet, named) = name_version_beside_large_configuration().await;
 
-    let taken: Vec<(&str, Option<i64>)> = lines_of_second_version(&fleet)
-        .into_iter()
-        .map(|(name, line)| {
-            let taken = line.and_then(|line| {
-                let since_ms = line["since_ms"].as_u64()? as i64;
-                Some(named.ms_until(&line) - since_ms)
-            });
-            (name, taken)
-        })
-        .collect();
+    let taken = fleet.version_counted_from(2, &named);
     println!("ms from the acknowledgement to the time from which the version counts: {taken:?}");
     let most = VERSION_TAKEN_LATER.as_millis() as i64;
     let late = taken.iter().filter(|(_, ms)| ms.is_none_or(|ms| ms > most));
@@ -310,17 +238,7 @@
     let published = publish_large_configuration(&mut fleet.site);
     actix_rt::time::sleep(OBSERVATION_TIME).await;
 
-    let version = fleet.site.config()["version"].as_u64();
-    let applied: Vec<(&str, Option<i64>)> = fleet
-        .log_lines("belief")
-        .into_iter()
-        .map(|(name, lines)| {
-            let line = lines
-                .iter()
-                .find(|line| line["configuration"].as_u64() >= version);
-            (name, line.map(|line| published.ms_until(line)))
-        })
-        .collect();
+    let applied = fleet.configuration_applied(&published);
     println!("ms from the acknowledgement to the configuration in force: {applied:?}");
     let within = CONFIGURED_WITHIN.as_millis() as i64;
     let late = applied
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod large_configuration;
 mod lifecycle;
 mod limits;
+mod lost_readers;
 mod odd_entries;
 mod planned_stops;
 mod prompt_prefixes;
