A starting gateway with its peers' facts leaves the store to the readers

A gateway listed the store at its start again and again, every 150 ms, until that succeeded, even when its peers had given it all facts. Where the store rejects some machines, or all of them start together, these listings use up the rate that the readers need, and each is as long as all facts. Its other loops did not run meanwhile, so that it could not read a configuration that peers did not provide.

It goes on once its facts are fresh.

--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -46,8 +46,8 @@
 const WATCH_LAG: Duration = Duration::from_millis(200);
 /// Pause after a watch has returned changes, so that the next call returns all that follow shortly.
 const BATCH_PAUSE: Duration = Duration::from_millis(60);
-/// Mean backoff of a reader after a failed call, and of any entry until its first listing succeeds; with a
-/// jitter of ±50%.
+/// Mean backoff of a reader after a failed call, and of any entry until its first listing succeeds or peers have
+/// given it the facts; with a jitter of ±50%.
 ///
 /// A version that is acknowledged at the end of an outage counts from the last read that verified the facts, so the first
 /// read afterwards should not be late.
@@ -86,7 +86,8 @@
         outage_cause: RefCell::default(),
         last_failure: Cell::default(),
     };
-    while !reader.list().await {
+    // A process that its peers keep up to date does not need a listing of its own.
+    while !reader.list().await && reader.facts_older_than(FALLBACK_READ_AFTER) {
         sleep_with_jitter(READER_BACKOFF).await;
     }
     reader.offer_as_reader();
--- a/crates/lab/tests/gateway/requests.rs
+++ b/crates/lab/tests/gateway/requests.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use balsamjunction_lab::standin::platform::{EngineFault, StoreFault};
+use balsamjunction_lab::standin::platform::{EngineFault, Store, StoreFault};
 use serde_json::json;
 
 use crate::common::{plain_engine_options, wait_until, TestSite, API_KEY};
 
+/// A gateway whose last call to the store failed does not offer to be a reader for longer than this.
+const HOLD_OFF: Duration = Duration::from_secs(3);
+/// Most calls to a store that rejects them, before a starting gateway has the facts of its peers.
+const MAX_STARTING_CALLS: u64 = 8;
+
 #[actix_rt::test]
 async fn a_call_reaches_the_upstream_unchanged_except_for_its_key() {
     let mut site = TestSite::start().await;
@@ -274,6 +279,27 @@
     .await;
 }
 
+// Guards against starting gateways that use up the rate of the store, although their peers have all facts: each listed it
+// again and again until that succeeded.
+#[actix_rt::test]
+async fn a_gateway_that_starts_with_facts_of_peers_leaves_the_store_to_the_readers() {
+    let mut site = TestSite::start().await;
+    site.start_engine(plain_engine_options("d1")).await;
+    let first = site.start_gateway("g1", &[]);
+    first.wait_until_ready().await;
+    let store = Store::start().await.expect("start the store");
+    store.set_fault(StoreFault::TooManyReads);
+
+    let second = site.start_gateway_with_store("g2", &[first], store.address);
+    second.wait_until_ready().await;
+    actix_rt::time::sleep(HOLD_OFF).await;
+
+    let response = second.call("POST", "/order/new", "a1").await;
+    assert_eq!(response.status, 200);
+    let calls = store.calls();
+    assert!(calls <= MAX_STARTING_CALLS, "{calls} calls");
+}
+
 #[actix_rt::test]
 async fn a_gateway_that_cannot_read_the_store_is_updated_by_another_one() {
     let mut site = TestSite::start().await;
