A configuration that the store does not have is read less and less often

A gateway that is announced a configuration which no peer has reads it from the store. If the store was restored from an older copy, that read brings another one, and was repeated every 150 ms, each with the whole configuration. Now the interval doubles from 1.2 s to 30 s. Found by reading; no test.

--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -34,6 +34,9 @@
 /// An entry reads the configuration from the store if none of its parts has come from peers for this long; the steps of
 /// the entries before it are added.
 const CONTENT_READ_AFTER: Duration = Duration::from_millis(1_200);
+/// Longest interval between such reads. It doubles with each one that did not bring the announced configuration: a store that
+/// was restored from an older copy has another.
+const MAX_CONTENT_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// The store counts as lost if calls have failed for this long, and peers provide nothing fresh either.
 const LOST_AFTER: Duration = Duration::from_millis(1_000);
 /// Interval between checks of the facts' age.
@@ -62,6 +65,8 @@
     client: PeerClient,
     documents: Arc<Documents>,
     metrics: Arc<Metrics>,
+    /// When the configuration may be read next, and the interval after that read.
+    next_content_read: Cell<(Moment, Duration)>,
     /// Since when all calls have failed.
     failing_since: Cell<Option<Moment>>,
     outage_cause: RefCell<Option<String>>,
@@ -82,6 +87,7 @@
         client,
         documents,
         metrics,
+        next_content_read: Cell::new((Moment::ZERO, CONTENT_READ_AFTER)),
         failing_since: Cell::default(),
         outage_cause: RefCell::default(),
         last_failure: Cell::default(),
@@ -237,10 +243,7 @@
             };
             self.offer_as_reader();
             self.cluster_view.drop_unconfirmed();
-            let stalled = self.documents.stalled_for();
-            if stalled.is_some_and(|stalled| stalled >= CONTENT_READ_AFTER + self.turn_delay())
-                && !self.read_declaration().await
-            {
+            if self.is_content_needed() && !self.read_declaration().await {
                 self.back_off().await;
             }
             if !self.facts_older_than(max_age) {
@@ -282,6 +285,17 @@
         true
     }
 
+    /// Whether this entry must read the content of an announced configuration from the store.
+    fn is_content_needed(&self) -> bool {
+        let Some(stalled) = self.documents.stalled_for() else {
+            self.next_content_read
+                .set((Moment::ZERO, CONTENT_READ_AFTER));
+            return false;
+        };
+        stalled >= CONTENT_READ_AFTER + self.turn_delay()
+            && self.cluster_view.clock.now() >= self.next_content_read.get().0
+    }
+
     /// Reads the content of an announced configuration that peers do not provide; returns whether the store could be read.
     async fn read_declaration(&self) -> bool {
         let queried_at = self.cluster_view.clock.now();
@@ -293,6 +307,10 @@
         let era = page.position.era;
         self.cluster_view
             .apply_unverified(page.changes, era, "store listing");
+        let (_, interval) = self.next_content_read.get();
+        let next = self.cluster_view.clock.now() + interval;
+        let interval = (interval * 2).min(MAX_CONTENT_READ_INTERVAL);
+        self.next_content_read.set((next, interval));
         true
     }
 
