Entries in place of late readers: who they are, and that the others pull from them

Dead readers count as live for 2.5 s; they were counted before the others, and most pulls went to them or to any entry. Now the readers are left out of the order, each entry waits 100 ms for each before it, and pulls go mostly to the first three once the readers are late.

A watch that ends in another era than it began in lists again, also if a listing has begun the new era meanwhile; it skipped what lies between (by reading).

--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -26,8 +26,10 @@
 const CRASH_PUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of entries above which crashes are pushed less often.
 const CRASH_PUSH_FLEET: f64 = 64.0;
-/// Age of the facts from which on they are pulled from entries that do not read the store as often as from those that do.
+/// Age of the facts from which on they are pulled from the entries that read the store in place of the readers.
 const READERS_LATE_AFTER: Duration = Duration::from_millis(1_200);
+/// Number of these entries from which one is selected. More of them read only after a while.
+const FALLBACK_SOURCES: usize = 3;
 /// Most changes in a push. Where there are more, the others pull them, each at its own time.
 const MAX_PUSHED_CHANGES: usize = 256;
 /// Time limit of a call to a peer; one that does not respond in this time is skipped.
@@ -108,17 +110,24 @@
 /// Chooses the entry to pull facts from.
 ///
 /// This is mostly one that reads the store; one time in four it is any entry, in case the view of which
-/// entries read the store is wrong, and every other time once they are late.
+/// entries read the store is wrong. Once the readers are late, it is mostly one of those that read in their place.
 fn choose_fact_source(cluster_view: &ClusterView) -> Option<SocketAddr> {
     let rng = &mut rand::rng();
     let late = cluster_view
         .facts_age()
         .is_none_or(|age| age >= READERS_LATE_AFTER);
-    let any_entry = rng.random_ratio(1, if late { 2 } else { 4 });
+    let any_entry = rng.random_ratio(1, 4);
+    let fallback = late && rng.random_ratio(2, 3);
     cluster_view.with_members(|members, now| {
         let own = members.own().address;
         let readers = members.store_readers(now).into_iter().map(|r| r.address);
-        let reader = readers.filter(|address| *address != own).choose(rng);
+        let mut readers: Vec<SocketAddr> = readers.collect();
+        if fallback {
+            let order = members.fallback_readers(now);
+            let order = order.into_iter().take(FALLBACK_SOURCES);
+            readers = order.map(|record| record.address).collect();
+        }
+        let reader = readers.into_iter().filter(|a| *a != own).choose(rng);
         let entries = members.live(now, ProcessRole::Entry);
         let entry = entries.map(|record| record.address).choose(rng);
         match any_entry {
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -28,9 +28,9 @@
 /// Any other entry reads the store itself when its facts are older than this and no peer responds, or it is the next to
 /// read.
 const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
-/// Additional age for each entry that is to read before. While peers respond, the readers are late and not gone, and
-/// reads of all entries at once would fill the links.
-const FALLBACK_STEP: Duration = Duration::from_millis(200);
+/// Additional age for each entry that is to read before, the readers aside. While peers respond, the readers may be late and
+/// not gone, and reads of all entries at once would fill the links.
+const FALLBACK_STEP: Duration = Duration::from_millis(100);
 /// An entry reads the configuration from the store if none of its parts has come from peers for this long; the steps of
 /// the entries before it are added.
 const CONTENT_READ_AFTER: Duration = Duration::from_millis(1_200);
@@ -200,8 +200,9 @@
                 .watch(ALL_KEYS_PREFIX, position.revision, WATCH_WAIT)
                 .await
             {
-                Ok(watched) if watched.position.era > self.cluster_view.position().era => {
-                    // The revision that was watched from may exist again, but it is of another history.
+                Ok(watched) if watched.position.era != position.era => {
+                    // The revision that was watched from may exist again, but it is of another history, also if a listing
+                    // has begun the new era meanwhile.
                     self.list().await;
                     self.notify_entries(position);
                 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -119,13 +119,19 @@
         order.iter().map(|host| by_host[host]).collect()
     }
 
-    /// Returns the number of live entries that read the store before this one if the readers provide nothing.
+    /// Returns the live entries in the order in which they read the store if the readers provide nothing.
+    pub fn fallback_readers(&self, now: Moment) -> Vec<&MemberRecord> {
+        let readers = self.store_readers(now);
+        let mut ranked = self.ranked_for_reading(now);
+        ranked.retain(|record| readers.iter().all(|reader| reader.host != record.host));
+        ranked
+    }
+
+    /// Returns the number of entries that read the store before this one if the readers provide nothing.
     pub fn reading_rank(&self, now: Moment) -> usize {
-        let ranked = self.ranked_for_reading(now);
-        let position = ranked
-            .iter()
-            .position(|record| record.host == self.own.host);
-        position.unwrap_or(ranked.len())
+        let order = self.fallback_readers(now);
+        let position = order.iter().position(|record| record.host == self.own.host);
+        position.unwrap_or(0)
     }
 
     /// Returns the entries among which a large document is passed on, this one included.
--- a/crates/policy/tests/mesh.rs
+++ b/crates/policy/tests/mesh.rs
@@ -307,10 +307,15 @@
         view
     });
 
-    let mut ranks: Vec<usize> = views.map(|view| view.reading_rank(ms(10))).collect();
+    let (readers, others): (Vec<_>, Vec<_>) = views.partition(|view| view.is_store_reader(ms(10)));
+    let mut ranks: Vec<usize> = others
+        .iter()
+        .map(|view| view.reading_rank(ms(10)))
+        .collect();
 
     ranks.sort_unstable();
-    assert_eq!(ranks, (0..24).collect::<Vec<_>>());
+    assert_eq!(readers.len(), 2);
+    assert_eq!(ranks, (0..22).collect::<Vec<_>>());
 }
 
 #[test]
