Starting gateways ask their peers before they list the store

Cause: 19 gateways listed the store at the same time, 0.7 MB each, and filled the links between regions, so that small messages did not come through either.

Now a gateway that is no seed waits for the facts of its peers for 0.5 to 2 s before it lists.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -110,7 +110,11 @@
         metrics: metrics.clone(),
     };
     actix_rt::spawn(downloader.run());
+    let own_address = settings.mesh.inner_advertise;
+    let seeds = &settings.mesh.seeds;
+    let asks_peers_first = !seeds.is_empty() && !seeds.contains(&own_address);
     actix_rt::spawn(mesh::read_store_loop(
+        asks_peers_first,
         cluster_view.clone(),
         store,
         client.clone(),
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -12,6 +12,7 @@
     PlatformError, Store,
 };
 use balsamjunction_policy::Moment;
+use rand::Rng;
 use smol_str::SmolStr;
 
 use super::{peers::notify_changes, sleep_with_jitter, ClusterView, Documents, PeerClient};
@@ -28,9 +29,9 @@
 /// Any other entry reads the store itself when its facts are older than this and no peer responds, or it is the next to
 /// read.
 const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
-/// Additional age for each entry that is to read before, the readers aside. While peers respond, the readers may be late and
+/// Additional age for each entry that is to read before, the readers included. While peers respond, the readers are late and
 /// not gone, and reads of all entries at once would fill the links.
-const FALLBACK_STEP: Duration = Duration::from_millis(100);
+const FALLBACK_STEP: Duration = Duration::from_millis(200);
 /// An entry reads the configuration from the store if none of its parts has come from peers for this long; the steps of
 /// the entries before it are added.
 const CONTENT_READ_AFTER: Duration = Duration::from_millis(1_200);
@@ -39,6 +40,12 @@
 const MAX_CONTENT_READ_INTERVAL: Duration = Duration::from_secs(30);
 /// The store counts as lost if calls have failed for this long, and peers provide nothing fresh either.
 const LOST_AFTER: Duration = Duration::from_millis(1_000);
+/// A starting entry that is no seed gives its peers a random time between these two before it lists the store: where all start
+/// together, listings of all fill the links for seconds, and the seeds have the facts within a few hundred milliseconds.
+const MIN_START_WAIT: Duration = Duration::from_millis(500);
+const MAX_START_WAIT: Duration = Duration::from_millis(2_000);
+/// Interval between checks whether they have.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between checks of the facts' age.
 const VERIFY_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval at which an entry without a watch checks whether it should start one.
@@ -74,7 +81,10 @@
 }
 
 /// Keeps the facts up to date with the store for as long as the process runs.
+///
+/// With `asks_peers_first`, peers have a moment to provide the facts before the first listing.
 pub async fn read_store_loop(
+    asks_peers_first: bool,
     cluster_view: Arc<ClusterView>,
     store: Store,
     client: PeerClient,
@@ -93,14 +103,36 @@
         last_failure: Cell::default(),
     };
     // A process that its peers keep up to date does not need a listing of its own.
-    while !reader.list().await && reader.facts_older_than(FALLBACK_READ_AFTER) {
+    let mut current = asks_peers_first && reader.wait_for_peers().await;
+    while !current && !reader.list().await {
         sleep_with_jitter(READER_BACKOFF).await;
+        current = reader.has_current_facts();
     }
     reader.offer_as_reader();
     futures_util::future::join(reader.watch_loop(), reader.verify_loop()).await;
 }
 
 impl Reader {
+    /// Waits until peers have provided all facts; returns whether they did in time.
+    async fn wait_for_peers(&self) -> bool {
+        let wait = rand::rng().random_range(MIN_START_WAIT..MAX_START_WAIT);
+        let until = self.cluster_view.clock.now() + wait;
+        while !self.has_current_facts() {
+            if self.cluster_view.clock.now() >= until {
+                return false;
+            }
+            actix_rt::time::sleep(START_CHECK_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Whether the facts, the configuration included, were verified a moment ago.
+    fn has_current_facts(&self) -> bool {
+        let age = self.cluster_view.declaration_age();
+        self.cluster_view.configuration_version() > 0
+            && age.is_some_and(|age| age < FALLBACK_READ_AFTER)
+    }
+
     /// Replaces all facts by a complete listing; returns whether the store could be read.
     async fn list(&self) -> bool {
         let queried_at = self.cluster_view.clock.now();
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -127,11 +127,13 @@
         ranked
     }
 
-    /// Returns the number of entries that read the store before this one if the readers provide nothing.
+    /// Returns the number of entries that read the store before this one, the readers included; zero for a reader.
     pub fn reading_rank(&self, now: Moment) -> usize {
+        let readers = self.store_readers(now).len();
         let order = self.fallback_readers(now);
-        let position = order.iter().position(|record| record.host == self.own.host);
-        position.unwrap_or(0)
+        let mut order = order.iter();
+        let position = order.position(|record| record.host == self.own.host);
+        position.map_or(0, |position| readers + position)
     }
 
     /// Returns the entries among which a large document is passed on, this one included.
