A call that comes late on a busy machine is made all the same

The test of a revoked key on slow links failed once beside load with an index out of bounds: its fixture made no call where the window of one interval had passed before the first. Now it makes at least one; a late one in the window of the revoked key counts as late, as any other. Its assertions are as they were.

--- a/crates/lab/tests/gateway/large_configuration.rs
+++ b/crates/lab/tests/gateway/large_configuration.rs
@@ -64,7 +64,8 @@
     let headers = [("authorization", key.as_str())];
     actix_rt::time::sleep_until(from.into()).await;
     let mut responses = Vec::new();
-    while Instant::now() < until {
+    // On a busy machine the first call may be late; it is made all the same.
+    while responses.is_empty() || Instant::now() < until {
         let sent_at = Instant::now();
         let id = format!("{name}-{}", responses.len());
         let got = gateway.call_with("GET", "/stock/1", &id, &headers).await;
@@ -97,8 +98,8 @@
         .collect()
 }
 
-// Guards against a version that gateways learn seconds late, since the changes behind a large one wait for it (the day of
-// facts-news on zvh-vorbestell-grown).
+// Guards against a version that gateways learn seconds late, since the changes behind a large one wait for it
+// (zvh-vorbestell-grown).
 #[actix_rt::test]
 async fn all_gateways_know_a_version_in_time() {
     let (fleet, named) = name_version_beside_large_configuration().await;
@@ -127,8 +128,8 @@
     assert!(late.is_empty(), "later by more than {most} ms: {late:?}");
 }
 
-// Guards against reads that fail on the gateway's own full link and are reported as an outage of the store (facts-news on
-// zvh-vorbestell-grown, about 30 lines).
+// Guards against reads that fail on the gateway's own full link and are reported as an outage of the store
+// (zvh-vorbestell-grown, about 30 lines).
 #[actix_rt::test]
 async fn no_gateway_reports_a_sound_store_as_lost() {
     let (fleet, _) = name_version_beside_large_configuration().await;
--- a/crates/lab/tests/gateway/lost_readers.rs
+++ b/crates/lab/tests/gateway/lost_readers.rs
@@ -76,8 +76,8 @@
     );
 }
 
-// Guards against a failed read that is taken for proof that nothing was acknowledged before it (facts-news on
-// zvh-vorbestell-grown).
+// Guards against a failed read that is taken for proof that nothing was acknowledged before it
+// (zvh-vorbestell-grown).
 #[actix_rt::test]
 async fn a_reader_that_the_store_refuses_takes_no_version_for_later_than_it_was() {
     let (fleet, named, reader) = name_version_while_a_reader_is_refused().await;
