One listing of the store, one state of a download, a shorter receive loop

Found by reading the change once more; behaviour stays as it is, but that a stager which lists while the store is restored gives the listing up, as gateways do.

- The reader and the stager had the same loop over pages: Store::list_all serves both.
- Documents kept a download, how far it was and when it last made progress in two locks: one Incoming.
- Downloader::receive is split where a response or a failure has arrived.
- The age from which readers count as late was stated twice; message_response and compact_response built the same response.

--- a/crates/daemon/src/inner.rs
+++ b/crates/daemon/src/inner.rs
@@ -71,10 +71,7 @@
 
 /// Encodes a message as the body of a successful response.
 pub fn message_response<T: Serialize>(message: &T) -> Result<HttpResponse, InnerError> {
-    let body = header::to_bytes(message)?;
-    Ok(HttpResponse::Ok()
-        .insert_header((CONTENT_TYPE, MESSAGE_TYPE))
-        .body(body))
+    compact_response(message, false)
 }
 
 /// Does the same as [`message_response`], and compresses a long body for a peer that accepts it.
--- a/crates/daemon/src/mesh/documents.rs
+++ b/crates/daemon/src/mesh/documents.rs
@@ -29,8 +29,6 @@
 pub struct Documents {
     cluster_view: Arc<ClusterView>,
     state: Mutex<State>,
-    /// When the download began, or last received bytes that no attempt had reached before.
-    progress_at: Mutex<Option<Moment>>,
     /// Notified when a part or a configuration has been received.
     received: watch::Sender<u64>,
 }
@@ -38,9 +36,23 @@
 #[derive(Default)]
 struct State {
     encodings: VecDeque<Arc<Encoding>>,
-    download: Option<Download>,
+    incoming: Option<Incoming>,
+}
+
+impl State {
+    fn download_of(&self, id: DeclarationId) -> Option<&Download> {
+        let download = &self.incoming.as_ref()?.download;
+        (download.id() == id).then_some(download)
+    }
+}
+
+/// The configuration that is being received.
+struct Incoming {
+    download: Download,
     /// The most bytes that the download ever had. One that begins anew makes progress only beyond them.
     furthest: u32,
+    /// When it began, or last received bytes beyond [`Self::furthest`].
+    progress_at: Moment,
 }
 
 impl Documents {
@@ -49,7 +61,6 @@
         Self {
             cluster_view,
             state: Mutex::default(),
-            progress_at: Mutex::default(),
             received: watch::channel(0).0,
         }
     }
@@ -61,22 +72,19 @@
     /// Begins to receive a configuration, or continues it.
     pub fn begin(&self, id: DeclarationId) {
         let mut state = self.state();
-        let download = state.download.as_ref();
-        if download.is_none_or(|download| download.id() != id) {
-            state.download = Some(Download::new(id));
-            state.furthest = 0;
-            self.record_progress();
+        if state.download_of(id).is_none() {
+            state.incoming = Some(Incoming {
+                download: Download::new(id),
+                furthest: 0,
+                progress_at: self.cluster_view.clock.now(),
+            });
             self.received.send_modify(|n| *n += 1);
         }
     }
 
-    fn record_progress(&self) {
-        *lock(&self.progress_at) = Some(self.cluster_view.clock.now());
-    }
-
     /// Returns the time since the download began or last made progress; `None` if there is none.
     pub fn stalled_for(&self) -> Option<Duration> {
-        let progress_at = (*lock(&self.progress_at))?;
+        let progress_at = self.state().incoming.as_ref()?.progress_at;
         Some(self.cluster_view.clock.now().saturating_sub(progress_at))
     }
 
@@ -84,7 +92,7 @@
     pub fn next_request(&self, max_bytes: usize) -> Option<PartRequest> {
         let held = self.cluster_view.held_declarations();
         let state = self.state();
-        let download = state.download.as_ref()?;
+        let download = &state.incoming.as_ref()?.download;
         Some(PartRequest {
             v: PROTOCOL_VERSION,
             id: download.id(),
@@ -100,12 +108,10 @@
     /// A part of another encoding, as a peer of another build has it, begins the download anew.
     pub fn accept(&self, part: Part) -> Result<Option<Arc<Declaration>>, DocumentError> {
         let mut state = self.state();
-        let State {
-            download, furthest, ..
-        } = &mut *state;
-        let Some(download) = download else {
+        let Some(incoming) = &mut state.incoming else {
             return Ok(None);
         };
+        let download = &mut incoming.download;
         if download
             .checksum()
             .is_some_and(|known| known != part.checksum)
@@ -113,9 +119,9 @@
             download.restart();
         }
         let progress = download.accept(part)?;
-        if download.offset() > *furthest {
-            *furthest = download.offset();
-            self.record_progress();
+        if download.offset() > incoming.furthest {
+            incoming.furthest = download.offset();
+            incoming.progress_at = self.cluster_view.clock.now();
         }
         self.received.send_modify(|n| *n += 1);
         if progress == Progress::Partial {
@@ -136,8 +142,7 @@
 
     /// Ends the download, since the configuration is there or no longer wanted.
     pub fn end(&self) {
-        self.state().download = None;
-        *lock(&self.progress_at) = None;
+        self.state().incoming = None;
         self.received.send_modify(|n| *n += 1);
     }
 
@@ -151,7 +156,9 @@
                 if let Some(part) = self.find_part(request) {
                     return Some(part);
                 }
-                if !self.is_receiving(request.id) || received.changed().await.is_err() {
+                if self.state().download_of(request.id).is_none()
+                    || received.changed().await.is_err()
+                {
                     return None;
                 }
             }
@@ -164,11 +171,6 @@
         }
     }
 
-    fn is_receiving(&self, id: DeclarationId) -> bool {
-        let state = self.state();
-        state.download.as_ref().is_some_and(|d| d.id() == id)
-    }
-
     fn find_part(&self, request: &PartRequest) -> Option<Part> {
         let max_bytes = request.max_bytes as usize;
         if let Some(declaration) = self.cluster_view.declaration(request.id.digest) {
@@ -177,7 +179,7 @@
             return encoding.part(if same { request.offset } else { 0 }, max_bytes);
         }
         let state = self.state();
-        let download = state.download.as_ref().filter(|d| d.id() == request.id)?;
+        let download = state.download_of(request.id)?;
         let suits = match request.checksum {
             Some(checksum) => download.checksum() == Some(checksum),
             None => download
--- a/crates/daemon/src/mesh/download.rs
+++ b/crates/daemon/src/mesh/download.rs
@@ -3,8 +3,11 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use awc::error::SendRequestError;
-use balsamjunction_directory::DeclarationId;
-use balsamjunction_policy::relay::{sources, Transfer, TransferAction};
+use balsamjunction_directory::{Declaration, DeclarationId};
+use balsamjunction_policy::{
+    membership::Membership,
+    relay::{sources, Transfer, TransferAction},
+};
 use balsamjunction_protocol::{mesh::PartResponse, paths};
 use log::debug;
 use smol_str::SmolStr;
@@ -16,6 +19,9 @@
     metrics::{Metrics, StateLabels},
 };
 
+/// Time that a reader of the store leaves for its own read to bring the content.
+const READER_GRACE: Duration = Duration::from_millis(300);
+
 /// Receives the configurations that are announced, and puts them in force.
 pub struct Downloader {
     /// The view that they are added to.
@@ -30,9 +36,6 @@
     pub metrics: Arc<Metrics>,
 }
 
-/// Time that a reader of the store leaves for its own read to bring the content.
-const READER_GRACE: Duration = Duration::from_millis(300);
-
 /// What a download has cost so far, for the log.
 #[derive(Debug, Default)]
 struct Cost {
@@ -41,6 +44,15 @@
     failures: u32,
 }
 
+/// How the response to a request arrived.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    source: SocketAddr,
+    /// Offset of the part that was requested.
+    offset: u32,
+    took: Duration,
+}
+
 impl Downloader {
     /// Receives configurations for as long as the process runs.
     pub async fn run(self) {
@@ -77,10 +89,8 @@
         let now = || self.cluster_view.clock.now();
         let announced_at = now();
         self.documents.begin(id);
-        if self
-            .cluster_view
-            .with_members(|m, now| m.is_store_reader(now))
-        {
+        let reads_store = |members: &mut Membership, now| members.is_store_reader(now);
+        if self.cluster_view.with_members(reads_store) {
             actix_rt::time::sleep(READER_GRACE).await;
         }
         let mut transfer = Transfer::new(now(), self.sources(id));
@@ -102,62 +112,93 @@
                 return;
             };
             let sent_at = now();
-            let response: Result<PartResponse, PeerError> = self
+            let response = self
                 .client
                 .call(source, paths::MESH_PART, &request, timeout)
                 .await;
-            let took = now().saturating_sub(sent_at);
-            let response = match response {
-                Ok(response) => response,
-                Err(e) => {
-                    debug!("{source} sent no part of configuration {}: {e}", id.version);
-                    cost.failures += 1;
-                    self.count_part("failed");
-                    match e {
-                        PeerError::Send(SendRequestError::Timeout) => {
-                            transfer.record_timeout(now(), source);
-                        }
-                        _ => transfer.record_failure(now(), source),
-                    }
-                    continue;
-                }
-            };
-            let Some(part) = response.part else {
-                transfer.record_pending(now(), source);
-                continue;
+            let arrival = Arrival {
+                source,
+                offset: request.offset,
+                took: now().saturating_sub(sent_at),
             };
-            let waited = Duration::from_millis(response.waited_ms);
-            let bytes = part.bytes.len();
-            let repeated = part.offset < request.offset;
-            cost.parts += 1;
-            cost.bytes += bytes;
-            self.count_part(if repeated { "repeated" } else { "received" });
-            match self.documents.accept(part) {
-                Ok(None) => transfer.record_part(now(), took.saturating_sub(waited), bytes),
-                Ok(Some(declaration)) => {
-                    let source = format!("peer {source}");
-                    self.cluster_view
-                        .supply_declaration(id, declaration, &source);
-                    let took = now().saturating_sub(announced_at);
-                    self.cluster_view.events.emit(&Event::DeclarationReceived {
-                        source,
-                        configuration: id.version,
-                        bytes: cost.bytes,
-                        parts: cost.parts,
-                        failures: cost.failures,
-                        took_ms: took.as_millis() as u64,
-                    });
-                    return;
-                }
+            let received = match response {
+                Ok(response) => self.take_response(&mut transfer, &mut cost, arrival, response),
                 Err(e) => {
-                    debug!("a part of {source} is not usable: {e}");
-                    cost.failures += 1;
-                    transfer.record_failure(now(), source);
+                    self.record_failure(&mut transfer, &mut cost, source, &e);
+                    None
                 }
+            };
+            if let Some(declaration) = received {
+                let source = format!("peer {source}");
+                self.cluster_view
+                    .supply_declaration(id, declaration, &source);
+                let took = now().saturating_sub(announced_at);
+                self.cluster_view.events.emit(&Event::DeclarationReceived {
+                    source,
+                    configuration: id.version,
+                    bytes: cost.bytes,
+                    parts: cost.parts,
+                    failures: cost.failures,
+                    took_ms: took.as_millis() as u64,
+                });
+                return;
             }
         }
     }
 
+    /// Takes in the response to a request; returns the configuration once it is complete.
+    fn take_response(
+        &self,
+        transfer: &mut Transfer,
+        cost: &mut Cost,
+        arrival: Arrival,
+        response: PartResponse,
+    ) -> Option<Arc<Declaration>> {
+        let now = self.cluster_view.clock.now();
+        let Arrival {
+            source,
+            offset,
+            took,
+        } = arrival;
+        let Some(part) = response.part else {
+            transfer.record_pending(now, source);
+            return None;
+        };
+        let waited = Duration::from_millis(response.waited_ms);
+        let bytes = part.bytes.len();
+        let repeated = part.offset < offset;
+        cost.parts += 1;
+        cost.bytes += bytes;
+        self.count_part(if repeated { "repeated" } else { "received" });
+        match self.documents.accept(part) {
+            Ok(None) => transfer.record_part(now, took.saturating_sub(waited), bytes),
+            Ok(declaration) => return declaration,
+            Err(e) => {
+                debug!("a part of {source} is not usable: {e}");
+                cost.failures += 1;
+                transfer.record_failure(now, source);
+            }
+        }
+        None
+    }
+
+    fn record_failure(
+        &self,
+        transfer: &mut Transfer,
+        cost: &mut Cost,
+        source: SocketAddr,
+        e: &PeerError,
+    ) {
+        debug!("{source} sent no part: {e}");
+        let now = self.cluster_view.clock.now();
+        cost.failures += 1;
+        self.count_part("failed");
+        match e {
+            PeerError::Send(SendRequestError::Timeout) => transfer.record_timeout(now, source),
+            _ => transfer.record_failure(now, source),
+        }
+    }
+
     fn count_part(&self, state: &str) {
         let state = state.to_owned();
         let parts = &self.metrics.mesh.declaration_parts;
--- a/crates/daemon/src/mesh/peers.rs
+++ b/crates/daemon/src/mesh/peers.rs
@@ -11,7 +11,10 @@
 use rand::{seq::IteratorRandom, Rng};
 use serde::Serialize;
 
-use super::{peer_client::observe_change_ages, sleep_with_jitter, ClusterView, PeerClient};
+use super::{
+    peer_client::observe_change_ages, reader::FALLBACK_READ_AFTER, sleep_with_jitter, ClusterView,
+    PeerClient,
+};
 use crate::{client::PeerError, fleet::dissemination::EmptyResponse, reload::Seeds};
 
 /// Mean interval between exchanges of views, with a jitter of ±50%.
@@ -26,9 +29,8 @@
 const CRASH_PUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of entries above which crashes are pushed less often.
 const CRASH_PUSH_FLEET: f64 = 64.0;
-/// Age of the facts from which on they are pulled from the entries that read the store in place of the readers.
-const READERS_LATE_AFTER: Duration = Duration::from_millis(1_200);
-/// Number of these entries from which one is selected. More of them read only after a while.
+/// Number of entries that read the store in place of late readers from which one is selected. More of them read only after
+/// a while.
 const FALLBACK_SOURCES: usize = 3;
 /// Most changes in a push. Where there are more, the others pull them, each at its own time.
 const MAX_PUSHED_CHANGES: usize = 256;
@@ -115,7 +117,7 @@
     let rng = &mut rand::rng();
     let late = cluster_view
         .facts_age()
-        .is_none_or(|age| age >= READERS_LATE_AFTER);
+        .is_none_or(|age| age >= FALLBACK_READ_AFTER);
     let any_entry = rng.random_ratio(1, 4);
     let fallback = late && rng.random_ratio(2, 3);
     cluster_view.with_members(|members, now| {
--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -6,14 +6,13 @@
     time::Duration,
 };
 
-use balsamjunction_directory::{Change, Position, Verification};
+use balsamjunction_directory::{Position, Verification};
 use balsamjunction_platform::{
     store::{ALL_KEYS_PREFIX, CONFIGURATION_PREFIX, EVACUATIONS_PREFIX},
     PlatformError, Store,
 };
 use balsamjunction_policy::Moment;
 use rand::Rng;
-use smol_str::SmolStr;
 
 use super::{peers::notify_changes, sleep_with_jitter, ClusterView, Documents, PeerClient};
 use crate::{
@@ -28,7 +27,7 @@
 const READER_VERIFY_AFTER: Duration = Duration::from_millis(600);
 /// Any other entry reads the store itself when its facts are older than this and no peer responds, or it is the next to
 /// read.
-const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
+pub const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
 /// Additional age for each entry that is to read before, the readers included. While peers respond, the readers are late and
 /// not gone, and reads of all entries at once would fill the links.
 const FALLBACK_STEP: Duration = Duration::from_millis(200);
@@ -136,52 +135,23 @@
     /// Replaces all facts by a complete listing; returns whether the store could be read.
     async fn list(&self) -> bool {
         let queried_at = self.cluster_view.clock.now();
-        let mut listed = self.list_pages(queried_at).await;
+        let mut listed = self.store.list_all(ALL_KEYS_PREFIX).await;
         if matches!(listed, Err(PlatformError::Restored)) {
-            listed = self.list_pages(queried_at).await;
+            listed = self.store.list_all(ALL_KEYS_PREFIX).await;
         }
         self.record_outcome(queried_at, listed.as_ref().err());
-        let Ok((changes, verification)) = listed else {
+        let Ok((changes, position)) = listed else {
             return false;
         };
+        let verification = Verification {
+            position,
+            queried_at,
+        };
         self.cluster_view
             .replace(changes, verification, "store listing");
         true
     }
 
-    async fn list_pages(
-        &self,
-        queried_at: Moment,
-    ) -> Result<(Vec<Change>, Verification), PlatformError> {
-        let mut changes = Vec::new();
-        let mut first_position = None;
-        let mut after: Option<SmolStr> = None;
-        loop {
-            let page = self.store.list(ALL_KEYS_PREFIX, after.as_deref()).await?;
-            // Pages are not a snapshot: the listing is only complete up to the first page's position.
-            let position = *first_position.get_or_insert(page.position);
-            if position.era != page.position.era {
-                return Err(PlatformError::Restored);
-            }
-            changes.extend(page.changes);
-            match page.next_after {
-                None => {
-                    return Ok((
-                        changes,
-                        Verification {
-                            position,
-                            queried_at,
-                        },
-                    ))
-                }
-                Some(next) if after.as_ref() == Some(&next) => {
-                    return Err(PlatformError::RepeatedPage { after: next })
-                }
-                next => after = next,
-            }
-        }
-    }
-
     fn is_reader(&self) -> bool {
         self.cluster_view
             .with_members(|members, now| members.is_store_reader(now))
--- a/crates/daemon/src/stager/state.rs
+++ b/crates/daemon/src/stager/state.rs
@@ -10,7 +10,7 @@
 
 use awc::Client;
 use balsamjunction_client::ClientOptions;
-use balsamjunction_directory::{Change, Fact, Subject};
+use balsamjunction_directory::{Fact, Subject};
 use balsamjunction_platform::{
     store::{CONFIGURATION_PREFIX, VERSIONS_PREFIX},
     Engine, EngineReport, PlatformError, Store, WeightOrigin, STAGING_IDLE_LIMIT,
@@ -418,7 +418,7 @@
             None => WeightsUpdate::default(),
         };
         let declaration = match update.service_models.is_empty() {
-            true => self.list_all(CONFIGURATION_PREFIX).await?,
+            true => self.store.list_all(CONFIGURATION_PREFIX).await?.0,
             false => Vec::new(),
         };
         for change in declaration {
@@ -426,7 +426,8 @@
                 update.add_services(&declaration);
             }
         }
-        for change in self.list_all(VERSIONS_PREFIX).await? {
+        let (versions, _) = self.store.list_all(VERSIONS_PREFIX).await?;
+        for change in versions {
             if let (Subject::Version(model), Some(Fact::Version(version))) =
                 (change.subject, change.fact)
             {
@@ -436,22 +437,6 @@
         Ok(update)
     }
 
-    async fn list_all(&self, prefix: &str) -> Result<Vec<Change>, PlatformError> {
-        let mut changes = Vec::new();
-        let mut after: Option<SmolStr> = None;
-        loop {
-            let page = self.store.list(prefix, after.as_deref()).await?;
-            changes.extend(page.changes);
-            match page.next_after {
-                None => return Ok(changes),
-                Some(next) if after.as_ref() == Some(&next) => {
-                    return Err(PlatformError::RepeatedPage { after: next })
-                }
-                next => after = next,
-            }
-        }
-    }
-
     /// Applies a weights update that was verified at `verified_at`; neither a target version nor the configuration of the
     /// services goes back.
     fn apply_update(&self, mut update: WeightsUpdate, verified_at: Moment) {
