Two entries take the place of the readers without waiting for them

Cause: since gateways read in turn, the next one waited 0.4 s longer for the two readers, 1.6 s in all; before it was 1.2 s for all.

Now as many as there are readers do not wait for them; the others do, as before.

--- a/crates/daemon/src/mesh/reader.rs
+++ b/crates/daemon/src/mesh/reader.rs
@@ -28,8 +28,8 @@
 /// Any other entry reads the store itself when its facts are older than this and no peer responds, or it is the next to
 /// read.
 pub const FALLBACK_READ_AFTER: Duration = Duration::from_millis(1_200);
-/// Additional age for each entry that is to read before, the readers included. While peers respond, the readers are late and
-/// not gone, and reads of all entries at once would fill the links.
+/// Additional age for each entry that is to read before, see [`balsamjunction_policy::membership::Membership::reading_rank`].
+/// While peers respond, the readers may be late and not gone, and reads of all entries at once would fill the links.
 const FALLBACK_STEP: Duration = Duration::from_millis(200);
 /// An entry reads the configuration from the store if none of its parts has come from peers for this long; the steps of
 /// the entries before it are added.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -127,13 +127,19 @@
         ranked
     }
 
-    /// Returns the number of entries that read the store before this one, the readers included; zero for a reader.
+    /// Returns the number of entries that read the store before this one; zero for a reader.
+    ///
+    /// As many as there are readers take their place without waiting for them, since the readers may be gone and keys
+    /// must not get too old; the others wait for the readers as well.
     pub fn reading_rank(&self, now: Moment) -> usize {
         let readers = self.store_readers(now).len();
         let order = self.fallback_readers(now);
         let mut order = order.iter();
-        let position = order.position(|record| record.host == self.own.host);
-        position.map_or(0, |position| readers + position)
+        match order.position(|record| record.host == self.own.host) {
+            None => 0,
+            Some(position) if position < readers => position,
+            Some(position) => readers + position,
+        }
     }
 
     /// Returns the entries among which a large document is passed on, this one included.
