An empty list of tenants accepts no key

Cause: the decoder had one default for a list that is missing and one that is empty, and RouteTable::requires_api_keys read the number of workspaces where the question is whether the configuration has a list of them.

Change: Declaration has a mark for a list that is there and empty. It counts in the digest, so that announcements name the right content, and travels in whole documents and in differences. It is left out unless it is set, so the transfer form of all other configurations is that of earlier builds. `null` in place of the list is refused as before, so that the last valid configuration stays in force.

Related paths, each with a test: tenants without keys or with an empty list of them, empty lists of routes and of services, at the first configuration and at a later one, from the store and through a peer.

--- a/crates/directory/src/declaration.rs
+++ b/crates/directory/src/declaration.rs
@@ -13,10 +13,16 @@
     pub routes: Vec<Route>,
     /// The services that routes refer to, and the origin of weights.
     pub services: Vec<Service>,
-    /// Workspaces and their API keys; empty if requests need no API key.
+    /// Workspaces and their API keys; see also [`Self::empty_workspace_list`].
     pub workspaces: Vec<Workspace>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Whether there is a list of workspaces, and it is empty: then no API key is accepted, while without a list none is
+    /// needed.
+    ///
+    /// Left out of the transfer form if it is not set, so that processes of earlier builds read that.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub empty_workspace_list: bool,
 }
 
 impl Declaration {
@@ -25,6 +31,11 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// Whether requests need an API key, unless their route is public.
+    pub fn requires_api_keys(&self) -> bool {
+        self.empty_workspace_list || !self.workspaces.is_empty()
+    }
+
     /// The origin of weights; absent if none is declared.
     pub fn origin(&self) -> Option<&Origin> {
         self.services.iter().find_map(|s| s.origin.as_ref())
--- a/crates/directory/src/document/difference.rs
+++ b/crates/directory/src/document/difference.rs
@@ -24,6 +24,8 @@
     #[serde(borrow)]
     workspaces: Pieces<'a>,
     limits: CallerLimits,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    empty_workspace_list: bool,
 }
 
 /// The lists of a declaration, item by item.
@@ -57,19 +59,24 @@
             services: Pieces::between(&base.services, &new.services)?,
             workspaces: Pieces::between(&base.workspaces, &new.workspaces)?,
             limits: declaration.limits,
+            empty_workspace_list: declaration.empty_workspace_list,
         })
     }
 
     /// Returns the MessagePack form of the declaration that the difference makes of its base.
     pub(super) fn apply(&self, base: &Lists) -> Result<Vec<u8>, DocumentError> {
-        // The fields of `Declaration` in their order.
+        // The fields of `Declaration` in their order; the last one is left out unless it is set.
+        let fields = 5 + usize::from(self.empty_workspace_list);
         let mut document = Vec::new();
-        rmp_serde::Serializer::new(&mut document).serialize_tuple(5)?;
+        rmp_serde::Serializer::new(&mut document).serialize_tuple(fields)?;
         rmp_serde::encode::write(&mut document, &self.version)?;
         self.routes.apply(&base.routes, &mut document)?;
         self.services.apply(&base.services, &mut document)?;
         self.workspaces.apply(&base.workspaces, &mut document)?;
         rmp_serde::encode::write(&mut document, &self.limits)?;
+        if self.empty_workspace_list {
+            rmp_serde::encode::write(&mut document, &true)?;
+        }
         Ok(document)
     }
 }
--- a/crates/directory/src/lookup.rs
+++ b/crates/directory/src/lookup.rs
@@ -91,7 +91,7 @@
 
     /// Whether requests need an API key, unless their route is public.
     pub fn requires_api_keys(&self) -> bool {
-        !self.declaration.workspaces.is_empty()
+        self.declaration.requires_api_keys()
     }
 }
 
--- a/crates/directory/tests/document/fixtures.rs
+++ b/crates/directory/tests/document/fixtures.rs
@@ -103,6 +103,7 @@
         services: (0..20).map(service).collect(),
         workspaces: (0..60).map(workspace).collect(),
         limits: CallerLimits::default(),
+        empty_workspace_list: false,
     }
 }
 
@@ -202,11 +203,13 @@
         idle_timeout_ms: n * 1_000,
         ..CallerLimits::default()
     });
-    (any::<u64>(), numbers(), numbers(), numbers(), limits).prop_map(
-        |(version, routes, services, workspaces, limits)| Declaration {
+    let versions = any::<(u64, bool)>();
+    (versions, numbers(), numbers(), numbers(), limits).prop_map(
+        |((version, closed), routes, services, workspaces, limits)| Declaration {
             version,
             routes: routes.into_iter().map(route).collect(),
             services: services.into_iter().map(service).collect(),
+            empty_workspace_list: closed && workspaces.is_empty(),
             workspaces: workspaces.into_iter().map(workspace).collect(),
             limits,
         },
@@ -234,6 +237,7 @@
                     workspace.api_keys.pop();
                 });
             }
+            new.empty_workspace_list = new.workspaces.is_empty() && !base.empty_workspace_list;
             (base, new)
         },
     )
--- a/crates/directory/tests/document/round_trips.rs
+++ b/crates/directory/tests/document/round_trips.rs
@@ -150,3 +150,42 @@
         matches!(result, Err(DocumentError::OtherResult { expected }) if expected == encoding.id)
     );
 }
+
+/// Guards against a configuration without workspaces that is taken for one whose list of them is empty, or the other way
+/// round: their digests were equal.
+#[test]
+fn an_empty_list_of_workspaces_differs_from_none() {
+    let full = declaration(1, 0..2);
+    let none = Declaration {
+        workspaces: Vec::new(),
+        ..declaration(2, 0..2)
+    };
+    let empty = Declaration {
+        empty_workspace_list: true,
+        ..none.clone()
+    };
+
+    assert_ne!(id(&none), id(&empty));
+    for (base, new) in [
+        (&full, &empty),
+        (&empty, &none),
+        (&none, &empty),
+        (&empty, &full),
+    ] {
+        let from_whole = transfer(&whole(new), None, PART_BYTES).expect("it is decoded");
+        let from_difference = transfer(&difference(base, new), Some(base), PART_BYTES);
+        assert_eq!(&from_whole, new);
+        assert_eq!(&from_difference.expect("it is decoded"), new);
+    }
+}
+
+/// Guards against a change of the transfer form that processes of earlier builds do not read.
+#[test]
+fn the_transfer_form_of_a_list_with_workspaces_is_that_of_earlier_builds() {
+    let declaration = declaration(3, 0..2);
+
+    let document = rmp_serde::to_vec(&declaration).expect("it is encoded");
+
+    // An array of five, as before there was a mark for an empty list.
+    assert_eq!(document[0], 0x95);
+}
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of gateways and stagers, which run as real processes against stand-ins for the platform.
 
+mod api_keys;
 mod common;
 mod deadly_parts;
 mod deadly_requests;
