The age of the facts is determined before they are taken

Cause: admission took the directory first and asked for the age of the facts afterwards. While a configuration is applied, the replica has its verification already and the directory is still the old one; a request that had the old directory waited for the lock of the replica and then found the age of the new configuration. The same pair decides whether an unknown route or key is final, so a 404 or 401 could be that of an outdated configuration as well.

Change: ClusterView::directory_with_age determines the age first, so it is too large if something is applied in between, never too small; admission reads both through it. Other places that ask for an age and take the directory (weights_update, readiness, the readers) take the age first or do not use the directory.

--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -158,7 +158,7 @@
             STOPPING_RETRY_AFTER,
         ));
     }
-    let directory = context.cluster_view.directory();
+    let (directory, current) = context.directory_for_keys();
     let Some(table) = directory.route_table.clone() else {
         let retry_after = NO_CONFIGURATION_RETRY_AFTER;
         return Err(Rejection::retryable(
@@ -172,7 +172,7 @@
             ResponseReason::HeadTooLong,
         ));
     }
-    let (route, api_key_owner) = find_route(req, context, &table)?;
+    let (route, api_key_owner) = find_route(req, &table, current)?;
     let rejection = |mut rejection: Rejection| {
         rejection.route = route.name.clone();
         rejection.at_most_once = !route.repeatable();
@@ -219,16 +219,15 @@
     (req.uri().to_string().len() + lines.sum::<usize>()) as u64
 }
 
-/// Finds a request's route and the owner of its API key.
+/// Finds a request's route and the owner of its API key in a configuration that is `current` or may be outdated.
 ///
 /// An unknown route or key may have been added since the facts were last verified, so the rejection is only
 /// final if the facts are fresh; otherwise the caller may retry.
 fn find_route(
     req: &HttpRequest,
-    context: &GatewayContext,
-    table: &Arc<RouteTable>,
+    table: &RouteTable,
+    current: bool,
 ) -> Result<(Arc<Route>, Option<Arc<ApiKeyOwner>>), Rejection> {
-    let current = context.keys_are_current();
     let stale = || Rejection::retryable(ResponseReason::StaleFacts, NO_CONFIGURATION_RETRY_AFTER);
     let host = req.headers().get("host").and_then(|v| v.to_str().ok());
     let route = table.route(host.unwrap_or_default(), req.uri().path());
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use balsamjunction_directory::UpstreamRecord;
+use balsamjunction_directory::{Directory, UpstreamRecord};
 use balsamjunction_policy::{
     dispatch::{
         AttemptOutcome, DispatchDecision, DispatchRefusal, Dispatcher, RequestRequirements,
@@ -128,10 +128,16 @@
         self.cluster_view.clock.now()
     }
 
-    /// Whether the facts are fresh enough to accept API keys: any key revoked longer ago than the time limit
-    /// for a revocation is certainly missing from them.
+    /// Returns the facts, and whether they are fresh enough to accept API keys: any key revoked longer ago than the time
+    /// limit for a revocation is certainly missing from them.
+    pub fn directory_for_keys(&self) -> (Arc<Directory>, bool) {
+        let (directory, age) = self.cluster_view.directory_with_age();
+        (directory, self.is_fresher_than(age, KEY_MAX_AGE_FRACTION))
+    }
+
+    /// Whether the facts are fresh enough to accept API keys.
     pub fn keys_are_current(&self) -> bool {
-        self.facts_fresher_than(KEY_MAX_AGE_FRACTION)
+        self.directory_for_keys().1
     }
 
     /// Whether an API key that a request was accepted with still has an owner.
@@ -141,19 +147,17 @@
         key.is_none_or(|key| table.is_some_and(|table| table.api_key_owner(key).is_some()))
     }
 
-    fn facts_fresher_than(&self, fraction: f64) -> bool {
-        let Some(age) = self.cluster_view.declaration_age() else {
-            return false;
-        };
+    /// Whether facts of an age are fresher than a fraction of the time limit for a revocation.
+    fn is_fresher_than(&self, age: Option<Duration>, fraction: f64) -> bool {
         let max_age = self.revoke_within.map(|limit| limit.mul_f64(fraction));
-        max_age.is_none_or(|max_age| age < max_age)
+        age.is_some_and(|age| max_age.is_none_or(|max_age| age < max_age))
     }
 
     /// Whether the load balancer should send callers to this process.
     pub fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping()
             && self.upstreams_known.load(Ordering::Acquire)
-            && self.facts_fresher_than(READY_MAX_AGE_FRACTION)
+            && self.is_fresher_than(self.cluster_view.declaration_age(), READY_MAX_AGE_FRACTION)
     }
 
     /// Whether the upstreams of a service keep prompts after their requests.
--- a/crates/daemon/src/mesh/cluster_view.rs
+++ b/crates/daemon/src/mesh/cluster_view.rs
@@ -97,6 +97,15 @@
         lock(&self.directory).clone()
     }
 
+    /// Returns the facts, and the time since the configuration among them was last known to be the latest, or longer.
+    ///
+    /// Changes are applied by other threads meanwhile. The age is determined first, so that it is never that of a newer
+    /// configuration than the returned one.
+    pub fn directory_with_age(&self) -> (Arc<Directory>, Option<Duration>) {
+        let age = self.declaration_age();
+        (self.directory(), age)
+    }
+
     /// Returns a receiver that is notified when the facts or the engine statuses change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/lab/tests/gateway/api_keys.rs
+++ b/crates/lab/tests/gateway/api_keys.rs
@@ -1,8 +1,23 @@
 //! API keys that a configuration takes away, at gateways that read the store and at those that only hear of it.
 
+use std::time::{Duration, Instant};
+
+use balsamjunction_lab::standin::platform::StoreFault;
+use futures_util::future::{join, join_all};
 use serde_json::{json, Value};
 
-use crate::common::{plain_engine_options, wait_until, Gateway, TestSite, API_KEY};
+use crate::common::{
+    new_client, plain_engine_options, route, wait_until, Gateway, TestSite, API_KEY,
+};
+
+/// Routes that make a configuration long.
+const IDLE_ROUTES: u32 = 3_000;
+/// Callers that send one request after another.
+const CALLERS: usize = 8;
+/// Time before and after a limit in which nothing is expected to happen.
+const MARGIN: Duration = Duration::from_millis(200);
+/// Time after the limit for a revocation within which a gateway has read the store again.
+const RETURN_TIME: Duration = Duration::from_millis(2_500);
 
 /// Statuses of requests without a key, with an unknown one and with the one that was in force at the start.
 async fn statuses(gateway: &Gateway, path: &str, round: &str) -> [u16; 3] {
@@ -146,3 +161,78 @@
         }
     }
 }
+
+/// Publishes a configuration with the API keys `keys` and so many routes that it takes a while to come in force.
+fn publish_keys(site: &mut TestSite, keys: &[&str]) {
+    let routes = site.config()["routes"].as_array().cloned();
+    let mut routes = routes.expect("routes are a list");
+    routes.truncate(4);
+    let idle = |n| {
+        route(
+            &format!("idle-{n}"),
+            &format!("/idle{n}/"),
+            "idempotent",
+            "order-desk",
+        )
+    };
+    routes.extend((0..IDLE_ROUTES).map(idle));
+    site.update_config(|config| {
+        config["routes"] = json!(routes);
+        config["tenants"] = json!([{"name": "selam", "apiKeys": keys}]);
+    });
+}
+
+/// Calls a gateway with `key` again and again until `until`; returns the ids of the requests that were answered 200.
+async fn hammer(gateway: Gateway, caller: &str, key: &str, until: Instant) -> Vec<String> {
+    let client = new_client();
+    let url = format!("http://{}/stock/1", gateway.callers);
+    let mut served = Vec::new();
+    for n in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let id = format!("{caller}-{n}");
+        let request = client.get(&url).insert_header(("host", "floor.example"));
+        let request = request.insert_header(("authorization", format!("Bearer {key}")));
+        let request = request.insert_header(("balsamjunction-attempt-id", id.as_str()));
+        let response = request.send().await.expect("the gateway responds");
+        if response.status().is_success() {
+            served.push(id);
+        }
+    }
+    served
+}
+
+// Guards against a key that was taken away long ago and is accepted as the store returns, since the age of the facts is that
+// of the new configuration while the key is looked up in the old one (review/8).
+#[actix_rt::test]
+async fn a_key_that_was_taken_away_is_not_accepted_as_the_store_returns() {
+    let mut site = TestSite::start().await;
+    let engine = site.start_engine(plain_engine_options("d1")).await;
+    let names = ["key-0", "key-1", "key-2", "key-3"];
+    publish_keys(&mut site, &names);
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+
+    let mut accepted = Vec::new();
+    for (round, revoked) in names[..3].iter().enumerate() {
+        site.store.set_fault(StoreFault::TooManyReads);
+        publish_keys(&mut site, &names[round + 1..]);
+        let revoked_at = Instant::now();
+        actix_rt::time::sleep(site.revocation_deadline + MARGIN).await;
+        let until = revoked_at + site.revocation_deadline + RETURN_TIME;
+        let callers = (0..CALLERS).map(|n| format!("{revoked}-{n}"));
+        let callers =
+            callers.map(|caller| async move { hammer(gateway, &caller, revoked, until).await });
+        let restore = async {
+            actix_rt::time::sleep(MARGIN).await;
+            site.store.set_fault(StoreFault::None);
+        };
+        let (served, ()) = join(join_all(callers), restore).await;
+        accepted.extend(served.concat());
+        gateway.wait_until_ready().await;
+    }
+
+    assert!(accepted.is_empty(), "accepted: {accepted:?}");
+    assert!(engine.runs().is_empty());
+}
