--- a/crates/daemon/src/gateway/admission.rs
+++ b/crates/daemon/src/gateway/admission.rs
@@ -23,6 +23,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    api_key::{self, KeyRejection},
     attempts::{self, STOPPING_RETRY_AFTER},
     caller_request::{self, CallerRequest},
     callers::CallerConnection,
@@ -237,16 +238,11 @@
             false => stale(),
         });
     };
-    if route.public || !table.requires_api_keys() {
-        let owner = caller_request::parse_api_key(req).and_then(|key| table.api_key_owner(key));
-        return Ok((route, owner.cloned()));
-    }
-    if !current {
-        return Err(stale());
-    }
-    match caller_request::parse_api_key(req).and_then(|key| table.api_key_owner(key)) {
-        Some(owner) => Ok((route, Some(owner.clone()))),
-        None => Err(Rejection::new(
+    let key = caller_request::parse_api_key(req);
+    match api_key::find_owner(table, current, &route, key) {
+        Ok(owner) => Ok((route, owner.cloned())),
+        Err(KeyRejection::Outdated) => Err(stale()),
+        Err(KeyRejection::Unknown) => Err(Rejection::new(
             StatusCode::UNAUTHORIZED,
             ResponseReason::UnknownKey,
         )),
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -25,6 +25,7 @@
 
 use super::{
     admission::InProgress,
+    api_key::{self, KeyRejection},
     caller_request::CallerRequest,
     context::{GatewayContext, InFlightRequest},
     crash_evidence::BrokenAttempt,
@@ -360,9 +361,6 @@
         {
             // The key may have been revoked while the request waited, or one of its parts found to crash upstreams.
             self.check_may_run()?;
-            if !self.context.accepts_key(self.request.api_key.as_deref()) {
-                return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
-            }
         }
         let Some(upstream) = in_flight.upstream_record() else {
             self.record_tried(&in_flight);
@@ -408,6 +406,7 @@
             return Ok(None);
         }
         // The request may have waited for the upstream and its connection.
+        self.verify_api_key()?;
         let expected_ms = in_flight.expected_ms().max(0.0) as u64;
         self.check_time_until_exit(Duration::from_millis(expected_ms))?;
         // Each upstream that receives the request after the first counts as a retry, even if earlier ones
@@ -456,12 +455,42 @@
             false => self.admit()?,
         }
         self.admitted = true;
-        if self.request.api_key_owner.is_some() && !self.context.keys_are_current() {
-            return Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER));
-        }
+        self.verify_api_key()?;
         self.check_time_until_exit(Duration::ZERO)
     }
 
+    /// Refuses a request whose API key may have been revoked since its arrival, or assigned to another workspace.
+    fn verify_api_key(&self) -> Result<(), Failure> {
+        let request = &self.request;
+        let (directory, current) = self.context.directory_for_keys();
+        let verified = match &directory.route_table {
+            Some(table) => api_key::verify_again(
+                table,
+                current,
+                &request.route,
+                request.api_key.as_deref(),
+                request.api_key_owner.as_deref(),
+            ),
+            None => Err(KeyRejection::Outdated),
+        };
+        match verified {
+            Ok(()) => Ok(()),
+            Err(KeyRejection::Unknown) if self.run_count == 0 => Err(Failure {
+                status: StatusCode::UNAUTHORIZED,
+                reason: ResponseReason::UnknownKey,
+                retry_after: None,
+                limited: None,
+                refused_part: None,
+            }),
+            Err(KeyRejection::Unknown) => {
+                Err(self.build_failure(ResponseReason::UnknownKey, RETRY_AFTER))
+            }
+            Err(KeyRejection::Outdated) => {
+                Err(self.build_failure(ResponseReason::StaleFacts, RETRY_AFTER))
+            }
+        }
+    }
+
     /// Refuses a request that crashes upstreams, unless it is to test whether it still does.
     fn admit(&self) -> Result<(), Failure> {
         let cluster_view = &self.context.cluster_view;
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -135,18 +135,6 @@
         (directory, self.is_fresher_than(age, KEY_MAX_AGE_FRACTION))
     }
 
-    /// Whether the facts are fresh enough to accept API keys.
-    pub fn keys_are_current(&self) -> bool {
-        self.directory_for_keys().1
-    }
-
-    /// Whether an API key that a request was accepted with still has an owner.
-    pub fn accepts_key(&self, key: Option<&str>) -> bool {
-        let directory = self.cluster_view.directory();
-        let table = directory.route_table.as_ref();
-        key.is_none_or(|key| table.is_some_and(|table| table.api_key_owner(key).is_some()))
-    }
-
     /// Whether facts of an age are fresher than a fraction of the time limit for a revocation.
     fn is_fresher_than(&self, age: Option<Duration>, fraction: f64) -> bool {
         let max_age = self.revoke_within.map(|limit| limit.mul_f64(fraction));
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! the store. See docs/DESIGN.md, "Gateway".
 
 mod admission;
+mod api_key;
 mod attempts;
 mod caller_request;
 mod callers;
--- a/crates/lab/tests/gateway/api_keys.rs
+++ b/crates/lab/tests/gateway/api_keys.rs
@@ -3,11 +3,19 @@
 use std::time::{Duration, Instant};
 
 use balsamjunction_lab::standin::platform::StoreFault;
-use futures_util::future::{join, join_all};
+use futures_util::{
+    future::{join, join_all},
+    StreamExt,
+};
 use serde_json::{json, Value};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::common::{
-    new_client, plain_engine_options, route, wait_until, Gateway, TestSite, API_KEY,
+    model_engine_options, new_client, plain_engine_options, route, wait_until, Gateway, TestSite,
+    API_KEY,
 };
 
 /// Routes that make a configuration long.
@@ -236,3 +244,62 @@
     assert!(accepted.is_empty(), "accepted: {accepted:?}");
     assert!(engine.runs().is_empty());
 }
+
+// Guards against a request whose key is taken away while its body is received, and that runs with the key all the same.
+#[actix_rt::test]
+async fn a_key_that_is_taken_away_while_a_body_is_received_is_refused() {
+    let mut site = TestSite::start().await;
+    let engine = site.start_engine(plain_engine_options("d1")).await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let mut tcp = TcpStream::connect(gateway.callers).await.expect("connect");
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: floor.example\r\nAuthorization: Bearer {API_KEY}\r\n\
+         Balsamjunction-Attempt-Id: slow\r\nContent-Length: 4\r\n\r\nab"
+    );
+    tcp.write_all(head.as_bytes()).await.expect("send the head");
+    actix_rt::time::sleep(MARGIN).await;
+
+    site.update_config(|config| {
+        config["tenants"] = json!([{"name": "selam", "apiKeys": ["another"]}])
+    });
+    wait_until("the key to be refused", async || {
+        statuses(&gateway, "/stock/1", "meanwhile").await[2] == 401
+    })
+    .await;
+    let runs = engine.runs().len();
+    tcp.write_all(b"cd").await.expect("send the rest");
+    let mut status = [0; 12];
+    tcp.read_exact(&mut status).await.expect("a response");
+
+    assert_eq!(&status, b"HTTP/1.1 401");
+    assert_eq!(engine.runs().len(), runs);
+}
+
+// Guards against a stream that is resumed, and thereby run again, with a key that was taken away since it began.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_with_a_key_that_was_taken_away() {
+    let mut site = TestSite::start().await;
+    let first = site.start_engine(model_engine_options("e1", 60, 50)).await;
+    let gateway = site.start_gateway("g1", &[]);
+    gateway.wait_until_ready().await;
+    let mut stream = gateway.open_stream("a1").await;
+    let begun = stream.next().await.expect("an event").expect("an event");
+    let second = site.start_engine(model_engine_options("e2", 60, 50)).await;
+
+    site.update_config(|config| {
+        config["tenants"] = json!([{"name": "selam", "apiKeys": ["another"]}])
+    });
+    wait_until("the key to be refused", async || {
+        statuses(&gateway, "/stock/1", "meanwhile").await[2] == 401
+    })
+    .await;
+    first.crash();
+    let mut last = Some(Ok(begun));
+    while matches!(last, Some(Ok(_))) {
+        last = stream.next().await;
+    }
+
+    assert!(last.is_some(), "the stream ends as complete");
+    assert!(second.runs().is_empty());
+}
