Requests to a cold upstream count from when they are sent

Cause: a gateway counted a request from its selection, and the upstream counts it from when it is sent. The connection in between takes up to 300 ms, so two requests of one gateway that were selected a second apart arrived within a second: in a fleet of 35 with a share of one request a second for 28 of them, 56 where 47 are allowed.

Change: once the connection is there, the request is counted from then on.

Test: slow_connections_do_not_bring_two_requests_into_one_second counted 56 requests before the change.

--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -241,6 +241,8 @@
     /// Whether its limit lets a request be sent that was assigned at `assigned_at`, before its connection was
     /// established.
     pub fn confirm_send(&mut self, now: Moment, assigned_at: Moment) -> bool {
+        // A cold upstream counts requests from when they are sent.
+        self.sends.postpone(assigned_at, now);
         let limit = self.limit.as_mut();
         limit.is_none_or(|limit| limit.confirm(now, assigned_at))
     }
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -26,6 +26,14 @@
         self.events.push_back(now);
     }
 
+    /// Moves an event that was added for the time `from` to `now`; adds one if that has expired.
+    pub fn postpone(&mut self, from: Moment, now: Moment) {
+        if let Some(index) = self.events.iter().rposition(|at| *at == from) {
+            self.events.remove(index);
+        }
+        self.add(now);
+    }
+
     /// Number of events in the window that ends at `now`.
     pub fn count(&mut self, now: Moment) -> usize {
         self.expire(now);
--- a/crates/policy/tests/dispatch/cold_upstreams.rs
+++ b/crates/policy/tests/dispatch/cold_upstreams.rs
@@ -86,3 +86,32 @@
 
     assert!(sends[0] > 0 && sends[0] <= 28, "{sends:?}");
 }
+
+// Guards against requests that count from their selection while a cold engine counts them from when they are sent: two of
+// each gateway arrived within a second if the connection of the first one took long.
+#[test]
+fn slow_connections_do_not_bring_two_requests_into_one_second() {
+    let mut sent = Vec::new();
+    for own in 0..35 {
+        let mut cluster = TestCluster::new();
+        let mut cold = engine_record("cold", "addis-a");
+        cold.cold_remaining_ms = 3_000;
+        cluster.register(millis(10_000), cold);
+        cluster.configure_entries(&[], test_entries(own, 35));
+        for (selected_at, delay) in [(10_000, 300), (11_000, 0)] {
+            let now = millis(selected_at);
+            let Some(selected) = cluster.try_send(now, engine_request(now)) else {
+                continue;
+            };
+            let now = now + millis(delay);
+            if cluster.dispatcher.confirm_send(now, &selected) {
+                sent.push(now);
+            }
+        }
+    }
+
+    let window = millis(10_300)..millis(11_300);
+    let sent = sent.iter().filter(|at| window.contains(at)).count();
+
+    assert!(sent > 0 && sent <= MAX_COLD_REQUESTS, "{sent} requests");
+}
