A gateway that cannot know that an upstream is warm spares it

Cause: what told a gateway that an upstream is cold was its record alone, and whoever had no such record sent it seven tenths of the bound, each for itself: gateways that neither the store nor a peer reaches; all of them between the end of an evacuation and the next records; those to which it had refused or broken a connection and then accepted one; and gateways that start after a loss of power and list records from before it. Gateways that had just started sent one request a second each, however many they were, and after two seconds one that still knew no other took itself for the only one.

Change: a third opinion of an upstream, possibly cold. Its share is an even part, or a place among the ranks, of one and a half times the cold rate, by the same ranks as the share of a known cold one, so gateways of different opinions keep the bound together. Gateways that know no others assume as many as there are upstreams of the service.

Tests: cold_fleet.rs simulates 1 to 400 gateways that know none, some or all of each other, with records that are late or lost.

--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -379,9 +379,10 @@
                 tcp
             }
             Err(e) => {
-                // Other failures tell nothing of the time that the path takes.
-                if e.is_connect_timeout() {
-                    in_flight.record_connection(started, false);
+                // Other failures tell nothing of the time that the path takes, but of the upstream.
+                match e.is_connect_timeout() {
+                    true => in_flight.record_connection(started, false),
+                    false => in_flight.mark_upstream_away(),
                 }
                 in_flight.set_outcome(AttemptOutcome::Unreachable);
                 self.record_tried(&in_flight);
@@ -587,6 +588,7 @@
             }
             PendingResult::Broken(e) => {
                 if matches!(e, SendError::Broken(_)) && !in_flight.is_switching() {
+                    in_flight.mark_upstream_away();
                     self.report_crash(&upstream, false);
                     self.report_break(&upstream, BrokenAttempt::WITHOUT_HEAD);
                 }
--- a/crates/daemon/src/gateway/context.rs
+++ b/crates/daemon/src/gateway/context.rs
@@ -317,9 +317,13 @@
         let entries = self
             .cluster_view
             .with_members(|members, now| members.entries(now));
-        let deadlines_changed = lock(&self.dispatch)
-            .dispatcher
-            .configure(&directory, &engines, entries);
+        let facts_age = self.cluster_view.facts_age().unwrap_or(Duration::MAX);
+        let verified_at = self.now().saturating_sub(facts_age);
+        let deadlines_changed = {
+            let mut dispatch = lock(&self.dispatch);
+            dispatch.dispatcher.set_facts_verified_at(verified_at);
+            dispatch.dispatcher.configure(&directory, &engines, entries)
+        };
         if deadlines_changed {
             self.start_deadlines_changed.send_modify(|n| *n += 1);
         }
--- a/crates/daemon/src/gateway/context/in_flight.rs
+++ b/crates/daemon/src/gateway/context/in_flight.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Records that the upstream refused or broke a connection, so that it may have restarted.
+    pub fn mark_upstream_away(&self) {
+        lock(&self.context.dispatch)
+            .dispatcher
+            .mark_away(self.selected.upstream);
+    }
+
     /// Records that the head of the response to the request that was sent at `sent_at` has just been received.
     pub fn record_head(&self, sent_at: Moment) {
         let sample = PathSample {
--- a/crates/daemon/src/gateway/reader.rs
+++ b/crates/daemon/src/gateway/reader.rs
@@ -254,6 +254,7 @@
             return;
         }
         if cause == InterruptionCause::Broken {
+            self.in_flight.mark_upstream_away();
             let broken = BrokenAttempt {
                 began: true,
                 sound: self.sound,
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -305,6 +305,8 @@
     entries: Entries,
     /// Increases whenever `entries` changes.
     entries_generation: u64,
+    /// When the facts were last known to be the latest.
+    facts_verified_at: Moment,
 }
 
 #[derive(Debug)]
@@ -374,6 +376,20 @@
             paths: PathDelays::default(),
             entries: Entries::default(),
             entries_generation: 0,
+            facts_verified_at: Moment::MAX,
+        }
+    }
+
+    /// Sets when the facts were last known to be the latest. Older facts do not show that an upstream is warm. Unless it
+    /// is called, they always do.
+    pub fn set_facts_verified_at(&mut self, verified_at: Moment) {
+        self.facts_verified_at = verified_at;
+    }
+
+    /// Records that an upstream refused or broke a connection, so that it may have restarted.
+    pub fn mark_away(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.mark_away();
         }
     }
 
@@ -422,11 +438,18 @@
                 upstream.update(record, *received_at, service, status);
                 upstream.availability.listed = record.state == UpstreamState::Ready && !evacuated;
                 upstream.availability.restarted = restarted;
-                upstream.update_share(&self.entries, self.entries_generation);
+                upstream.set_evacuated(evacuated);
             }
             listed.insert(id, key);
             members.entry(record.service.clone()).or_default().push(key);
         }
+        for keys in members.values() {
+            for key in keys {
+                if let Some(upstream) = self.upstreams.get_mut(*key) {
+                    upstream.update_share(&self.entries, self.entries_generation, keys.len());
+                }
+            }
+        }
         self.missing
             .extend(std::mem::replace(&mut self.by_id, listed));
         while self.missing.len() > MAX_MISSING {
@@ -669,6 +692,7 @@
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            facts_verified_at: self.facts_verified_at,
             unseen_wait_ms: contention.map(|state| state.unseen_wait_ms(now)),
             paths: &self.paths,
             prompt_cache: &self.prompt_cache,
@@ -721,6 +745,7 @@
             settings: &self.settings,
             published: &self.published,
             entry_count: self.entries.count(),
+            facts_verified_at: self.facts_verified_at,
             unseen_wait_ms: None,
             paths: &self.paths,
             prompt_cache: &self.prompt_cache,
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -58,6 +58,8 @@
     /// At a contended service, the time to the first event beyond the estimate from the load that this entry sees,
     /// in milliseconds.
     pub unseen_wait_ms: Option<f64>,
+    /// When the facts were last known to be the latest.
+    pub facts_verified_at: Moment,
     /// The delays of the paths to upstreams.
     pub paths: &'a PathDelays,
     /// Which upstreams probably cache which prompt prefixes.
@@ -283,8 +285,8 @@
             None => occupancy.requests < slots,
         };
         let share = (self.max_connections as usize / cx.entry_count).max(1);
-        let allowed =
-            upstream.own_requests < share && upstream.may_send(cx.now, cx.settings.started);
+        let allowed = upstream.own_requests < share
+            && upstream.may_send(cx.now, cx.settings.started, cx.facts_verified_at);
         Candidate {
             upstream: key,
             expected_ms,
--- a/crates/policy/src/dispatch/shares.rs
+++ b/crates/policy/src/dispatch/shares.rs
@@ -42,6 +42,11 @@
 }
 
 impl Entries {
+    /// Whether this entry knows no other one.
+    pub fn is_alone(&self) -> bool {
+        self.all.iter().all(|entry| entry.host == self.own)
+    }
+
     /// Number of entries that share the limits of each upstream, at least one.
     pub fn count(&self) -> usize {
         self.all.len().max(1)
@@ -105,6 +110,26 @@
         }
     }
 
+    /// Requests per second that this entry may send to an upstream which can handle `per_s` from all
+    /// entries together, if it does not know all entries and assumes that there are `assumed` of them, or as many
+    /// as it knows if those are more.
+    ///
+    /// Those that rank first among the assumed ones send one request each. The rank is that of [`Self::rate_share`], so
+    /// that entries which know all others and entries which do not send no more together than the first ones alone.
+    pub fn assumed_rate_share(&self, upstream: &str, per_s: f64, assumed: usize) -> f64 {
+        if assumed <= self.count() {
+            return self.rate_share(upstream, per_s);
+        }
+        let even = per_s / assumed as f64;
+        let weight = rendezvous::weight(upstream.as_bytes(), &self.own);
+        let higher_ranked = 1.0 - weight as f64 / u64::MAX as f64;
+        match even >= 1.0 {
+            true => even,
+            false if higher_ranked < even => 1.0,
+            false => 0.0,
+        }
+    }
+
     /// Requests per second that this entry may send to an upstream which can handle `per_s` from all
     /// entries together.
     ///
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -46,6 +46,12 @@
 const MIN_LIMIT_PER_S: f64 = 0.1;
 /// Window of the rate limit of cold upstreams.
 const COLD_WINDOW: Moment = Moment::from_secs(1);
+/// Time since the facts were verified after which they no longer show that an upstream is warm; in touch with the
+/// store or a peer, they are verified within 1.2 s.
+const WARM_FACTS_MAX_AGE: Moment = Moment::from_secs(2);
+/// Fraction of the cold rate that all entries together may send to an upstream that may be cold, of which some entries
+/// may know. The platform allows one and a half times the rate and a few requests.
+const POSSIBLY_COLD_RATE_FRACTION: f64 = 1.5;
 
 /// The state of one upstream.
 #[derive(Debug)]
@@ -68,10 +74,23 @@
     cold_per_s: f64,
     /// The share of `cold_per_s` that this entry may use.
     cold_share: f64,
+    /// The same while it may be cold without the knowledge of this entry.
+    possibly_cold_share: f64,
+    /// The same while this entry does not know the others either.
+    discovery_share: f64,
+    /// How long after it was last seen to come back it may be cold.
+    cold_start: Moment,
+    possibly_cold_until: Moment,
+    /// Whether it could not be reached or broke a connection, and has not accepted one since.
+    away: bool,
+    /// Whether its data centre was evacuated.
+    evacuated: bool,
+    /// Whether its data centre is back from an evacuation, and nothing was sent to it since.
+    returned: bool,
     tie_break_ms: f64,
-    /// The generation of entries and the `cold_per_s` from which `cold_share` and `tie_break_ms` were
-    /// computed.
-    share_inputs: Option<(u64, f64)>,
+    /// The generation of entries, the `cold_per_s` and the number of upstreams from which the shares and `tie_break_ms`
+    /// were computed.
+    share_inputs: Option<(u64, f64, usize)>,
     sends: SlidingWindowCounter,
     /// Exponentially weighted moving average of outcomes, between zero and one.
     failure_rate: f64,
@@ -102,6 +121,13 @@
             cold_until: Moment::ZERO,
             cold_per_s: 0.0,
             cold_share: 1.0,
+            possibly_cold_share: 1.0,
+            discovery_share: 1.0,
+            cold_start: Moment::ZERO,
+            possibly_cold_until: Moment::ZERO,
+            away: false,
+            evacuated: false,
+            returned: false,
             tie_break_ms: 0.0,
             share_inputs: None,
             sends: SlidingWindowCounter::new(COLD_WINDOW),
@@ -125,8 +151,8 @@
         status: Option<&EngineStatus>,
     ) {
         // What an earlier record said must not outlast it for long: that may have been another writer's.
-        let cold_start = Moment::from_millis(service.cold_start_ms);
-        let earlier = self.cold_until.min(received_at + cold_start);
+        self.cold_start = Moment::from_millis(service.cold_start_ms);
+        let earlier = self.cold_until.min(received_at + self.cold_start);
         let cold = Moment::from_millis(record.cold_remaining_ms);
         self.cold_until = earlier.max(received_at + cold);
         self.cold_per_s = service.cold_requests_per_s;
@@ -193,18 +219,42 @@
         }
     }
 
+    /// Records whether its data centre is evacuated. Upstreams may be cold when it is back.
+    pub fn set_evacuated(&mut self, evacuated: bool) {
+        self.returned |= std::mem::replace(&mut self.evacuated, evacuated) && !evacuated;
+    }
+
+    /// Records that it could not be reached, or broke a connection: it may have restarted, and be cold once it accepts
+    /// connections again.
+    pub fn mark_away(&mut self) {
+        self.away = true;
+    }
+
+    /// Whether it may be cold although its record does not say so. `facts_verified_at` is when this entry last
+    /// knew its record to be the latest.
+    fn may_be_cold(&mut self, now: Moment, facts_verified_at: Moment) -> bool {
+        if std::mem::take(&mut self.returned) {
+            self.possibly_cold_until = now + self.cold_start;
+        }
+        self.away
+            || now < self.possibly_cold_until
+            || facts_verified_at.saturating_add(WARM_FACTS_MAX_AGE) <= now
+    }
+
     /// Whether the rate limit of cold upstreams lets this entry send another request.
     ///
-    /// An entry that started recently, at `started`, does not know all others yet, so it is limited to
-    /// one request per second.
-    pub fn may_send(&mut self, now: Moment, started: Moment) -> bool {
+    /// An entry that started recently, at `started`, knows neither all others nor what happened to the upstream before.
+    pub fn may_send(&mut self, now: Moment, started: Moment, facts_verified_at: Moment) -> bool {
         if self.cold_per_s <= 0.0 {
             return true;
         }
-        let limit = match now < self.cold_until {
-            true if now < started + ENTRY_DISCOVERY_TIME => self.cold_share.min(1.0),
-            true => self.cold_share,
-            false => (self.cold_per_s * WARM_RATE_FRACTION).max(1.0),
+        let discovers = now < started + ENTRY_DISCOVERY_TIME;
+        let limit = match (now < self.cold_until, discovers) {
+            (true, true) => self.cold_share.min(self.discovery_share).min(1.0),
+            (true, false) => self.cold_share,
+            (false, true) => self.discovery_share,
+            (false, false) if self.may_be_cold(now, facts_verified_at) => self.possibly_cold_share,
+            (false, false) => (self.cold_per_s * WARM_RATE_FRACTION).max(1.0),
         };
         (self.sends.count(now) as f64) + 1.0 <= limit
     }
@@ -243,18 +293,30 @@
     pub fn confirm_send(&mut self, now: Moment, assigned_at: Moment) -> bool {
         // A cold upstream counts requests from when they are sent.
         self.sends.postpone(assigned_at, now);
+        if std::mem::take(&mut self.away) {
+            self.possibly_cold_until = now + self.cold_start;
+        }
         let limit = self.limit.as_mut();
         limit.is_none_or(|limit| limit.confirm(now, assigned_at))
     }
 
-    /// Recomputes the share of this entry if the entries or the cold rate changed; `generation` increases
-    /// whenever the entries change.
-    pub fn update_share(&mut self, entries: &Entries, generation: u64) {
-        let share_inputs = Some((generation, self.cold_per_s));
+    /// Recomputes the shares of this entry if the entries, the cold rate or the number of the service's upstreams
+    /// (`members`) changed; `generation` increases whenever the entries change.
+    pub fn update_share(&mut self, entries: &Entries, generation: u64, members: usize) {
+        let share_inputs = Some((generation, self.cold_per_s, members));
         if std::mem::replace(&mut self.share_inputs, share_inputs) == share_inputs {
             return;
         }
-        self.cold_share = entries.rate_share(&self.record.id, self.cold_per_s);
+        let id = &self.record.id;
+        let possibly_cold_per_s = self.cold_per_s * POSSIBLY_COLD_RATE_FRACTION;
+        self.cold_share = entries.rate_share(id, self.cold_per_s);
+        self.possibly_cold_share = entries.rate_share(id, possibly_cold_per_s);
+        // Fleets have fewer entries than upstreams of a service that starts cold, two for three at most.
+        self.discovery_share = entries.assumed_rate_share(id, possibly_cold_per_s, members);
+        if entries.is_alone() {
+            self.cold_share = self.cold_share.min(self.discovery_share);
+            self.possibly_cold_share = self.discovery_share;
+        }
         self.tie_break_ms = entries.tie_break_ms(&self.record.id);
     }
 
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher: which upstream it selects, and which requests wait or are refused.
 
+mod cold_fleet;
 mod cold_upstreams;
 mod contended_services;
 mod failing_upstreams;
