A response without a final status is no response

Cause: parsers accept any three digits, and nothing asked whether they are the status of a final response. Whatever ended the wait for a response without one counted as a broken connection, and that as a crash.

Change: is_final_status in crates/client says what a final status is (200 to 599). The gateway asks it before anything else of a response is read, and tells bytes that are no response apart from a broken connection: the request may have run, the upstream has failed, nothing has crashed. The sidecar asks it, too. Calls to the store, the origin, the stagers' engine and peers accept the statuses only that they expect, so odd ones were failures before.

Not tested: the sidecar, answers of peers and of engines to orders.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -82,6 +82,14 @@
         .finish()
 }
 
+/// Whether a status is that of a final response, which tells what became of its request (RFC 9110, section 15).
+///
+/// Parsers accept any three digits. An interim status is that of no response, and 101 only of one to a request that asks for
+/// another protocol, which this system never does.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Whether a request failed before a connection was established, so that the server cannot have read
 /// any of it.
 ///
--- a/crates/daemon/src/gateway/send.rs
+++ b/crates/daemon/src/gateway/send.rs
@@ -16,6 +16,7 @@
     time::Duration,
 };
 
+use balsamjunction_client::is_final_status;
 use balsamjunction_platform::headers;
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -49,6 +50,12 @@
     /// The connection failed after the request may have been read, so the request may have run.
     #[display("connection broke before the response: {_0}")]
     Broken(hyper::Error),
+    /// What the upstream sent is no response, so the request may have run.
+    #[display("the upstream sent no response: {_0}")]
+    Malformed(hyper::Error),
+    /// The status is none of a final response, so the request may have run.
+    #[display("status {_0} is not that of a final response")]
+    OddStatus(#[error(not(source))] u16),
 }
 
 /// A response whose head has been received; its body is read from the connection.
@@ -178,7 +185,15 @@
         socket,
         _cancellation,
     };
-    let response = sender.send_request(req).await.map_err(SendError::Broken)?;
+    let received = sender.send_request(req).await;
+    let response = received.map_err(|e| match e.is_parse() {
+        true => SendError::Malformed(e),
+        false => SendError::Broken(e),
+    })?;
+    let status = response.status().as_u16();
+    if !is_final_status(status) {
+        return Err(SendError::OddStatus(status));
+    }
     Ok(UpstreamResponse {
         inner: response,
         _connection,
--- a/crates/daemon/src/sidecar/upstream.rs
+++ b/crates/daemon/src/sidecar/upstream.rs
@@ -154,6 +154,16 @@
     permit: Permit,
     started: Moment,
 ) -> Result<ResponseStream, RunFailure> {
+    let status = response.status().as_u16();
+    if !balsamjunction_client::is_final_status(status) {
+        let request = granted.envelope.request;
+        warn!("{request}: the upstream responded with status {status}, which is not that of a final response");
+        permit.finish(RunOutcome::Failed);
+        return Err(RunFailure {
+            outcome: Outcome::Unknown,
+            refusal: None,
+        });
+    }
     let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
     let other_version =
         header(VERSION_HEADER).is_some_and(|v| granted.version.as_deref().is_some_and(|w| v != w));
--- a/crates/lab/tests/gateway/faulty_refusals.rs
+++ b/crates/lab/tests/gateway/faulty_refusals.rs
@@ -7,9 +7,9 @@
 };
 
 /// Routes whose requests may run once at most: without a stream, and a stream that may not be resumed.
-const ONCE_ROUTES: [&str; 2] = ["/order/new", "/once/now"];
+pub const ONCE_ROUTES: [&str; 2] = ["/order/new", "/once/now"];
 /// Routes whose requests may run again, of which each attempt is allowed two runs.
-const REPEATABLE_ROUTES: [&str; 2] = ["/stock/1", "/draft/now"];
+pub const REPEATABLE_ROUTES: [&str; 2] = ["/stock/1", "/draft/now"];
 
 /// A true response, with the id of the request that was received.
 const TRUE_RESPONSE: &str = "HTTP/1.1 200 OK\r\nBalsamjunction-Attempt-Id: {id}\r\n\
@@ -26,14 +26,14 @@
 const NO_BODY: &str = "Content-Length: 0\r\n\r\n";
 
 /// A call to a service with two engines that follow the same script.
-struct Call {
-    response: CallerResponse,
+pub struct Call {
+    pub response: CallerResponse,
     engines: [ScriptedServer; 2],
     _site: TestSite,
 }
 
 impl Call {
-    async fn send(path: &str, script: &Script) -> Self {
+    pub async fn send(path: &str, script: &Script) -> Self {
         let mut site = TestSite::start().await;
         let options = |id| match path.starts_with("/order/") || path.starts_with("/stock/") {
             true => plain_engine_options(id),
@@ -55,7 +55,7 @@
     }
 
     /// Number of engines that received the request.
-    fn receivers(&self) -> usize {
+    pub fn receivers(&self) -> usize {
         self.engines.iter().map(ScriptedServer::requests).sum()
     }
 }
@@ -67,7 +67,7 @@
     }
 }
 
-fn script(opening: String) -> Script {
+pub fn script(opening: String) -> Script {
     Script {
         opening,
         keep_open: true,
@@ -77,7 +77,7 @@
 
 /// Asserts that callers are not told that their requests have not run, and that no request that may run once reaches a
 /// second engine.
-async fn assert_unknown(routes: [&str; 2], script: &Script) {
+pub async fn assert_unknown(routes: [&str; 2], script: &Script) {
     for path in routes {
         let call = Call::send(path, script).await;
 
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod lost_readers;
 mod odd_entries;
+mod odd_statuses;
 mod planned_stops;
 mod prompt_prefixes;
 mod recalls;
