Gateways that know no others assume fewer of them

Cause: it assumed as many gateways as the service has upstreams, where fleets have one for three or four, so it used a third of what there was for it.

Change: it assumes one for two upstreams.

--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -49,6 +49,9 @@
 /// Time since the facts were verified after which they no longer show that an upstream is warm; in touch with the
 /// store or a peer, they are verified within 1.2 s.
 const WARM_FACTS_MAX_AGE: Moment = Moment::from_secs(2);
+/// Number of upstreams of a service for each entry that one which knows no others assumes. Fleets have three or four, and
+/// which entries draw a place is random, so that some upstreams get more than their mean.
+const UPSTREAMS_PER_ASSUMED_ENTRY: usize = 2;
 /// Fraction of the cold rate that all entries together may send to an upstream that may be cold, of which some entries
 /// may know. The platform allows one and a half times the rate and a few requests.
 const POSSIBLY_COLD_RATE_FRACTION: f64 = 1.5;
@@ -311,8 +314,8 @@
         let possibly_cold_per_s = self.cold_per_s * POSSIBLY_COLD_RATE_FRACTION;
         self.cold_share = entries.rate_share(id, self.cold_per_s);
         self.possibly_cold_share = entries.rate_share(id, possibly_cold_per_s);
-        // Fleets have fewer entries than upstreams of a service that starts cold, two for three at most.
-        self.discovery_share = entries.assumed_rate_share(id, possibly_cold_per_s, members);
+        let assumed = members / UPSTREAMS_PER_ASSUMED_ENTRY;
+        self.discovery_share = entries.assumed_rate_share(id, possibly_cold_per_s, assumed);
         if entries.is_alone() {
             self.cold_share = self.cold_share.min(self.discovery_share);
             self.possibly_cold_share = self.discovery_share;
